--- /dev/null
+++ b/cmd/vanillagrade/main.go
@@ -0,0 +1,4 @@
+// Command vanillagrade is every process of the dispatcher in one binary.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,77 @@
+// Package timeline records what one process did as typed events in a bounded
+// ring, orders them across processes by a hybrid logical clock, and merges the
+// rings of all entries into one time line.
+package timeline
+
+import (
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// Stamp is a hybrid logical clock reading: the high 48 bits are Unix
+// milliseconds, the low 16 bits count events within one millisecond.
+type Stamp uint64
+
+// Kind is the type of an event.
+type Kind string
+
+// The kinds of events.
+const (
+	SubmissionReceived Kind = "submission_received"
+	SubmissionJoined   Kind = "submission_joined"
+	SubmissionTaken    Kind = "submission_taken_over"
+	SubmissionAdmitted Kind = "submission_admitted"
+	SubmissionRefused  Kind = "submission_refused"
+	SubmissionAnswered Kind = "submission_answered"
+	BatchOffered       Kind = "batch_offered"
+	BatchReceived      Kind = "batch_received"
+	BatchReported      Kind = "batch_reported"
+	TaskQueued         Kind = "task_queued"
+	TaskStarted        Kind = "task_started"
+	TaskEnded          Kind = "task_ended"
+	TaskRetried        Kind = "task_retried"
+	TaskDropped        Kind = "task_dropped"
+	TargetAnnounced    Kind = "target_announced"
+	TargetLeaving      Kind = "target_leaving"
+	TargetLapsed       Kind = "target_lapsed"
+	TargetSuspect      Kind = "target_suspect"
+	TargetHealthy      Kind = "target_healthy"
+	HolderChanged      Kind = "holder_changed"
+	EntryAlive         Kind = "entry_alive"
+	EntrySuspect       Kind = "entry_suspect"
+	EntryDead          Kind = "entry_dead"
+	ConfigurationSet   Kind = "configuration_in_force"
+	ConfigurationTry   Kind = "configuration_proposed"
+	ConfigurationStale Kind = "configuration_stale"
+	EntryStarted       Kind = "entry_started"
+	EntryDraining      Kind = "entry_draining"
+	EntryStopped       Kind = "entry_stopped"
+)
+
+// Event is one thing that one process did or learned, with its cause.
+type Event struct {
+	Stamp      Stamp         `json:"stamp" cbor:"1,keyasint"`
+	Entry      job.EntryID   `json:"entry" cbor:"2,keyasint"`
+	Kind       Kind          `json:"kind" cbor:"3,keyasint"`
+	Submission job.ID        `json:"submission,omitempty" cbor:"4,keyasint,omitempty"`
+	Task       int           `json:"task,omitempty" cbor:"5,keyasint,omitempty"`
+	Target     job.TargetID  `json:"target,omitempty" cbor:"6,keyasint,omitempty"`
+	Peer       job.EntryID   `json:"peer,omitempty" cbor:"7,keyasint,omitempty"`
+	Reason     job.Reason    `json:"reason,omitempty" cbor:"8,keyasint,omitempty"`
+	Cause      string        `json:"cause,omitempty" cbor:"9,keyasint,omitempty"`
+	Count      int           `json:"count,omitempty" cbor:"10,keyasint,omitempty"`
+	Took       time.Duration `json:"took,omitempty" cbor:"11,keyasint,omitempty"`
+}
+
+// Sink takes events. Record fills in Stamp and Entry, never blocks and never
+// fails: a full ring drops its oldest event.
+type Sink interface {
+	Record(Event)
+}
+
+// Discard is a Sink that keeps nothing.
+type Discard struct{}
+
+// Record does nothing.
+func (Discard) Record(Event) {}
