Bound the keys of a mapping in the declarative file

The YAML parser recurses once a key of a block mapping and takes time by their square: a trial with 100,000 keys in 500 KB took 23 s, so one request could hold an entry's core. The new row of the table takes the 23 s without the bound.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -22,6 +22,10 @@
 	// maxNesting bounds open brackets and list dashes on one line; a right file
 	// needs three.
 	maxNesting = 16
+	// maxKeys bounds the keys of one block mapping; a right file needs seven.
+	// The parser recurses once a key and takes time by their square: a file of
+	// 100,000 keys kept it busy for 23 s.
+	maxKeys = 64
 	// maxProblems bounds the report on one file.
 	maxProblems = 200
 )
@@ -68,6 +72,7 @@
 	}
 	tokens := lexer.Tokenize(string(data))
 	open, dashes, line := 0, 0, 0
+	keys := map[int]int{}
 	for _, t := range tokens {
 		if t.Position.Line != line {
 			dashes, line = 0, t.Position.Line
@@ -83,15 +88,37 @@
 			open--
 		case token.SequenceEntryType:
 			dashes++
+			forgetInner(keys, t.Position.Column)
+		case token.MappingValueType:
+			if open > 0 || t.Prev == nil {
+				break
+			}
+			column := t.Prev.Position.Column
+			forgetInner(keys, column)
+			keys[column]++
+			if keys[column] > maxKeys {
+				d.token(t.Prev, "more than %d keys in one mapping", maxKeys)
+				return nil
+			}
 		}
 		if open+dashes > maxNesting {
 			d.token(t, "nested too deeply")
-			break
+			return nil
 		}
 	}
 	return tokens
 }
 
+// forgetInner drops the key counts of the mappings that are indented deeper
+// than column: a token there ends them.
+func forgetInner(keys map[int]int, column int) {
+	for c := range keys {
+		if c > column {
+			delete(keys, c)
+		}
+	}
+}
+
 func (d *decoder) syntax(err error) {
 	var s *yaml.SyntaxError
 	if errors.As(err, &s) && s.Token != nil {
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -92,6 +92,7 @@
 		"open bracket":     {"number: [1", "not valid YAML"},
 		"deep":             {"number: " + strings.Repeat("[", 100000), "nested too deeply"},
 		"deep dashes":      {"number:\n " + strings.Repeat("- ", 100000), "nested too deeply"},
+		"many keys":        {strings.Repeat("a: b\n", 100000), "f:65:1: more than 64 keys"},
 		"too large":        {strings.Repeat("#", MaxFileBytes+1), "at most 1048576"},
 		"not text":         {"number: \xff", "not UTF-8"},
 	}
@@ -105,7 +106,10 @@
 			qt.Assert(t, strings.Contains(err.Error(), c.want), qt.IsTrue, qt.Commentf("got %s", err))
 		})
 	}
-	_, err := Parse("f", []byte("number: x\nfoo: 1\nservices:\n- name: a\n  deadline: 3\n- name: a\n"))
+	long := head[:len(head)-len("[{name: a}]\n")] + strings.Repeat("\n- name: a\n  keep: memory", 100)
+	_, err := Parse("f", []byte(long))
+	qt.Assert(t, strings.Contains(err.Error(), "stands twice"), qt.IsTrue, qt.Commentf("%s", err))
+	_, err = Parse("f", []byte("number: x\nfoo: 1\nservices:\n- name: a\n  deadline: 3\n- name: a\n"))
 	problems := err.(Problems)
 	qt.Assert(t, len(problems), qt.Equals, 4, qt.Commentf("%s", err))
 	lines := []int{problems[0].Line, problems[1].Line, problems[2].Line, problems[3].Line}
