--- /dev/null
+++ b/internal/timeline/explain.go
@@ -0,0 +1,209 @@
+package timeline
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// Sentence is one statement of a story.
+type Sentence struct {
+	// At is the time since the story's first event.
+	At    time.Duration `json:"at"`
+	Entry job.EntryID   `json:"entry"`
+	Text  string        `json:"text"`
+}
+
+// Story is what happened to one submission, with the reason of each decision.
+type Story struct {
+	Submission job.ID     `json:"submission"`
+	Found      bool       `json:"found"`
+	Sentences  []Sentence `json:"sentences"`
+	// Missing says what the story may lack.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// storyTasks is up to how many tasks each one is told by itself; above, starts
+// and ends are summed up by target.
+const storyTasks = 4
+
+// Explain tells the story of one submission.
+func Explain(t Timeline, id job.ID) Story {
+	events := t.Of(id)
+	story := Story{Submission: id, Found: len(events) > 0}
+	if story.Found {
+		t.missing(&story, events[0].Stamp)
+	} else {
+		t.missing(&story, 0)
+	}
+	if !story.Found {
+		return story
+	}
+	start := events[0].Stamp.Time()
+	add := func(ev *Event, text string) {
+		story.Sentences = append(story.Sentences, Sentence{At: ev.Stamp.Time().Sub(start), Entry: ev.Entry, Text: text})
+	}
+	sums := sumTasks(events)
+	for i := range events {
+		ev := &events[i]
+		if sums.many() && sums.covers(ev) {
+			if text := sums.tell(ev); text != "" {
+				add(ev, text)
+			}
+			continue
+		}
+		add(ev, sentence(ev))
+		if context := t.concerning(ev); context != "" {
+			add(ev, context)
+		}
+	}
+	return story
+}
+
+// missing lists why the story may not be whole.
+func (t *Timeline) missing(story *Story, from Stamp) {
+	for _, e := range t.Unreachable {
+		story.Missing = append(story.Missing, fmt.Sprintf("entry %s could not be reached: what it did is not told here", e))
+	}
+	for _, g := range t.Gaps {
+		if from <= g.CompleteFrom && g.CompleteFrom > 0 {
+			story.Missing = append(story.Missing, fmt.Sprintf("entry %s keeps events only from %s on: earlier ones fell out of its ring", g.Entry, clockText(g.CompleteFrom)))
+		}
+		if g.LeftOut > 0 {
+			story.Missing = append(story.Missing, fmt.Sprintf("entry %s has %d more events than were asked for", g.Entry, g.LeftOut))
+		}
+	}
+	for _, s := range t.Skewed {
+		story.Missing = append(story.Missing, fmt.Sprintf("the clock of entry %s is %s ahead: its events stand too late", s.Entry, s.Ahead.Round(time.Second)))
+	}
+}
+
+// concerning finds, for a lost target or entry, the event of the fleet that
+// led to it.
+func (t *Timeline) concerning(ev *Event) string {
+	var subject string
+	var kinds []Kind
+	switch ev.Reason {
+	case job.TargetLost, job.TargetRefused:
+		subject, kinds = string(ev.Target), []Kind{TargetLapsed, TargetLeaving, TargetSuspect}
+	case job.HolderLost, job.OwnerLost, job.ZoneUnreachable:
+		subject, kinds = string(ev.Peer), []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped}
+	}
+	if subject == "" {
+		return ""
+	}
+	for i := len(t.Events) - 1; i >= 0; i-- {
+		other := &t.Events[i]
+		if other.Stamp > ev.Stamp || other.Submission != "" {
+			continue
+		}
+		about := string(other.Target) == subject || string(other.Peer) == subject || string(other.Entry) == subject
+		if about && slices.Contains(kinds, other.Kind) {
+			return fmt.Sprintf("before that, at %s: %s", clockText(other.Stamp), sentence(other))
+		}
+	}
+	return ""
+}
+
+// taskSums counts the plain starts and ends of tasks by entry and target.
+type taskSums struct {
+	tasks map[int]bool
+	sums  map[sumKey]*taskSum
+}
+
+type sumKey struct {
+	entry  job.EntryID
+	kind   Kind
+	target job.TargetID
+	cause  string
+}
+
+type taskSum struct {
+	count   int
+	told    bool
+	longest time.Duration
+	last    Stamp
+}
+
+func sumTasks(events []Event) *taskSums {
+	s := &taskSums{tasks: map[int]bool{}, sums: map[sumKey]*taskSum{}}
+	for i := range events {
+		ev := &events[i]
+		if !ev.HasTask() {
+			continue
+		}
+		s.tasks[ev.Task] = true
+		if !s.covers(ev) {
+			continue
+		}
+		k := keyOf(ev)
+		if s.sums[k] == nil {
+			s.sums[k] = &taskSum{}
+		}
+		sum := s.sums[k]
+		sum.count++
+		sum.longest = max(sum.longest, ev.Took)
+		sum.last = ev.Stamp
+	}
+	return s
+}
+
+// keyOf sums starts and ends by target, and waiting tasks by their cause.
+func keyOf(ev *Event) sumKey {
+	k := sumKey{entry: ev.Entry, kind: ev.Kind, target: ev.Target}
+	if ev.Kind == TaskQueued {
+		k.cause = ev.Cause
+	}
+	return k
+}
+
+func (s *taskSums) many() bool { return len(s.tasks) > storyTasks }
+
+// covers reports whether the event may be summed up: it went as planned.
+func (s *taskSums) covers(ev *Event) bool {
+	switch ev.Kind {
+	case TaskQueued, TaskStarted, TaskEnded:
+		return ev.Reason == ""
+	}
+	return false
+}
+
+// tell returns the sum's one sentence at its first event, and nothing after.
+func (s *taskSums) tell(ev *Event) string {
+	sum := s.sums[keyOf(ev)]
+	if sum.told {
+		return ""
+	}
+	sum.told = true
+	if sum.count == 1 {
+		return sentence(ev)
+	}
+	over := ""
+	if span := sum.last.Time().Sub(ev.Stamp.Time()); span > 0 {
+		over = fmt.Sprintf(" over %s", span)
+	}
+	switch ev.Kind {
+	case TaskQueued:
+		return fmt.Sprintf("%d tasks wait%s%s", sum.count, over, because(ev.Cause))
+	case TaskStarted:
+		return fmt.Sprintf("%d tasks start on target %s%s%s", sum.count, ev.Target, over, because(ev.Cause))
+	}
+	return fmt.Sprintf("%d tasks end on target %s%s, the longest after %s", sum.count, ev.Target, over, round(sum.longest))
+}
+
+func because(cause string) string {
+	if cause == "" {
+		return ""
+	}
+	return ": " + strings.TrimPrefix(cause, ": ")
+}
+
+func round(d time.Duration) time.Duration {
+	if d > time.Second {
+		return d.Round(time.Millisecond)
+	}
+	return d.Round(10 * time.Microsecond)
+}
--- /dev/null
+++ b/internal/timeline/sentence.go
@@ -0,0 +1,194 @@
+package timeline
+
+import (
+	"fmt"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// reasonTexts says each reason as a statement. docs/OPERATIONS.md says what to
+// do about it.
+var reasonTexts = map[job.Reason]string{
+	job.Malformed:       "the request could not be read",
+	job.UnknownService:  "the configuration in force names no such service",
+	job.UnknownTeam:     "the configuration in force names no such team",
+	job.IDReused:        "the same id was used before with other content",
+	job.TooLarge:        "the job's payload is above the limit",
+	job.TooManyTasks:    "the job has more tasks than the limit",
+	job.Infeasible:      "no announced target could ever hold its largest task",
+	job.OverQuota:       "the team is over its quota",
+	job.Overloaded:      "the expected wait is longer than the request can bear",
+	job.QueueFull:       "the queue is full",
+	job.NoTarget:        "no target of the service is announced",
+	job.Draining:        "the entry takes no new work because it is stopping",
+	job.NotConfigured:   "the entry holds no configuration yet",
+	job.DeadlinePassed:  "its deadline had passed",
+	job.DeadlineTooNear: "its deadline is nearer than the work takes",
+	job.CallerGone:      "the caller hung up",
+	job.CancelledByCall: "the caller cancelled it",
+	job.TaskFailed:      "a task failed at its target",
+	job.TargetLost:      "the target was lost while the task ran",
+	job.TargetRefused:   "the target refused it before starting",
+	job.HolderLost:      "the entry that holds the targets was lost",
+	job.OwnerLost:       "the entry that owned it was lost",
+	job.ZoneUnreachable: "the other availability zone can't be asked",
+	job.NoRegistrar:     "no registrar could record who owns it",
+	job.NotKept:         "it could not be kept as its service demands",
+	job.SiblingFailed:   "another task of the job had already failed",
+	job.Internal:        "an internal error",
+}
+
+// ReasonText returns the statement of a reason, or the reason itself.
+func ReasonText(r job.Reason) string {
+	if text := reasonTexts[r]; text != "" {
+		return text
+	}
+	return string(r)
+}
+
+// why joins the reason's statement and the recorded cause.
+func why(ev *Event) string {
+	switch {
+	case ev.Reason == "":
+		return because(ev.Cause)
+	case ev.Cause == "":
+		return fmt.Sprintf(", because %s (%s)", ReasonText(ev.Reason), ev.Reason)
+	}
+	return fmt.Sprintf(", because %s (%s): %s", ReasonText(ev.Reason), ev.Reason, ev.Cause)
+}
+
+// sentence tells one event.
+func sentence(ev *Event) string {
+	switch ev.Kind {
+	case SubmissionReceived:
+		return fmt.Sprintf("received from its caller%s%s", tasks(ev.Count), why(ev))
+	case SubmissionJoined:
+		return fmt.Sprintf("joined with the same submission%s, which keeps its place%s", ownedBy(ev.Peer), why(ev))
+	case SubmissionTaken:
+		return fmt.Sprintf("taken over%s; tasks that may have started never start again%s", from(ev.Peer), why(ev))
+	case SubmissionAdmitted:
+		return fmt.Sprintf("admitted%s; entry %s owns it%s", tasks(ev.Count), ev.Entry, why(ev))
+	case SubmissionRefused:
+		return fmt.Sprintf("refused, nothing ran%s", why(ev))
+	case SubmissionAnswered:
+		return fmt.Sprintf("answered%s%s", after(ev), why(ev))
+	case BatchOffered:
+		return fmt.Sprintf("%s handed to holder %s%s", batch(ev), ev.Peer, why(ev))
+	case BatchReceived:
+		return fmt.Sprintf("%s taken from owner %s%s", batch(ev), ev.Peer, why(ev))
+	case BatchReported:
+		return fmt.Sprintf("%s reported to owner %s%s%s", batch(ev), ev.Peer, after(ev), why(ev))
+	}
+	if ev.HasTask() {
+		return taskSentence(ev)
+	}
+	return fleetSentence(ev)
+}
+
+func taskSentence(ev *Event) string {
+	switch ev.Kind {
+	case TaskQueued:
+		return fmt.Sprintf("task %d waits%s", ev.Task, why(ev))
+	case TaskStarted:
+		waited := ""
+		if ev.Took > 0 {
+			waited = fmt.Sprintf(" after a wait of %s", round(ev.Took))
+		}
+		return fmt.Sprintf("task %d starts on target %s%s%s", ev.Task, ev.Target, waited, why(ev))
+	case TaskEnded:
+		if ev.Reason != "" {
+			return fmt.Sprintf("task %d has no result%s%s%s", ev.Task, onTarget(ev), after(ev), why(ev))
+		}
+		return fmt.Sprintf("task %d ends on target %s%s%s", ev.Task, ev.Target, after(ev), why(ev))
+	case TaskRetried:
+		return fmt.Sprintf("task %d goes back to the queue%s%s", ev.Task, onTarget(ev), why(ev))
+	}
+	return fmt.Sprintf("task %d is dropped before any start%s", ev.Task, why(ev))
+}
+
+// fleetTexts are the events that no submission owns; %s is what they are about.
+var fleetTexts = map[Kind]string{
+	TargetAnnounced:    "target %s announces itself",
+	TargetLeaving:      "target %s is leaving and gets no new work",
+	TargetLapsed:       "the lease of target %s lapsed",
+	TargetSuspect:      "target %s is suspected and gets only probes",
+	TargetHealthy:      "target %s is healthy again",
+	HolderChanged:      "targets change their holder to %s",
+	EntryAlive:         "entry %s is alive",
+	EntrySuspect:       "entry %s is suspected",
+	EntryDead:          "entry %s is taken for dead",
+	ConfigurationSet:   "a configuration is in force%s",
+	ConfigurationTry:   "a configuration is proposed%s",
+	ConfigurationStale: "the configuration may be stale%s",
+	EntryStarted:       "entry %s starts",
+	EntryDraining:      "entry %s drains",
+	EntryStopped:       "entry %s stops",
+}
+
+func fleetSentence(ev *Event) string {
+	text, ok := fleetTexts[ev.Kind]
+	if !ok {
+		return string(ev.Kind) + why(ev)
+	}
+	subject := string(ev.Peer)
+	switch ev.Kind {
+	case TargetAnnounced, TargetLeaving, TargetLapsed, TargetSuspect, TargetHealthy:
+		subject = string(ev.Target)
+	case EntryStarted, EntryDraining, EntryStopped:
+		subject = string(ev.Entry)
+	case ConfigurationSet, ConfigurationTry, ConfigurationStale:
+		subject = ""
+		if ev.Count > 0 {
+			subject = fmt.Sprintf(", number %d", ev.Count)
+		}
+	}
+	return fmt.Sprintf(text, subject) + why(ev)
+}
+
+func tasks(n int) string {
+	switch n {
+	case 0:
+		return ""
+	case 1:
+		return " with 1 task"
+	}
+	return fmt.Sprintf(" with %d tasks", n)
+}
+
+func batch(ev *Event) string {
+	switch ev.Count {
+	case 0:
+		return "a batch is"
+	case 1:
+		return "a batch of 1 task is"
+	}
+	return fmt.Sprintf("a batch of %d tasks is", ev.Count)
+}
+
+func after(ev *Event) string {
+	if ev.Took <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" after %s", round(ev.Took))
+}
+
+func onTarget(ev *Event) string {
+	if ev.Target == "" {
+		return ""
+	}
+	return fmt.Sprintf(" from target %s", ev.Target)
+}
+
+func ownedBy(id job.EntryID) string {
+	if id == "" {
+		return ""
+	}
+	return fmt.Sprintf(" owned by entry %s", id)
+}
+
+func from(id job.EntryID) string {
+	if id == "" {
+		return ""
+	}
+	return fmt.Sprintf(" from entry %s, which is lost", id)
+}
