Add the pool scheduler's interface, job split and team quotas

A holder needs one place that knows the exact occupancy of its targets; an owner needs to spread a job by reports that are already old.

Spilling to another zone has a gap between leaving and coming back.

--- /dev/null
+++ b/internal/policy/quota/quota_test.go
@@ -0,0 +1,78 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func quotas(teams ...config.Team) *Quotas {
+	q := New()
+	q.Configure(&config.File{Teams: teams}, 1)
+	return q
+}
+
+// A studio's script sends without pause. Its own jobs beyond the agreed rate
+// are refused, and the time told to it is the time after which the job passes:
+// were it too short, the script would come back in vain; were it too long, its
+// quota would go unused.
+func TestRetryAfterIsExact(t *testing.T) {
+	q := quotas(config.Team{Name: "hot", TasksPerSecond: 100})
+	qt.Assert(t, q.Admit(start, "hot", 100).Allowed, qt.IsTrue)
+	v := q.Admit(start, "hot", 30)
+	qt.Assert(t, v.Allowed, qt.IsFalse)
+	qt.Assert(t, v.Reason, qt.Equals, job.OverQuota)
+	qt.Assert(t, v.RetryAfter, qt.Equals, 300*time.Millisecond)
+	qt.Assert(t, q.Admit(start.Add(v.RetryAfter-time.Millisecond), "hot", 30).Allowed, qt.IsFalse)
+	qt.Assert(t, q.Admit(start.Add(v.RetryAfter), "hot", 30).Allowed, qt.IsTrue)
+}
+
+// A job of 1,900 tasks belongs to a team whose rate is lower. If the bucket
+// had to hold the whole job it would be refused for ever; if it were free of
+// charge the team would have no quota.
+func TestLargeJobPassesAndIsPaidFor(t *testing.T) {
+	q := quotas(config.Team{Name: "big", TasksPerSecond: 100})
+	qt.Assert(t, q.Admit(start, "big", 1900).Allowed, qt.IsTrue)
+	v := q.Admit(start, "big", 1)
+	qt.Assert(t, v.RetryAfter, qt.Equals, 18*time.Second+10*time.Millisecond)
+}
+
+func TestRateHoldsOverTime(t *testing.T) {
+	q := quotas(config.Team{Name: "hot", TasksPerSecond: 100})
+	admitted := 0
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(3 * time.Millisecond) {
+		if q.Admit(now, "hot", 7).Allowed {
+			admitted += 7
+		}
+	}
+	qt.Assert(t, admitted <= 2100, qt.IsTrue, qt.Commentf("%d", admitted))
+	qt.Assert(t, admitted > 2000, qt.IsTrue, qt.Commentf("%d", admitted))
+}
+
+func TestQueuedBound(t *testing.T) {
+	q := quotas(config.Team{Name: "t", MaxQueuedTasks: 10}, config.Team{Name: "other"})
+	qt.Assert(t, q.Admit(start, "t", 8).Allowed, qt.IsTrue)
+	v := q.Admit(start, "t", 3)
+	qt.Assert(t, v.Allowed, qt.IsFalse)
+	qt.Assert(t, v.RetryAfter > 0, qt.IsTrue)
+	qt.Assert(t, q.Admit(start, "other", 8).Allowed, qt.IsTrue)
+	q.Done(start, "t", 1)
+	qt.Assert(t, q.Admit(start, "t", 3).Allowed, qt.IsTrue)
+	qt.Assert(t, q.Queued("t"), qt.Equals, 10)
+	qt.Assert(t, q.Admit(start, "nobody", 1).Reason, qt.Equals, job.UnknownTeam)
+}
+
+// A new configuration arrives while a team is over its rate. Had it reset the
+// bucket, 2,900 changes a day would be 2,900 further bursts.
+func TestConfigureKeepsLevel(t *testing.T) {
+	q := quotas(config.Team{Name: "hot", TasksPerSecond: 100})
+	q.Admit(start, "hot", 100)
+	q.Configure(&config.File{Teams: []config.Team{{Name: "hot", TasksPerSecond: 50}}}, 1)
+	qt.Assert(t, q.Admit(start, "hot", 50).RetryAfter, qt.Equals, time.Second)
+}
--- /dev/null
+++ b/internal/scheduler/options.go
@@ -0,0 +1,41 @@
+package scheduler
+
+// Options switches single decisions off, so that their worth can be measured
+// against the same load. The zero value has every decision on; entries use it.
+type Options struct {
+	// NoFairness serves tasks in order of arrival, whatever team or class.
+	NoFairness bool
+	// NoClasses serves urgent work no earlier than other work.
+	NoClasses bool
+	// NoJobOrder serves the jobs of one team in order of arrival.
+	NoJobOrder bool
+	// NoAdmission accepts whatever the bounded queue still takes.
+	NoAdmission bool
+	// NoHealth never holds work back from a slow or failing target.
+	NoHealth bool
+	// NoReserve lets long tasks take every slot.
+	NoReserve bool
+	// NoEstimates believes declared run times in place of measured ones.
+	NoEstimates bool
+	// Placement chooses among the targets that have room.
+	Placement Placement
+}
+
+// Placement is a way to choose among the targets that have room.
+type Placement int
+
+// The ways of placement. All but the first are baselines.
+const (
+	PlaceExpectedFinish Placement = iota
+	PlaceRandom
+	PlaceRoundRobin
+)
+
+// Baseline returns the options of a plain dispatcher: first come first served,
+// random placement, no admission.
+func Baseline() Options {
+	return Options{
+		NoFairness: true, NoClasses: true, NoJobOrder: true, NoAdmission: true,
+		NoHealth: true, NoReserve: true, NoEstimates: true, Placement: PlaceRandom,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/pool_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var owner = job.Owner{Entry: "e1", Incarnation: 1, Zone: "z1"}
+
+func testFile() *config.File {
+	return &config.File{Services: []config.Service{
+		{Name: "thumb", Pool: "render", Urgency: job.UrgencyInteractive},
+		{Name: "proxy", Pool: "render", Urgency: job.UrgencyBatch},
+		{Name: "alert", Pool: "render", Urgency: job.UrgencyUrgent},
+		{Name: "inflow", Pool: "render", Urgency: job.UrgencyInteractive, FlagLate: true},
+	}}
+}
+
+func smallPool(targets, slots int) *Pool {
+	p := New("render", 1)
+	p.Configure(epoch, testFile())
+	for i := range targets {
+		p.SetTarget(epoch, job.Target{
+			ID: job.TargetID(fmt.Sprintf("w%02d", i)), Pool: "render", Slots: slots, Connections: 64,
+			Processors: 32, MemoryMB: 64000, Rack: fmt.Sprintf("r%d", i/8),
+		})
+	}
+	return p
+}
+
+func batchOf(id, service string, n int) *job.Batch {
+	b := &job.Batch{Owner: owner, Submission: job.ID(id), Service: service}
+	for i := range n {
+		b.Tasks = append(b.Tasks, job.BatchTask{Index: i})
+	}
+	return b
+}
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func ranFor(d time.Duration) Result { return Result{Ran: d, Status: job.TaskDone} }
+
+// A target announces 8 slots, 2 connections or little memory. Were any of the
+// three exceeded it would queue, refuse or swap, and each caller would wait
+// for a target that looked free.
+func TestLimitsOfATargetHold(t *testing.T) {
+	cases := []struct {
+		name   string
+		target job.Target
+		task   job.TaskSpec
+		want   int
+	}{
+		{"slots", job.Target{Slots: 3, Connections: 64}, job.TaskSpec{}, 3},
+		{"connections", job.Target{Slots: 8, Connections: 2}, job.TaskSpec{}, 2},
+		{"defaults", job.Target{}, job.TaskSpec{}, config.DefaultSlots},
+		{"memory", job.Target{Slots: 8, Connections: 64, MemoryMB: 1000}, job.TaskSpec{MemoryMB: 300}, 3},
+		{"accelerators", job.Target{Slots: 8, Connections: 64, Accelerators: 2}, job.TaskSpec{Accelerators: 1}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := New("render", 1)
+			p.Configure(epoch, testFile())
+			c.target.ID = "w"
+			p.SetTarget(epoch, c.target)
+			b := batchOf("a", "thumb", 20)
+			for i := range b.Tasks {
+				b.Tasks[i].TaskSpec = c.task
+			}
+			qt.Assert(t, p.Offer(epoch, b).Accepted, qt.IsTrue)
+			started := p.Next(epoch).Starts
+			qt.Assert(t, started, qt.HasLen, c.want)
+			qt.Assert(t, p.Next(at(1)).Starts, qt.HasLen, 0)
+			qt.Assert(t, p.Finished(at(2), started[0].Key, ranFor(time.Millisecond)), qt.IsTrue)
+			qt.Assert(t, p.Finished(at(2), started[0].Key, ranFor(time.Millisecond)), qt.IsFalse)
+			qt.Assert(t, p.Next(at(2)).Starts, qt.HasLen, 1)
+		})
+	}
+}
+
+// A target withdraws while it runs tasks. It must get no further one, and its
+// running ones must still free their place when it comes back.
+func TestLeavingTarget(t *testing.T) {
+	p := smallPool(1, 2)
+	p.Offer(epoch, batchOf("a", "thumb", 3))
+	started := p.Next(epoch).Starts
+	p.RemoveTarget(at(1), "w00")
+	p.Finished(at(2), started[0].Key, ranFor(time.Millisecond))
+	qt.Assert(t, p.Next(at(2)).Starts, qt.HasLen, 0)
+	qt.Assert(t, p.Offer(at(2), batchOf("b", "thumb", 1)).Reason, qt.Equals, job.NoTarget)
+	p.SetTarget(at(3), job.Target{ID: "w00", Pool: "render", Slots: 2, Connections: 64})
+	qt.Assert(t, p.Next(at(3)).Starts, qt.HasLen, 1)
+	qt.Assert(t, p.Load(at(3)).Free, qt.Equals, 0)
+}
+
+// A job declares more memory than any target has. It can never run; without
+// the check it would hold its place until its deadline.
+func TestImpossibleJob(t *testing.T) {
+	p := smallPool(2, 2)
+	b := batchOf("a", "thumb", 2)
+	b.Tasks[1].MemoryMB = 1 << 20
+	qt.Assert(t, p.Offer(epoch, b).Reason, qt.Equals, job.Infeasible)
+	qt.Assert(t, p.Next(epoch).Starts, qt.HasLen, 0)
+}
+
+// A deadline passes while tasks wait. The caller's answer is final at that
+// moment; running the rest would take slots for nobody. A service that flags
+// late answers wants them all the same.
+func TestDeadlineWhileQueued(t *testing.T) {
+	for service, want := range map[string]int{"thumb": 2, "inflow": 0} {
+		p := smallPool(1, 1)
+		b := batchOf("a", service, 3)
+		b.Remaining = 10 * time.Millisecond
+		qt.Assert(t, p.Offer(epoch, b).Accepted, qt.IsTrue)
+		qt.Assert(t, p.Next(epoch).Starts, qt.HasLen, 1)
+		qt.Assert(t, p.Next(at(5)).Expired, qt.HasLen, 0)
+		expired := p.Next(at(10)).Expired
+		qt.Assert(t, expired, qt.HasLen, want)
+		for _, e := range expired {
+			qt.Assert(t, e.Reason, qt.Equals, job.DeadlinePassed)
+		}
+	}
+}
+
+// The caller hangs up. Its queued tasks must leave at once, its running ones
+// keep their slots until they end.
+func TestCancel(t *testing.T) {
+	p := smallPool(1, 2)
+	p.Offer(epoch, batchOf("a", "thumb", 5))
+	p.Offer(epoch, batchOf("b", "thumb", 1))
+	started := p.Next(epoch).Starts
+	dropped, running := p.Cancel(at(1), owner, "a")
+	qt.Assert(t, dropped, qt.DeepEquals, []int{2, 3, 4})
+	qt.Assert(t, running, qt.HasLen, 2)
+	qt.Assert(t, p.Next(at(1)).Starts, qt.HasLen, 0)
+	p.Finished(at(2), started[0].Key, ranFor(time.Millisecond))
+	next := p.Next(at(2)).Starts
+	qt.Assert(t, next, qt.HasLen, 1)
+	qt.Assert(t, next[0].Submission, qt.Equals, job.ID("b"))
+	qt.Assert(t, p.Load(at(2)).Queued, qt.Equals, [3]int{})
+}
