--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -131,6 +131,8 @@
 	// its target took.
 	Queued time.Duration `cbor:"7,keyasint,omitempty"`
 	Ran    time.Duration `cbor:"8,keyasint,omitempty"`
+	// RetryAfter is when a refused task may usefully be offered again.
+	RetryAfter time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // BatchTask is one task of a batch with its place in the submission.
--- /dev/null
+++ b/internal/pipeline/collect.go
@@ -0,0 +1,187 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// maxOffers bounds how often the unstarted tasks of one job are offered to
+// holders. Loads are at most one heartbeat old, so a second offer answers a
+// stale view and a third a holder that left meanwhile; more would only add
+// messages while every holder is full.
+const maxOffers = 3
+
+// Collector gathers the outcomes of one submission's tasks and decides what
+// its answer is. It is pure: outcomes and times in, a Verdict out; its owner
+// holds a lock.
+//
+// A job's answer is complete only when each task has a result of its own. An
+// outcome for a task that already has one is dropped: a report that is sent
+// again must not replace a result or count twice.
+type Collector struct {
+	submission *job.Submission
+	outcomes   []job.TaskOutcome
+	done       int
+	started    int
+	offers     int
+	failure    *job.TaskOutcome
+	finished   bool
+}
+
+// Verdict is what the owner does next.
+type Verdict struct {
+	// Finished is set once, with Answer, when the submission's end is decided.
+	Finished bool
+	Answer   job.Answer
+	// Reoffer lists tasks that provably did not start and may go elsewhere.
+	Reoffer []int
+}
+
+// NewCollector returns a collector for s. Tasks that an earlier owner may have
+// started are marked so and end the job unless held has their results.
+func NewCollector(s *job.Submission, started map[int]bool, held []job.TaskOutcome) *Collector {
+	c := &Collector{submission: s, outcomes: make([]job.TaskOutcome, len(s.Tasks))}
+	for _, o := range held {
+		if c.known(o.Index) && o.Status == job.TaskDone && c.outcomes[o.Index].Status == 0 {
+			c.outcomes[o.Index] = o
+			c.done++
+		}
+	}
+	for i := range started {
+		if c.known(i) && c.outcomes[i].Status == 0 {
+			c.fail(job.TaskOutcome{Index: i, Status: job.TaskErred, Reason: job.OwnerLost, Detail: "the task may have run under an earlier owner and its result is lost"})
+		}
+	}
+	return c
+}
+
+func (c *Collector) known(i int) bool { return i >= 0 && i < len(c.outcomes) }
+
+func (c *Collector) fail(o job.TaskOutcome) {
+	c.outcomes[o.Index] = o
+	if o.Status == job.TaskErred {
+		c.started++
+	}
+	if c.failure == nil || c.failure.Status == job.TaskNotStarted {
+		c.failure = &o
+	}
+}
+
+// Open returns the tasks that have no outcome, in order.
+func (c *Collector) Open() []int {
+	var open []int
+	for i := range c.outcomes {
+		if c.outcomes[i].Status == 0 {
+			open = append(open, i)
+		}
+	}
+	return open
+}
+
+// CanReoffer reports whether unstarted tasks may still be offered to another
+// holder.
+func (c *Collector) CanReoffer() bool { return c.offers < maxOffers && c.failure == nil && !c.finished }
+
+// Offered counts one round of offers.
+func (c *Collector) Offered() { c.offers++ }
+
+// Add takes outcomes that a holder reported.
+func (c *Collector) Add(outcomes []job.TaskOutcome) Verdict {
+	if c.finished {
+		return Verdict{}
+	}
+	var reoffer []int
+	for _, o := range outcomes {
+		if !c.known(o.Index) || c.outcomes[o.Index].Status != 0 {
+			continue
+		}
+		switch {
+		case o.Status == job.TaskDone:
+			c.outcomes[o.Index] = o
+			c.done++
+		case o.Status == job.TaskNotStarted && mayGoElsewhere(o.Reason) && c.offers < maxOffers:
+			reoffer = append(reoffer, o.Index)
+		default:
+			c.fail(o)
+		}
+	}
+	return c.decide(reoffer)
+}
+
+// mayGoElsewhere reports whether another holder could do better with a task
+// that this one did not start.
+func mayGoElsewhere(r job.Reason) bool {
+	switch r {
+	case job.NoTarget, job.Overloaded, job.QueueFull, job.Draining, job.HolderLost, job.TargetRefused, job.Infeasible:
+		return true
+	}
+	return false
+}
+
+func (c *Collector) decide(reoffer []int) Verdict {
+	if c.failure == nil && c.done < len(c.outcomes) {
+		return Verdict{Reoffer: reoffer}
+	}
+	c.finished = true
+	if c.failure == nil {
+		return Verdict{Finished: true, Answer: c.complete()}
+	}
+	return Verdict{Finished: true, Answer: c.failed(reoffer)}
+}
+
+func (c *Collector) complete() job.Answer {
+	results := make([]json.RawMessage, len(c.outcomes))
+	for i := range c.outcomes {
+		results[i] = c.outcomes[i].Payload
+	}
+	return job.Answer{ID: c.submission.ID, Outcome: job.Complete, Run: job.MayHaveRun, Results: results}
+}
+
+// failed words the answer after a task failed. It says "not run" only when
+// each task of the submission is known not to have started: a task without an
+// outcome may be running at this moment.
+func (c *Collector) failed(reoffer []int) job.Answer {
+	unstarted := len(reoffer)
+	for i := range c.outcomes {
+		if c.outcomes[i].Status == job.TaskNotStarted {
+			unstarted++
+		}
+	}
+	if unstarted == len(c.outcomes) {
+		return job.Refuse(c.submission.ID, c.failure.Reason, c.failure.Detail, retryAfter(c.failure))
+	}
+	a := job.Fail(c.submission.ID, c.failure.Reason, c.failure.Detail)
+	a.RetryAfter = retryAfter(c.failure)
+	return a
+}
+
+// retryAfter is when a caller may usefully come back. Where the refusing stage
+// gave no figure it is about one lease renewal, after which the entries' view
+// of targets and holders is new.
+func retryAfter(o *job.TaskOutcome) time.Duration {
+	if o.RetryAfter > 0 {
+		return o.RetryAfter
+	}
+	switch o.Reason {
+	case job.NoTarget, job.Overloaded, job.QueueFull, job.HolderLost, job.TargetRefused, job.Draining:
+		return time.Second
+	}
+	return 0
+}
+
+// Stop ends the submission from outside: a cancellation, a deadline or a caller
+// that is gone. Queued and running tasks may be on their way, so the answer
+// says "not run" only when no task was ever offered or all came back unstarted.
+func (c *Collector) Stop(outcome job.Outcome, reason job.Reason, detail string) Verdict {
+	if c.finished {
+		return Verdict{}
+	}
+	c.finished = true
+	a := job.Answer{ID: c.submission.ID, Outcome: outcome, Reason: reason, Detail: detail}
+	if c.offers == 0 && c.done == 0 && c.started == 0 {
+		a.Run = job.NotRun()
+	}
+	return Verdict{Finished: true, Answer: a}
+}
--- /dev/null
+++ b/internal/pipeline/run.go
@@ -0,0 +1,214 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// Causes with which the context of a submission ends.
+const (
+	// ErrCancelled says that the caller took the submission back.
+	ErrCancelled = errors.ConstError("cancelled by the caller")
+	// ErrCallerGone says that nobody waits for the answer and nobody can ask
+	// for it again.
+	ErrCallerGone = errors.ConstError("the caller hung up and holds no id to ask by")
+)
+
+// deadlineGrace is how long past the deadline the owner waits for its holders'
+// word that nothing had started. Holders drop expired tasks by themselves at
+// the same moment; the word needs one crossing between availability zones
+// (1.5 ms at most today) and a scheduling delay. Without the grace every
+// expired answer would have to say "may have run".
+const deadlineGrace = 20 * time.Millisecond
+
+// Part is the share of a submission that goes to one holder.
+type Part struct {
+	Holder job.EntryID
+	Tasks  []int
+}
+
+// Holders is the owner's way to the holders of targets.
+type Holders interface {
+	// Place splits tasks over holders. It returns nothing when no holder has
+	// a target of the pool.
+	Place(now time.Time, f *Flow, tasks []int) []Part
+	// Offer hands a batch over; report is called once with all outcomes or
+	// early with a failure, from any goroutine.
+	Offer(to job.EntryID, b *job.Batch, report func([]job.TaskOutcome))
+	// Cancel asks the holder to drop what is left of the submission.
+	Cancel(to job.EntryID, owner job.Owner, id job.ID)
+}
+
+// Run is the last stage: it splits the submission over holders and collects
+// the outcomes into one answer. It alone decides, for the submissions of this
+// entry, that a task is handed to a holder.
+type Run struct {
+	Self    job.Owner
+	Holders Holders
+	Events  timeline.Sink
+}
+
+// flight is a submission whose tasks are with holders.
+type flight struct {
+	stage *Run
+	flow  *Flow
+
+	mu        sync.Mutex
+	collector *Collector
+	holders   map[job.EntryID]bool
+	done      chan job.Answer
+}
+
+// Process implements Stage. It returns when the answer is decided; it never
+// waits for a task whose job can no longer be complete.
+func (r *Run) Process(ctx context.Context, f *Flow, _ Next) job.Answer {
+	fl := &flight{
+		stage:     r,
+		flow:      f,
+		collector: NewCollector(f.Submission, f.Started, f.Held),
+		holders:   map[job.EntryID]bool{},
+		done:      make(chan job.Answer, 1),
+	}
+	fl.offer(fl.collector.Open())
+	answer := fl.wait(ctx)
+	r.mark(f, &answer)
+	return answer
+}
+
+// mark flags an answer that came after the deadline of a service which takes
+// late answers.
+func (r *Run) mark(f *Flow, a *job.Answer) {
+	deadline := f.Submission.Deadline
+	a.Late = a.Outcome == job.Complete && !deadline.IsZero() && time.Now().After(deadline)
+}
+
+func (fl *flight) wait(ctx context.Context) job.Answer {
+	expired := make(<-chan time.Time)
+	if deadline := fl.flow.Submission.Deadline; !deadline.IsZero() && !fl.flow.Service.FlagLate {
+		timer := time.NewTimer(time.Until(deadline) + deadlineGrace)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case a := <-fl.done:
+		return a
+	case <-expired:
+		fl.stop(job.Failed, job.DeadlinePassed, "the deadline passed before every task had a result")
+	case <-ctx.Done():
+		outcome, reason := stopReason(context.Cause(ctx))
+		fl.stop(outcome, reason, context.Cause(ctx).Error())
+	}
+	return <-fl.done
+}
+
+func stopReason(cause error) (job.Outcome, job.Reason) {
+	switch {
+	case errors.Is(cause, ErrCancelled):
+		return job.Cancelled, job.CancelledByCall
+	case errors.Is(cause, ErrCallerGone):
+		return job.Cancelled, job.CallerGone
+	}
+	return job.Failed, job.Internal
+}
+
+// offer places tasks and hands them over, one batch a holder.
+func (fl *flight) offer(tasks []int) {
+	now := time.Now()
+	var parts []Part
+	if len(tasks) > 0 {
+		parts = fl.stage.Holders.Place(now, fl.flow, tasks)
+	}
+	if len(parts) == 0 {
+		fl.unplaced(tasks)
+		return
+	}
+	fl.mu.Lock()
+	fl.collector.Offered()
+	for _, p := range parts {
+		fl.holders[p.Holder] = true
+	}
+	fl.mu.Unlock()
+	for _, p := range parts {
+		fl.handOver(now, p)
+	}
+}
+
+// unplaced ends tasks for which there is no holder at all. Without tasks it
+// lets the collector decide on what an earlier owner left.
+func (fl *flight) unplaced(tasks []int) {
+	outcomes := make([]job.TaskOutcome, len(tasks))
+	for i, task := range tasks {
+		outcomes[i] = job.TaskOutcome{Index: task, Status: job.TaskNotStarted, Reason: job.NoTarget, Detail: "no target of the service's pool is known"}
+	}
+	fl.mu.Lock()
+	for fl.collector.CanReoffer() {
+		fl.collector.Offered()
+	}
+	fl.mu.Unlock()
+	fl.report("", outcomes)
+}
+
+func (fl *flight) handOver(now time.Time, p Part) {
+	s := fl.flow.Submission
+	b := &job.Batch{
+		Owner:      fl.stage.Self,
+		Submission: s.ID,
+		Team:       s.Team,
+		Service:    s.Service,
+		Waited:     now.Sub(s.Received),
+		Tasks:      make([]job.BatchTask, len(p.Tasks)),
+		Single:     s.Single,
+	}
+	if !s.Deadline.IsZero() {
+		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
+	}
+	for i, task := range p.Tasks {
+		b.Tasks[i] = job.BatchTask{Index: task, TaskSpec: s.Tasks[task]}
+	}
+	fl.stage.Events.Record(timeline.Event{Kind: timeline.BatchOffered, Submission: s.ID, Peer: p.Holder, Count: len(p.Tasks)})
+	fl.stage.Holders.Offer(p.Holder, b, func(outcomes []job.TaskOutcome) { fl.report(p.Holder, outcomes) })
+}
+
+// report takes a holder's outcomes. It may be called from any goroutine, also
+// within Offer.
+func (fl *flight) report(from job.EntryID, outcomes []job.TaskOutcome) {
+	fl.mu.Lock()
+	delete(fl.holders, from)
+	v := fl.collector.Add(outcomes)
+	fl.mu.Unlock()
+	if v.Finished {
+		fl.finish(v.Answer)
+		return
+	}
+	if len(v.Reoffer) > 0 {
+		fl.offer(v.Reoffer)
+	}
+}
+
+func (fl *flight) stop(outcome job.Outcome, reason job.Reason, detail string) {
+	fl.mu.Lock()
+	v := fl.collector.Stop(outcome, reason, detail)
+	fl.mu.Unlock()
+	if v.Finished {
+		fl.finish(v.Answer)
+	}
+}
+
+// finish hands the answer out and takes the rest back from the holders, so
+// that tasks of a job that can't be complete stop costing anybody anything.
+func (fl *flight) finish(a job.Answer) {
+	fl.done <- a
+	fl.mu.Lock()
+	holders := fl.holders
+	fl.holders = nil
+	fl.mu.Unlock()
+	for h := range holders {
+		fl.stage.Holders.Cancel(h, fl.stage.Self, fl.flow.Submission.ID)
+	}
+}
