--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -81,6 +81,27 @@
 	return "may-have-run"
 }
 
+// The CBOR simple values of a Run: only the exact encoding of NotRun proves
+// anything, so a damaged or newer message reads as "may have run".
+const (
+	cborFalse = 0xf4
+	cborTrue  = 0xf5
+)
+
+// MarshalCBOR encodes the statement for messages between entries.
+func (r Run) MarshalCBOR() ([]byte, error) {
+	if r.proven {
+		return []byte{cborTrue}, nil
+	}
+	return []byte{cborFalse}, nil
+}
+
+// UnmarshalCBOR decodes the statement of another entry.
+func (r *Run) UnmarshalCBOR(b []byte) error {
+	r.proven = len(b) == 1 && b[0] == cborTrue
+	return nil
+}
+
 // Answer is what a caller receives for its submission.
 type Answer struct {
 	ID      ID
--- /dev/null
+++ b/internal/pipeline/collect_test.go
@@ -0,0 +1,114 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+func submission(tasks int) *job.Submission {
+	return &job.Submission{ID: "s", Service: "svc", Tasks: make([]job.TaskSpec, tasks)}
+}
+
+func done(i int, payload string) job.TaskOutcome {
+	return job.TaskOutcome{Index: i, Status: job.TaskDone, Payload: json.RawMessage(payload)}
+}
+
+func erred(i int) job.TaskOutcome {
+	return job.TaskOutcome{Index: i, Status: job.TaskErred, Reason: job.TargetLost}
+}
+
+func unstarted(i int, r job.Reason) job.TaskOutcome {
+	return job.TaskOutcome{Index: i, Status: job.TaskNotStarted, Reason: r}
+}
+
+// Reports of holders arrive in any order, twice after a broken link, with
+// failures among them. The caller must get all results in the order of its
+// tasks or a failure, and "not run" only when nothing ran.
+func TestCollectorVerdicts(t *testing.T) {
+	tests := []struct {
+		name    string
+		tasks   int
+		offers  int
+		reports [][]job.TaskOutcome
+		want    job.Outcome
+		run     string
+		reason  job.Reason
+	}{
+		{"whole", 2, 1, [][]job.TaskOutcome{{done(1, "1")}, {done(0, "0")}}, job.Complete, "may have run", ""},
+		{"one failed", 2, 1, [][]job.TaskOutcome{{done(1, "1")}, {erred(0)}}, job.Failed, "may have run", job.TargetLost},
+		{"all refused by every holder", 2, maxOffers, [][]job.TaskOutcome{{unstarted(0, job.Overloaded), unstarted(1, job.Overloaded)}}, job.Refused, "not run", job.Overloaded},
+		{"refused beside an open task", 2, maxOffers, [][]job.TaskOutcome{{unstarted(0, job.Overloaded)}}, job.Failed, "may have run", job.Overloaded},
+		{"refused beside a done task", 2, maxOffers, [][]job.TaskOutcome{{done(1, "1")}, {unstarted(0, job.NoTarget)}}, job.Failed, "may have run", job.NoTarget},
+		{"expired in the queue", 1, 1, [][]job.TaskOutcome{{unstarted(0, job.DeadlinePassed)}}, job.Refused, "not run", job.DeadlinePassed},
+		{"unknown index", 1, 1, [][]job.TaskOutcome{{done(7, "7")}, {done(0, "0")}}, job.Complete, "may have run", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := NewCollector(submission(test.tasks), nil, nil)
+			for range test.offers {
+				c.Offered()
+			}
+			var last Verdict
+			for _, r := range test.reports {
+				last = c.Add(r)
+			}
+			qt.Assert(t, last.Finished, qt.IsTrue)
+			qt.Assert(t, last.Answer.Outcome, qt.Equals, test.want)
+			qt.Assert(t, last.Answer.Run.String(), qt.Equals, test.run)
+			qt.Assert(t, last.Answer.Reason, qt.Equals, test.reason)
+			qt.Assert(t, c.Add([]job.TaskOutcome{done(0, "late")}).Finished, qt.IsFalse)
+		})
+	}
+}
+
+// A link breaks after a holder reported and the report is sent again, now with
+// another payload. The caller must get the first result, once.
+func TestCollectorKeepsFirstResult(t *testing.T) {
+	c := NewCollector(submission(2), nil, nil)
+	c.Offered()
+	c.Add([]job.TaskOutcome{done(0, `"first"`)})
+	v := c.Add([]job.TaskOutcome{done(0, `"again"`)})
+	qt.Assert(t, v.Finished, qt.IsFalse)
+	v = c.Add([]job.TaskOutcome{done(1, `"b"`)})
+	qt.Assert(t, v.Answer.Results, qt.DeepEquals, []json.RawMessage{json.RawMessage(`"first"`), json.RawMessage(`"b"`)})
+}
+
+// A holder refuses because its targets left a moment ago. The tasks did not
+// start, so another holder gets them and the caller notices nothing.
+func TestCollectorReoffersUnstarted(t *testing.T) {
+	c := NewCollector(submission(2), nil, nil)
+	c.Offered()
+	v := c.Add([]job.TaskOutcome{unstarted(0, job.NoTarget), unstarted(1, job.NoTarget)})
+	qt.Assert(t, v.Finished, qt.IsFalse)
+	qt.Assert(t, v.Reoffer, qt.DeepEquals, []int{0, 1})
+}
+
+// An entry dies after it handed a task out, and the caller sends the job again
+// through another entry. The task must not start a second time; the job fails
+// unless its result had been collected.
+func TestCollectorNeverRestartsTasksOfAnEarlierOwner(t *testing.T) {
+	c := NewCollector(submission(2), map[int]bool{0: true}, nil)
+	v := c.Add(nil)
+	qt.Assert(t, v.Finished, qt.IsTrue)
+	qt.Assert(t, v.Answer.Outcome, qt.Equals, job.Failed)
+	qt.Assert(t, v.Answer.Run.Proven(), qt.IsFalse)
+
+	c = NewCollector(submission(2), map[int]bool{0: true}, []job.TaskOutcome{done(0, "0")})
+	qt.Assert(t, c.Open(), qt.DeepEquals, []int{1})
+	v = c.Add([]job.TaskOutcome{done(1, "1")})
+	qt.Assert(t, v.Answer.Outcome, qt.Equals, job.Complete)
+}
+
+// A caller cancels. Before anything was offered nothing can have run; after
+// that a task may be on its way to a target.
+func TestCollectorStopIsTruthful(t *testing.T) {
+	c := NewCollector(submission(1), nil, nil)
+	qt.Assert(t, c.Stop(job.Cancelled, job.CancelledByCall, "").Answer.Run.Proven(), qt.IsTrue)
+	c = NewCollector(submission(1), nil, nil)
+	c.Offered()
+	qt.Assert(t, c.Stop(job.Cancelled, job.CancelledByCall, "").Answer.Run.Proven(), qt.IsFalse)
+}
