Agree on the configuration by Paxos for each version of a register

Each version is decided among the voters that the version before it names, so a replacement of a voter is a value like any other and no vote of a disk that the register does not name counts. The first version needs every named entry: an empty disk can't know whether it has voted before.

--- /dev/null
+++ b/internal/consensus/proposer.go
@@ -0,0 +1,246 @@
+package consensus
+
+import (
+	"slices"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+func (t *step) submit(r Request) {
+	if t.Chosen.Version > 0 && !t.Voting() {
+		t.answer(r.Token, Outcome{Kind: Unavailable})
+		return
+	}
+	// A change that is known needs no round: its outcome can't change any more.
+	if r.Command.Kind == Configure {
+		if _, ok := t.Chosen.changeByID(r.Command.Change.ID); ok {
+			o, _ := t.Chosen.Decide(&r.Command)
+			t.answer(r.Token, o)
+			return
+		}
+	}
+	t.Queue = append(slices.Clone(t.Queue), r)
+	t.begin(false)
+}
+
+func (t *step) abandon(token Token) {
+	for i, r := range t.Queue {
+		if r.Token != token {
+			continue
+		}
+		t.Queue = slices.Delete(slices.Clone(t.Queue), i, i+1)
+		kind := Unavailable
+		if r.Proposed {
+			kind = Unknown
+		}
+		t.answer(token, Outcome{Kind: kind})
+		return
+	}
+	for i, s := range t.Settle {
+		if s.Token == token {
+			t.Settle = slices.Delete(slices.Clone(t.Settle), i, i+1)
+			t.answer(token, Outcome{Kind: Unknown})
+			return
+		}
+	}
+}
+
+// begin starts an attempt if there is something to propose, or always if forced.
+func (t *step) begin(forced bool) {
+	if t.Attempt != nil || !t.Voting() {
+		return
+	}
+	if !forced && !t.eligible() {
+		return
+	}
+	if t.Chosen.Version == 0 && t.Genesis[0] != t.Self.Entry {
+		return
+	}
+	t.Round++
+	t.Attempt = &Attempt{
+		Version: t.Chosen.Version + 1,
+		Ballot:  Ballot{Round: t.Round, Entry: t.Self.Entry, Life: t.Life},
+		Phase:   preparing,
+	}
+	t.resend("")
+}
+
+// eligible reports whether a request can be proposed, and asks the new voter of
+// a replacement to catch up first: an empty disk that became a voter at once
+// would leave the fleet with one copy less than it counts on.
+func (t *step) eligible() bool {
+	found := false
+	for _, r := range t.Queue {
+		if !t.mustCatchUp(&r) {
+			found = true
+			continue
+		}
+		t.sendLearn(r.Command.New)
+	}
+	return found
+}
+
+func (t *step) mustCatchUp(r *Request) bool {
+	return r.Command.Kind == Replace && r.CaughtUp < t.Chosen.Version && !t.Chosen.Votes(r.Command.New)
+}
+
+// resend sends the message of the present phase to the voters that have not
+// answered it, or to one of them.
+func (t *step) resend(only job.EntryID) {
+	a := t.Attempt
+	for _, to := range t.peers() {
+		if only != "" && to != only {
+			continue
+		}
+		var m Message
+		if a.Phase == preparing {
+			if slices.ContainsFunc(a.Promises, func(p Promise) bool { return p.From.Entry == to }) {
+				continue
+			}
+			m = t.message(MsgPrepare, to)
+		} else {
+			if slices.ContainsFunc(a.Accepts, func(v Voter) bool { return v.Entry == to }) {
+				continue
+			}
+			m = t.message(MsgAccept, to)
+			command := a.Command
+			m.Command = &command
+		}
+		m.Version, m.Ballot = a.Version, a.Ballot
+		t.send(m)
+	}
+}
+
+func (t *step) retry() {
+	for _, s := range t.Settle {
+		for _, v := range t.Chosen.Voters {
+			if !slices.Contains(s.Acks, v) {
+				t.sendLearn(v)
+			}
+		}
+	}
+	if t.Attempt != nil {
+		t.resend("")
+		return
+	}
+	t.begin(false)
+}
+
+// current returns the attempt that m answers, or nil.
+func (t *step) current(m *Message, phase attemptPhase) *Attempt {
+	a := t.Attempt
+	if a == nil || a.Phase != phase || a.Version != m.Version || a.Ballot != m.Ballot || !t.counts(m.From) {
+		return nil
+	}
+	return a
+}
+
+func (t *step) onPromise(m *Message) {
+	old := t.current(m, preparing)
+	if old == nil || slices.ContainsFunc(old.Promises, func(p Promise) bool { return p.From.Entry == m.From.Entry }) {
+		return
+	}
+	a := *old
+	a.Promises = append(slices.Clone(a.Promises), Promise{From: m.From, Accepted: m.Accepted})
+	t.Attempt = &a
+	if len(a.Promises) < t.quorum() {
+		return
+	}
+	command, ok := t.choose(&a)
+	if !ok {
+		t.Attempt = nil
+		return
+	}
+	a.Phase, a.Command = accepting, command
+	t.resend("")
+}
+
+// choose returns the command to propose. A proposal that any voter of the quorum
+// has accepted may already be chosen, so the latest of them goes first.
+func (t *step) choose(a *Attempt) (Command, bool) {
+	var latest *Proposal
+	for _, p := range a.Promises {
+		if p.Accepted != nil && (latest == nil || latest.Ballot.Less(p.Accepted.Ballot)) {
+			latest = p.Accepted
+		}
+	}
+	if latest != nil {
+		return latest.Command, true
+	}
+	if t.Chosen.Version == 0 {
+		voters := make([]Voter, 0, len(a.Promises))
+		for _, name := range t.Genesis {
+			i := slices.IndexFunc(a.Promises, func(p Promise) bool { return p.From.Entry == name })
+			voters = append(voters, a.Promises[i].From)
+		}
+		return Command{Kind: Form, Lineage: t.Life, Voters: voters}, true
+	}
+	return t.next()
+}
+
+// next answers the requests that need no new value and returns the first that
+// does. The quorum has just said that nothing newer than Chosen exists.
+func (t *step) next() (Command, bool) {
+	var rest []Request
+	var command Command
+	found := false
+	for _, r := range t.Queue {
+		if found || t.mustCatchUp(&r) {
+			rest = append(rest, r)
+			continue
+		}
+		o, propose := t.Chosen.Decide(&r.Command)
+		switch {
+		case propose:
+			found, command, r.Proposed = true, r.Command, true
+			rest = append(rest, r)
+		case r.Command.Kind == Replace && o.Kind == Accepted:
+			t.awaitSettled(r)
+		default:
+			t.answer(r.Token, o)
+		}
+	}
+	t.Queue = rest
+	return command, found
+}
+
+func (t *step) awaitSettled(r Request) {
+	s := Settlement{Token: r.Token, Version: t.Chosen.Version, New: r.Command.New}
+	t.Settle = append(slices.Clone(t.Settle), s)
+	for _, v := range t.Chosen.Voters {
+		t.sendLearn(v)
+	}
+}
+
+func (t *step) onAccepted(m *Message) {
+	old := t.current(m, accepting)
+	if old == nil || slices.ContainsFunc(old.Accepts, func(v Voter) bool { return v.Entry == m.From.Entry }) {
+		return
+	}
+	a := *old
+	a.Accepts = append(slices.Clone(a.Accepts), m.From)
+	t.Attempt = &a
+	if len(a.Accepts) < t.quorum() {
+		return
+	}
+	for _, to := range t.peers() {
+		if to == t.Self.Entry {
+			continue
+		}
+		m := t.message(MsgChosen, to)
+		m.Version, m.Ballot = a.Version, a.Ballot
+		t.send(m)
+	}
+	t.install(t.Chosen.Apply(&a.Command))
+}
+
+// onReject gives up the ballot. The caller's next Retry starts a higher one,
+// after a random wait, so that two proposers do not chase each other for ever.
+func (t *step) onReject(m *Message) {
+	a := t.Attempt
+	if a == nil || a.Version != m.Version || !a.Ballot.Less(m.Ballot) {
+		return
+	}
+	t.Round = max(t.Round, m.Ballot.Round)
+	t.Attempt = nil
+}
