Keep records on disk so that a crash leaves the old or the new one

The tests crash each operation under four ways in which a disk may keep what was not synced, and flip each bit: a record that fails its check is refused and never guessed at.

--- /dev/null
+++ b/internal/storage/storagetest/fs.go
@@ -0,0 +1,329 @@
+// Package storagetest is a file system in memory, for tests: it forgets at a
+// crash what was not synced, and fails or crashes at a chosen operation.
+package storagetest
+
+import (
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+)
+
+// ErrCrashed is what every operation returns after the crash.
+const ErrCrashed = errors.ConstError("storagetest: crashed")
+
+// Keep says what a crash leaves of what was not synced.
+type Keep int
+
+// What a crash may leave. A disk may do any of them.
+const (
+	// KeepNone loses all that was not synced.
+	KeepNone Keep = iota
+	// KeepAll loses nothing: everything had reached the disk by luck.
+	KeepAll
+	// KeepTorn keeps the first half of the content that was not synced, and
+	// the names.
+	KeepTorn
+	// KeepNames keeps the names but none of the content that was not synced.
+	KeepNames
+)
+
+// Keeps are all that a crash may leave.
+var Keeps = []Keep{KeepNone, KeepAll, KeepTorn, KeepNames}
+
+type node struct {
+	content []byte
+	synced  []byte
+}
+
+// FS is the file system. The zero value is ready to use.
+type FS struct {
+	mu sync.Mutex
+	// names is what a program sees, durable is what a crash leaves.
+	names, durable map[string]*node
+	ops            int
+	crashAt        int
+	failAt         int
+	crashed        bool
+	full           bool
+	syncs          int
+}
+
+var _ storage.FS = (*FS)(nil)
+
+// CrashAt makes the n-th operation from now, counted from 1, and all later ones
+// fail without effect. Zero means never.
+func (f *FS) CrashAt(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashAt = 0
+	if n > 0 {
+		f.crashAt = f.ops + n
+	}
+}
+
+// FailAt makes the n-th operation from now fail once with an input/output error.
+func (f *FS) FailAt(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failAt = f.ops + n
+}
+
+// Fill makes every write fail for want of space, until undone.
+func (f *FS) Fill(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
+// Ops returns how many operations there were that write or sync.
+func (f *FS) Ops() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ops
+}
+
+// Syncs returns how many times a file or directory was synced.
+func (f *FS) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+// Crashed reports whether the crash has come.
+func (f *FS) Crashed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashed
+}
+
+// Restart returns the file system as the next start of the process finds it.
+func (f *FS) Restart(keep Keep) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := &FS{}
+	next.init()
+	names := f.durable
+	if keep != KeepNone {
+		names = f.names
+	}
+	for name, n := range names {
+		content := n.synced
+		switch keep {
+		case KeepAll:
+			content = n.content
+		case KeepTorn:
+			if len(n.content) > len(n.synced) {
+				content = n.content[:len(n.synced)+(len(n.content)-len(n.synced))/2]
+			}
+		}
+		c := &node{content: slices.Clone(content), synced: slices.Clone(content)}
+		next.names[name], next.durable[name] = c, c
+	}
+	return next
+}
+
+// Change edits the content of a file as a fault of the disk would.
+func (f *FS) Change(name string, edit func([]byte) []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	n := f.names[name]
+	n.content = edit(slices.Clone(n.content))
+	n.synced = n.content
+}
+
+// Names returns the names of all files.
+func (f *FS) Names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.names {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (f *FS) init() {
+	if f.names == nil {
+		f.names, f.durable = map[string]*node{}, map[string]*node{}
+	}
+}
+
+// op counts one operation and decides whether it happens; f.mu is held.
+func (f *FS) op() error {
+	f.init()
+	if f.crashed {
+		return ErrCrashed
+	}
+	f.ops++
+	if f.ops == f.crashAt {
+		f.crashed = true
+		return ErrCrashed
+	}
+	if f.ops == f.failAt {
+		return syscall.EIO
+	}
+	return nil
+}
+
+// MkdirAll does nothing: there are no directories.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create makes or truncates a file.
+func (f *FS) Create(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return nil, err
+	}
+	n := &node{}
+	f.names[name] = n
+	return &file{fs: f, n: n}, nil
+}
+
+// Append opens a file for writing at its end.
+func (f *FS) Append(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return nil, err
+	}
+	n := f.names[name]
+	if n == nil {
+		n = &node{}
+		f.names[name] = n
+	}
+	return &file{fs: f, n: n}, nil
+}
+
+// ReadFile returns the content of a file.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	if f.crashed {
+		return nil, ErrCrashed
+	}
+	n := f.names[name]
+	if n == nil {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return slices.Clone(n.content), nil
+}
+
+// Truncate cuts a file and syncs it.
+func (f *FS) Truncate(name string, size int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return err
+	}
+	n := f.names[name]
+	n.content = slices.Clone(n.content[:size])
+	n.synced = n.content
+	return nil
+}
+
+// Rename puts a file in the place of another.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return err
+	}
+	f.names[to] = f.names[from]
+	delete(f.names, from)
+	return nil
+}
+
+// Remove removes a file.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return err
+	}
+	delete(f.names, name)
+	return nil
+}
+
+// List returns the names of the files in dir.
+func (f *FS) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	var names []string
+	for name := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// SyncDir makes the names last.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.op(); err != nil {
+		return err
+	}
+	f.syncs++
+	for name := range f.durable {
+		if filepath.Dir(name) == filepath.Clean(dir) && f.names[name] == nil {
+			delete(f.durable, name)
+		}
+	}
+	for name, n := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			f.durable[name] = n
+		}
+	}
+	return nil
+}
+
+type file struct {
+	fs *FS
+	n  *node
+}
+
+// Write appends to the file. A crash in it leaves half of p; a full disk too.
+func (f *file) Write(p []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	err := f.fs.op()
+	if err == nil && f.fs.full {
+		err = syscall.ENOSPC
+	}
+	n := len(p)
+	if err != nil {
+		n /= 2
+	}
+	if !errors.Is(err, ErrCrashed) || f.fs.ops == f.fs.crashAt {
+		f.n.content = append(f.n.content, p[:n]...)
+	}
+	return n, err
+}
+
+// Sync makes the content last.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.fs.op(); err != nil {
+		return err
+	}
+	f.fs.syncs++
+	f.n.synced = slices.Clone(f.n.content)
+	return nil
+}
+
+// Close closes the file.
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,95 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Store holds named records in one directory. Its methods may be called from
+// several goroutines only for different names.
+type Store struct {
+	dir string
+	fs  FS
+}
+
+const (
+	recordSuffix = ".record"
+	tempSuffix   = ".temp"
+)
+
+// Open makes the directory if needed and removes what an interrupted write left.
+func Open(dir string, fs FS) (*Store, error) {
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, errors.Annotatef(err, "making %s", dir)
+	}
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listing %s", dir)
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, tempSuffix) {
+			continue
+		}
+		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+			return nil, errors.Annotatef(err, "removing %s", name)
+		}
+	}
+	return &Store{dir: dir, fs: fs}, nil
+}
+
+// Dir returns the directory of the store.
+func (s *Store) Dir() string { return s.dir }
+
+// FS returns the file system that the store uses.
+func (s *Store) FS() FS { return s.fs }
+
+// Save replaces the record and returns when it will outlive a crash. After an
+// error either the old or the new content is found; saving again is safe, since
+// each try writes a fresh file.
+func (s *Store) Save(name string, version uint32, body []byte) error {
+	if len(body) > maxRecordSize {
+		return errors.Errorf("record %s of %d bytes is too large", name, len(body))
+	}
+	final := filepath.Join(s.dir, name+recordSuffix)
+	temp := final + tempSuffix
+	if err := s.writeSynced(temp, encodeRecord(version, body)); err != nil {
+		return errors.Annotatef(err, "writing %s", temp)
+	}
+	if err := s.fs.Rename(temp, final); err != nil {
+		return errors.Annotatef(err, "renaming %s", temp)
+	}
+	// Until the directory is synced a crash may bring back the old name.
+	return errors.Annotatef(s.fs.SyncDir(s.dir), "syncing %s", s.dir)
+}
+
+func (s *Store) writeSynced(name string, content []byte) error {
+	f, err := s.fs.Create(name)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(content)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// Load returns the record and its format version. A record that was never saved
+// gives errors.NotFound; one that fails its check gives ErrCorrupt.
+func (s *Store) Load(name string) (uint32, []byte, error) {
+	b, err := s.fs.ReadFile(filepath.Join(s.dir, name+recordSuffix))
+	if os.IsNotExist(err) {
+		return 0, nil, errors.NotFoundf("record %s", name)
+	}
+	if err != nil {
+		return 0, nil, errors.Annotatef(err, "reading %s", name)
+	}
+	version, body, err := decodeRecord(b)
+	return version, body, errors.Annotatef(err, "record %s", name)
+}
