Run the register over the entries' links and spread what was accepted

A file comes into force on a voter only once its record is synced, else a restart would bring back an older one.

--- /dev/null
+++ b/internal/register/fleet_test.go
@@ -0,0 +1,142 @@
+package register
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
+)
+
+// fleet is a set of entries on a network in memory.
+type fleet struct {
+	t       testing.TB
+	net     *peertest.Network
+	voters  []job.EntryID
+	entries []job.EntryID
+	nodes   map[job.EntryID]*member
+	life    job.Incarnation
+}
+
+type member struct {
+	*Register
+	fs   *storagetest.FS
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// newFleet starts voters v1.. with disks and learners l1.. without.
+func newFleet(t testing.TB, voters, learners int) *fleet {
+	f := &fleet{t: t, net: &peertest.Network{Delay: time.Millisecond}, nodes: map[job.EntryID]*member{}}
+	for i := range voters {
+		f.voters = append(f.voters, job.EntryID(fmt.Sprintf("v%d", i+1)))
+	}
+	f.entries = append(f.entries, f.voters...)
+	for i := range learners {
+		f.entries = append(f.entries, job.EntryID(fmt.Sprintf("l%d", i+1)))
+	}
+	for i, e := range f.entries {
+		var fs *storagetest.FS
+		if i < voters {
+			fs = &storagetest.FS{}
+		}
+		f.start(e, fs)
+	}
+	return f
+}
+
+// start starts an entry on a disk; nil is none.
+func (f *fleet) start(e job.EntryID, fs *storagetest.FS) *member {
+	f.life++
+	mesh := f.net.Join(job.Owner{Entry: e, Incarnation: f.life})
+	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries}
+	if fs != nil {
+		store, err := storage.Open("data", fs)
+		qt.Assert(f.t, err, qt.IsNil)
+		opts.Store = store
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{Register: New(opts), fs: fs, stop: cancel, done: make(chan struct{})}
+	f.nodes[e] = m
+	go func() {
+		defer close(m.done)
+		_ = m.Run(ctx)
+	}()
+	return m
+}
+
+// crash stops an entry and returns what its disk then holds.
+func (f *fleet) crash(e job.EntryID, keep storagetest.Keep) *storagetest.FS {
+	m := f.nodes[e]
+	if m.fs != nil {
+		m.fs.CrashAt(1)
+	}
+	f.net.Leave(e)
+	m.stop()
+	<-m.done
+	delete(f.nodes, e)
+	if m.fs == nil {
+		return nil
+	}
+	return m.fs.Restart(keep)
+}
+
+func (f *fleet) stopAll() {
+	for e, m := range f.nodes {
+		f.net.Leave(e)
+		m.stop()
+		<-m.done
+	}
+	// Pulls and calls under way end by their own timeouts.
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// cut separates the entries of side from all others, or joins them again.
+func (f *fleet) cut(down bool, side ...job.EntryID) {
+	in := map[job.EntryID]bool{}
+	for _, e := range side {
+		in[e] = true
+	}
+	for _, a := range f.entries {
+		for _, b := range f.entries {
+			if in[a] && !in[b] {
+				f.net.CutBoth(a, b, down)
+			}
+		}
+	}
+}
+
+func (f *fleet) apply(e job.EntryID, id string, body string) (Accepted, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return f.nodes[e].Apply(ctx, id, []byte(body))
+}
+
+func (f *fleet) mustApply(e job.EntryID, number int) {
+	f.t.Helper()
+	_, err := f.apply(e, fmt.Sprintf("change-%d", number), fileOf(number, "a"))
+	qt.Assert(f.t, err, qt.IsNil)
+}
+
+// inForce waits and then wants the number on each of the entries.
+func (f *fleet) inForce(number uint64, within time.Duration, entries ...job.EntryID) {
+	f.t.Helper()
+	time.Sleep(within)
+	synctest.Wait()
+	for _, e := range entries {
+		got, _ := f.nodes[e].Summary()
+		qt.Assert(f.t, got, qt.Equals, number, qt.Commentf("on %s: %s", e, f.nodes[e].State().Serving))
+	}
+}
+
+func fileOf(number int, service string) string {
+	return fmt.Sprintf("number: %d\nservices: [{name: %s}]\n", number, service)
+}
--- /dev/null
+++ b/internal/register/spread.go
@@ -0,0 +1,182 @@
+package register
+
+import (
+	"context"
+	mathrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+)
+
+// Summary returns the number and digest in force, for heartbeats to carry.
+func (r *Register) Summary() (number uint64, digest string) {
+	s := r.current.Load()
+	if s == nil || s.Change.Number == 0 {
+		return 0, ""
+	}
+	return s.Change.Number, s.Change.Digest.String()
+}
+
+// Observe takes in what another entry's heartbeat said, and pulls from it if it
+// has a newer configuration.
+func (r *Register) Observe(from job.EntryID, number uint64, digest string) {
+	r.contact(from)
+	mine, own := r.Summary()
+	if number == mine && digest != own {
+		r.log.Error("another entry holds another file of the same number: two fleets share a network",
+			"peer", from, "number", number, "digest", digest)
+	}
+	if number > mine {
+		r.startPull(from)
+	}
+}
+
+// startPull pulls in the background unless a pull is under way.
+func (r *Register) startPull(from job.EntryID) {
+	ctx := r.run.Load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pulling || ctx == nil {
+		return
+	}
+	r.pulling = true
+	go func() {
+		r.pull(*ctx, from)
+		r.mu.Lock()
+		r.pulling = false
+		r.mu.Unlock()
+	}()
+}
+
+// pull asks one entry for what is newer.
+func (r *Register) pull(ctx context.Context, from job.EntryID) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var answer pulled
+	req := pull{Version: r.held()}
+	if err := r.mesh.Call(ctx, from, peer.ConfigPull, req, &answer); err != nil {
+		return
+	}
+	r.contact(from)
+	if answer.Newer == nil {
+		return
+	}
+	if answer.Self.Identity != "" {
+		// An entry with a disk also needs the part that is not in force but
+		// that a vote rests on.
+		r.step(consensus.Lagging{Peer: from})
+	}
+	r.putAndTell(answer.Newer)
+}
+
+// held returns the version in force.
+func (r *Register) held() uint64 {
+	if s := r.current.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// putAndTell brings a snapshot into force and, if this entry votes, tells the
+// entries that don't, so that they need not wait for a heartbeat. Each voter
+// does so: the few bytes cost less than waiting when one of them dies.
+func (r *Register) putAndTell(s *snapshot) {
+	before := r.held()
+	r.put(s)
+	if r.held() == before || !r.voting() {
+		return
+	}
+	voters := r.voters()
+	for _, to := range r.others() {
+		if !slices.Contains(voters, to) {
+			_ = r.mesh.Send(to, peer.ConfigPull, pull{Version: s.Version, Hint: true})
+		}
+	}
+}
+
+// voting reports whether this entry's vote counts.
+func (r *Register) voting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node != nil && r.node.Voting()
+}
+
+func (r *Register) onPull(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
+	var req pull
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, errors.Annotate(err, "decoding a pull")
+	}
+	r.contact(from.Entry)
+	if req.Hint {
+		if req.Version > r.held() {
+			r.startPull(from.Entry)
+		}
+		return nil, nil
+	}
+	var answer pulled
+	r.mu.Lock()
+	if r.node != nil {
+		answer.Self = r.node.Self
+	}
+	r.mu.Unlock()
+	if s := r.current.Load(); s != nil && s.Version > req.Version {
+		answer.Newer = s
+	}
+	return answer, nil
+}
+
+// probeLoop asks for news where no message brings it: of the voters that were
+// not heard lately, of one other voter each time, and of everybody in turn as
+// long as there is no configuration at all.
+func (r *Register) probeLoop(ctx context.Context) {
+	for {
+		r.judge()
+		wait := probeInterval
+		if r.Current() == nil {
+			wait = firstInterval
+			r.probeNext(ctx)
+		} else {
+			r.probeSilent(ctx)
+		}
+		if !sleep(ctx, jitter(wait)) {
+			return
+		}
+	}
+}
+
+func (r *Register) probeNext(ctx context.Context) {
+	others := r.others()
+	if len(others) == 0 {
+		return
+	}
+	r.probed++
+	r.startProbe(ctx, others[r.probed%len(others)])
+}
+
+func (r *Register) probeSilent(ctx context.Context) {
+	voters := r.voters()
+	if len(voters) == 0 {
+		return
+	}
+	picked := voters[mathrand.N(len(voters))]
+	now := time.Now()
+	for _, v := range voters {
+		r.mu.Lock()
+		silent := now.Sub(r.heard[v]) >= probeInterval
+		r.mu.Unlock()
+		if v != r.self && (silent || v == picked) {
+			r.startProbe(ctx, v)
+		}
+	}
+}
+
+// startProbe does not wait: a voter that is cut off must not hold up the others.
+func (r *Register) startProbe(ctx context.Context, to job.EntryID) {
+	go r.pull(ctx, to)
+}
--- /dev/null
+++ b/internal/register/state.go
@@ -0,0 +1,128 @@
+package register
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// State is what an entry says of its configuration.
+type State struct {
+	// Version counts all changes of the register, those of its voters included.
+	Version  uint64
+	Number   uint64
+	Digest   string
+	ChangeID string
+	// Since is when it came into force on this entry.
+	Since time.Time
+	// Stale says that no majority of the voters was heard for some seconds: a
+	// newer configuration may exist. StaleSince is when one was last heard.
+	Stale      bool
+	StaleSince time.Time
+	// Voter says that this entry's vote counts.
+	Voter bool
+	// Identity names this entry's disk; empty without one.
+	Identity string
+	Voters   []consensus.Voter
+	// Problem says why a data folder is not used or not written.
+	Problem string
+	// Serving says all this in one line.
+	Serving string
+}
+
+// State returns the entry's present state.
+func (r *Register) State() State {
+	now := time.Now()
+	stale, since := r.staleness(now)
+	out := State{Stale: stale}
+	if stale {
+		out.StaleSince = since
+	}
+	r.mu.Lock()
+	out.Problem = r.problem
+	if r.node != nil {
+		out.Voter = r.node.Voting()
+		out.Identity = string(r.node.Self.Identity)
+	}
+	r.mu.Unlock()
+	if s := r.current.Load(); s != nil {
+		out.Version, out.Voters = s.Version, s.Voters
+		out.Number, out.ChangeID, out.Since = s.Change.Number, s.Change.ID, s.since
+		if s.Change.Number > 0 {
+			out.Digest = s.Change.Digest.String()
+		}
+	}
+	out.Serving = out.line()
+	return out
+}
+
+func (s *State) line() string {
+	line := "no configuration yet"
+	if s.Number > 0 {
+		line = fmt.Sprintf("configuration %d, digest %s, in force since %s", s.Number, s.Digest, s.Since.UTC().Format(time.RFC3339))
+	}
+	if s.Stale {
+		line += fmt.Sprintf("; stale: no majority of the voters heard since %s", s.StaleSince.UTC().Format(time.RFC3339))
+	}
+	if s.Problem != "" {
+		line += "; does not vote: " + s.Problem
+	}
+	return line
+}
+
+// staleness reports whether a majority of the voters has been silent for too
+// long, and since when.
+func (r *Register) staleness(now time.Time) (bool, time.Time) {
+	voters := r.voters()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	times := make([]time.Time, 0, len(voters))
+	for _, v := range voters {
+		at := r.heard[v]
+		if v == r.self && r.node != nil && r.node.Voting() {
+			at = now
+		}
+		if at.Before(r.started) {
+			at = r.started
+		}
+		times = append(times, at)
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	majority := len(voters)/2 + 1
+	if len(times) < majority {
+		return true, r.started
+	}
+	last := times[majority-1]
+	return now.Sub(last) > staleAfter, last
+}
+
+// judge notes in the time line when the entry becomes stale and when it is over.
+func (r *Register) judge() {
+	stale, since := r.staleness(time.Now())
+	r.mu.Lock()
+	changed := stale != r.stale
+	r.stale = stale
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	cause := "a majority of the voters is heard again"
+	if stale {
+		cause = "no majority of the voters heard since " + since.UTC().Format(time.RFC3339)
+	}
+	r.log.Warn("staleness of the configuration changed", "stale", stale, "cause", cause)
+	r.ev.Record(timeline.Event{Kind: timeline.ConfigurationStale, Cause: cause})
+}
+
+// VoterEntries returns the names of the voters.
+func (s *State) VoterEntries() []job.EntryID {
+	names := make([]job.EntryID, len(s.Voters))
+	for i, v := range s.Voters {
+		names[i] = v.Entry
+	}
+	return names
+}
--- /dev/null
+++ b/internal/register/wire.go
@@ -0,0 +1,87 @@
+package register
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+)
+
+// snapshot is what an entry needs of a value to serve by it and to pass it on.
+type snapshot struct {
+	Version    uint64            `cbor:"1,keyasint"`
+	Lineage    uint64            `cbor:"2,keyasint"`
+	Voters     []consensus.Voter `cbor:"3,keyasint"`
+	Change     consensus.Change  `cbor:"4,keyasint"`
+	Body       []byte            `cbor:"5,keyasint"`
+	AcceptedAt int64             `cbor:"6,keyasint"`
+
+	file  *config.File
+	since time.Time
+}
+
+func snapshotOf(v *consensus.Value) *snapshot {
+	return &snapshot{
+		Version: v.Version, Lineage: v.Lineage, Voters: v.Voters,
+		Change: v.Change, Body: v.Body, AcceptedAt: v.AcceptedAt,
+	}
+}
+
+func (s *snapshot) describe() string {
+	return fmt.Sprintf("number %d, digest %s, change %s", s.Change.Number, s.Change.Digest, s.Change.ID)
+}
+
+// pull asks for what is newer than Version. As a message without answer it tells
+// that the sender holds Version.
+type pull struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Hint    bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// pulled is its answer.
+type pulled struct {
+	// Self names the answering disk; zero without one.
+	Self consensus.Voter `cbor:"1,keyasint"`
+	// Newer is nil if the asking entry has all.
+	Newer *snapshot `cbor:"2,keyasint,omitempty"`
+}
+
+// order is a command that an entry hands to a voter.
+type order struct {
+	Command consensus.Command `cbor:"1,keyasint"`
+	// WaitMillis is how long the voter may take.
+	WaitMillis int64 `cbor:"2,keyasint"`
+}
+
+const (
+	recordName   = "register"
+	recordFormat = 1
+)
+
+func loadRecord(s *storage.Store) (consensus.Record, error) {
+	var record consensus.Record
+	format, body, err := s.Load(recordName)
+	if err != nil {
+		return record, errors.Trace(err)
+	}
+	if format != recordFormat {
+		return record, errors.Errorf("record of format %d; this release reads %d", format, recordFormat)
+	}
+	if err := cbor.Unmarshal(body, &record); err != nil {
+		return record, errors.Annotatef(storage.ErrCorrupt, "decoding: %v", err)
+	}
+	return record, nil
+}
+
+func saveRecord(s *storage.Store, record consensus.Record) error {
+	body, err := cbor.Marshal(record)
+	if err != nil {
+		return errors.Annotate(err, "encoding the record")
+	}
+	return errors.Trace(s.Save(recordName, recordFormat, body))
+}
