--- /dev/null
+++ b/internal/holder/batch.go
@@ -0,0 +1,115 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+)
+
+// batchKey names one owner's batch.
+type batchKey struct {
+	owner job.Owner
+	id    job.ID
+}
+
+// batch is the account of one accepted batch. The pool's lock guards it.
+type batch struct {
+	key     batchKey
+	offered *job.Batch
+	service config.Service
+	arrived time.Time
+	report  func([]job.TaskOutcome)
+
+	outcomes []job.TaskOutcome
+	// open counts the tasks without an outcome.
+	open    int
+	running map[int]*link
+	// attempts counts how often a task was sent, from its second sending on.
+	attempts map[int]int
+	// fatal is set when the job can't become complete any more.
+	fatal    bool
+	reported bool
+	deadline *time.Timer
+}
+
+func newBatch(now time.Time, b *job.Batch, service config.Service, report func([]job.TaskOutcome)) *batch {
+	return &batch{
+		key:      batchKey{b.Owner, b.Submission},
+		offered:  b,
+		service:  service,
+		arrived:  now,
+		report:   report,
+		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
+		open:     len(b.Tasks),
+		running:  make(map[int]*link),
+	}
+}
+
+// settle takes one task's outcome.
+func (b *batch) settle(o job.TaskOutcome) {
+	b.outcomes = append(b.outcomes, o)
+	b.open--
+	if o.Status != job.TaskDone && !mayGoElsewhere(o) {
+		b.fatal = true
+	}
+}
+
+// ended reports whether no task is left, also none whose result is discarded.
+func (b *batch) ended() bool { return b.reported && len(b.running) == 0 }
+
+// again counts one more attempt of a task and reports how many there were.
+func (b *batch) again(index int) int {
+	if b.attempts == nil {
+		b.attempts = make(map[int]int)
+	}
+	b.attempts[index]++
+	return b.attempts[index]
+}
+
+// mayGoElsewhere reports whether the owner may still complete the job by
+// offering the task to another holder.
+func mayGoElsewhere(o job.TaskOutcome) bool {
+	if o.Status != job.TaskNotStarted {
+		return false
+	}
+	switch o.Reason {
+	case job.NoTarget, job.TargetRefused, job.Draining, job.OwnerLost, job.Overloaded, job.QueueFull:
+		return true
+	}
+	return false
+}
+
+// unstarted returns the outcomes of a batch that was refused whole.
+func unstarted(tasks []job.BatchTask, v scheduler.Verdict) []job.TaskOutcome {
+	out := make([]job.TaskOutcome, len(tasks))
+	for i := range tasks {
+		out[i] = job.TaskOutcome{
+			Index:      tasks[i].Index,
+			Status:     job.TaskNotStarted,
+			Reason:     v.Reason,
+			Detail:     v.Detail,
+			RetryAfter: v.RetryAfter,
+		}
+	}
+	return out
+}
+
+// repeated returns the outcomes of a batch whose owner and submission are
+// already here. A task that is in both may run, so it must not be called
+// unstarted: its owner would hand it to somebody else.
+func repeated(b *job.Batch, first *batch) []job.TaskOutcome {
+	here := make(map[int]bool, len(first.offered.Tasks))
+	for i := range first.offered.Tasks {
+		here[first.offered.Tasks[i].Index] = true
+	}
+	out := unstarted(b.Tasks, scheduler.Verdict{Reason: job.TargetRefused, Detail: "an earlier batch of the submission is still here"})
+	for i := range out {
+		if here[out[i].Index] {
+			out[i].Status, out[i].Reason = job.TaskErred, job.Internal
+			out[i].Detail = "the task was handed over twice"
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/holder/pool.go
@@ -0,0 +1,254 @@
+package holder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// pool is one shard: the targets and batches of one pool under one lock.
+type pool struct {
+	holder *Holder
+	name   string
+
+	mu      sync.Mutex
+	sched   *scheduler.Pool
+	batches map[batchKey]*batch
+	links   map[job.TargetID]*link
+	budget  retryBudget
+	wake    *time.Timer
+	orphans *time.Timer
+}
+
+// effects are what a change of state asks for. They are carried out after the
+// lock is released, since a report may come back with another offer.
+type effects struct {
+	launches []launch
+	after    []func()
+}
+
+func (e *effects) then(f func()) { e.after = append(e.after, f) }
+
+func newPool(h *Holder, name string, f *config.File) *pool {
+	p := &pool{
+		holder:  h,
+		name:    name,
+		sched:   scheduler.NewWith(name, h.opts.Seed, h.opts.Scheduler),
+		batches: make(map[batchKey]*batch),
+		links:   make(map[job.TargetID]*link),
+		budget:  newRetryBudget(),
+	}
+	p.sched.Configure(time.Now(), f)
+	return p
+}
+
+// change makes one change of state, lets the scheduler decide on what follows
+// and carries it out.
+func (p *pool) change(f func(now time.Time, e *effects)) {
+	var e effects
+	now := time.Now()
+	p.mu.Lock()
+	f(now, &e)
+	p.advance(now, &e)
+	p.mu.Unlock()
+	for _, l := range e.launches {
+		go p.run(l)
+	}
+	for _, f := range e.after {
+		f()
+	}
+}
+
+// advance asks the scheduler what to do now.
+func (p *pool) advance(now time.Time, e *effects) {
+	d := p.sched.Next(now)
+	for i := range d.Expired {
+		p.expire(now, d.Expired[i])
+	}
+	for i := range d.Expired {
+		if b := p.batches[keyOf(d.Expired[i].Key)]; b != nil {
+			p.conclude(now, b, e)
+		}
+	}
+	for i := range d.Starts {
+		p.start(now, d.Starts[i], e)
+	}
+	p.wakeAt(now, d.Wake)
+}
+
+func keyOf(k scheduler.Key) batchKey { return batchKey{k.Owner, k.Submission} }
+
+func (p *pool) expire(now time.Time, d scheduler.Dropped) {
+	b := p.batches[keyOf(d.Key)]
+	if b == nil || b.reported {
+		return
+	}
+	p.holder.stats.dropped.Add(1)
+	b.settle(job.TaskOutcome{
+		Index:  d.Index,
+		Status: job.TaskNotStarted,
+		Reason: d.Reason,
+		Detail: "the task left the queue unstarted",
+		Queued: now.Sub(b.arrived),
+	})
+}
+
+func (p *pool) start(now time.Time, s scheduler.Start, e *effects) {
+	b := p.batches[keyOf(s.Key)]
+	l := p.links[s.Target]
+	if b == nil || l == nil {
+		panic("holder: the scheduler started a task or chose a target that the pool does not know")
+	}
+	b.running[s.Index] = l
+	l.running++
+	p.budget.started()
+	e.launches = append(e.launches, launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
+}
+
+// wakeAt sets the one timer of the pool. Too early a wake-up only costs a look.
+func (p *pool) wakeAt(now, at time.Time) {
+	if at.IsZero() {
+		if p.wake != nil {
+			p.wake.Stop()
+		}
+		return
+	}
+	d := max(at.Sub(now), 0)
+	if p.wake == nil {
+		p.wake = time.AfterFunc(d, func() { p.change(func(time.Time, *effects) {}) })
+		return
+	}
+	p.wake.Reset(d)
+}
+
+func (p *pool) configure(f *config.File) {
+	p.change(func(now time.Time, _ *effects) { p.sched.Configure(now, f) })
+}
+
+func (p *pool) load() job.HolderLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Load(time.Now())
+}
+
+// offer admits a batch. The gate was entered for it.
+func (p *pool) offer(offered *job.Batch, service config.Service, report func([]job.TaskOutcome)) {
+	p.change(func(now time.Time, e *effects) {
+		key := batchKey{offered.Owner, offered.Submission}
+		if first := p.batches[key]; first != nil {
+			p.refuse(e, report, repeated(offered, first))
+			return
+		}
+		if v := p.sched.Offer(now, offered); !v.Accepted {
+			p.refuse(e, report, unstarted(offered.Tasks, v))
+			return
+		}
+		b := newBatch(now, offered, service, report)
+		p.batches[key] = b
+		if offered.Remaining > 0 && !service.FlagLate {
+			b.deadline = time.AfterFunc(offered.Remaining, func() { p.passDeadline(b) })
+		}
+		p.record(timeline.Event{Kind: timeline.TaskQueued, Submission: offered.Submission, Count: len(offered.Tasks), Peer: offered.Owner.Entry, Cause: "accepted into pool " + p.name})
+	})
+}
+
+func (p *pool) refuse(e *effects, report func([]job.TaskOutcome), outcomes []job.TaskOutcome) {
+	e.then(func() {
+		report(outcomes)
+		p.holder.gate.leave()
+	})
+}
+
+// conclude reports a batch whose end is decided and forgets one that is over.
+func (p *pool) conclude(now time.Time, b *batch, e *effects) {
+	if !b.reported && (b.fatal || b.open == 0) {
+		p.end(now, b, e, job.SiblingFailed, "another task of the job failed")
+	}
+	if b.ended() && p.batches[b.key] == b {
+		delete(p.batches, b.key)
+		e.then(p.holder.gate.leave)
+	}
+}
+
+// end drops the queued tasks of a batch, asks the targets to stop the running
+// ones, and reports. Tasks that run have no outcome in the report: nobody
+// knows yet how they end, and nobody waits for it.
+func (p *pool) end(now time.Time, b *batch, e *effects, reason job.Reason, detail string) {
+	if b.deadline != nil {
+		b.deadline.Stop()
+	}
+	if b.open > 0 {
+		p.giveBack(now, b, reason, detail)
+		for index, l := range b.running {
+			l.stop(p, b.key.id, index, e)
+		}
+	}
+	b.reported = true
+	outcomes := b.outcomes
+	b.outcomes = nil
+	e.then(func() { b.report(outcomes) })
+}
+
+// giveBack takes the queued tasks of a batch out of the queue, unstarted.
+func (p *pool) giveBack(now time.Time, b *batch, reason job.Reason, detail string) {
+	dropped, _ := p.sched.Cancel(now, b.key.owner, b.key.id)
+	for _, index := range dropped {
+		b.settle(job.TaskOutcome{Index: index, Status: job.TaskNotStarted, Reason: reason, Detail: detail, Queued: now.Sub(b.arrived)})
+	}
+	if len(dropped) == 0 {
+		return
+	}
+	p.holder.stats.dropped.Add(uint64(len(dropped)))
+	p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: b.key.id, Reason: reason, Cause: detail, Count: len(dropped)})
+}
+
+func (p *pool) record(ev timeline.Event) { p.holder.opts.Events.Record(ev) }
+
+// passDeadline ends a batch whose answer is of no further use. The word that
+// tasks never started goes out at once; those that run may have an effect.
+func (p *pool) passDeadline(b *batch) {
+	p.change(func(now time.Time, e *effects) {
+		if b.reported {
+			return
+		}
+		p.giveBack(now, b, job.DeadlinePassed, "the deadline passed before the task started")
+		for index := range b.running {
+			b.settle(job.TaskOutcome{Index: index, Status: job.TaskErred, Reason: job.DeadlinePassed, Detail: "the deadline passed while the task ran"})
+		}
+		p.stopRunning(b, e)
+		p.conclude(now, b, e)
+	})
+}
+
+func (p *pool) stopRunning(b *batch, e *effects) {
+	for index, l := range b.running {
+		l.stop(p, b.key.id, index, e)
+	}
+}
+
+func (p *pool) cancel(key batchKey) {
+	p.change(func(now time.Time, e *effects) {
+		b := p.batches[key]
+		if b == nil || b.reported {
+			return
+		}
+		p.end(now, b, e, job.CancelledByCall, "the submission was cancelled")
+		p.conclude(now, b, e)
+	})
+}
+
+func (p *pool) drop(owner job.Owner) {
+	p.change(func(now time.Time, e *effects) {
+		for key, b := range p.batches {
+			if key.owner != owner || b.reported {
+				continue
+			}
+			p.giveBack(now, b, job.OwnerLost, "the owner of the submission is gone")
+			p.conclude(now, b, e)
+		}
+	})
+}
--- /dev/null
+++ b/internal/target/client_test.go
@@ -0,0 +1,345 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// rawTarget is a TCP server that reads requests, counts a start for each whole
+// one, and then does with the connection as its script says.
+type rawTarget struct {
+	net.Listener
+	mu     sync.Mutex
+	starts map[string]int
+	conns  int
+}
+
+// step answers one request on c; false closes the connection.
+type step func(c net.Conn, r *http.Request) bool
+
+func answer(text string) step {
+	return func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+}
+
+func thenClose(text string) step {
+	return func(c net.Conn, r *http.Request) bool {
+		answer(text)(c, r)
+		return false
+	}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"
+
+// serveRaw runs the steps in turn on each connection; the last one repeats.
+func serveRaw(t *testing.T, steps ...step) *rawTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	raw := &rawTarget{Listener: l, starts: map[string]int{}}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			raw.mu.Lock()
+			raw.conns++
+			raw.mu.Unlock()
+			go raw.serve(c, steps)
+		}
+	}()
+	return raw
+}
+
+func (raw *rawTarget) serve(c net.Conn, steps []step) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		raw.mu.Lock()
+		raw.starts[req.URL.Path]++
+		raw.mu.Unlock()
+		if !steps[min(i, len(steps)-1)](c, req) {
+			return
+		}
+	}
+}
+
+func (raw *rawTarget) most() (most, total int) {
+	raw.mu.Lock()
+	defer raw.mu.Unlock()
+	for _, n := range raw.starts {
+		most = max(most, n)
+		total += n
+	}
+	return most, total
+}
+
+func link(raw *rawTarget) *Link {
+	return NewClient(ClientOptions{MaxAnswer: 64}).Link(raw.Addr().String(), 2)
+}
+
+// A target reads a whole task, starts it, and its connection breaks before,
+// within or after the answer, because its process dies or its server is badly
+// made. A dispatcher that sends again doubles a bill or an alarm; one that
+// calls half an answer whole shows a torn image. Both happen most on reused
+// connections, where Go's transport replays what it deems replayable.
+func TestBrokenAnswersMayHaveRunAndAreNeverSentAgain(t *testing.T) {
+	cases := map[string]step{
+		"closed before the answer": thenClose(""),
+		"status line torn":         thenClose("HTTP/1.1 20"),
+		"header torn":              thenClose("HTTP/1.1 200 OK\r\nContent-Le"),
+		"body torn":                thenClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntrue"),
+		"chunk torn":               thenClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntrue"),
+		"last chunk missing":       thenClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n"),
+		"no length":                thenClose("HTTP/1.1 200 OK\r\n\r\ntrue"),
+		"not HTTP":                 thenClose("hello\r\n\r\n"),
+		"not JSON":                 thenClose("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntru"),
+		"too long":                 thenClose("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + strings.Repeat("1", 99)),
+		"too long in chunks":       thenClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n63\r\n" + strings.Repeat("1", 99) + "\r\n0\r\n\r\n"),
+		"another task's answer":    answer("HTTP/1.1 200 OK\r\nVanillagrade-Task: other/7\r\nContent-Length: 4\r\n\r\ntrue"),
+		"failed":                   answer("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"),
+		"busy without proof":       answer("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"),
+		"proof with a wrong code":  answer("HTTP/1.1 500 No\r\nVanillagrade-Run: not-run\r\nContent-Length: 0\r\n\r\n"),
+		"redirected":               answer("HTTP/1.1 307 No\r\nLocation: /v1/tasks/x/1\r\nContent-Length: 0\r\n\r\n"),
+		"timed out":                thenClose("HTTP/1.1 408 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
+	}
+	for name, broken := range cases {
+		for _, reused := range []bool{false, true} {
+			for _, payload := range []string{"", `{"a":1}`} {
+				t.Run(name+" reused="+strconv.FormatBool(reused)+" payload="+payload, func(t *testing.T) {
+					steps := []step{broken}
+					if reused {
+						steps = []step{answer(ok), broken}
+					}
+					raw := serveRaw(t, steps...)
+					l := link(raw)
+					defer l.Close()
+					want := 1
+					if reused {
+						want = 2
+						first := l.Start(t.Context(), Task{Submission: "warm", Payload: []byte("1")})
+						qt.Assert(t, first.Status, qt.Equals, job.TaskDone, qt.Commentf("%+v", first))
+					}
+					res := l.Start(t.Context(), Task{Submission: "x", Index: 1, Payload: []byte(payload)})
+					qt.Assert(t, res.Status, qt.Equals, job.TaskErred, qt.Commentf("%+v", res))
+					qt.Assert(t, res.Reason == job.TargetLost || res.Reason == job.TaskFailed, qt.IsTrue)
+					most, total := raw.most()
+					qt.Assert(t, []int{most, total}, qt.DeepEquals, []int{1, want})
+					if reused {
+						qt.Assert(t, raw.conns, qt.Equals, 1)
+					}
+				})
+			}
+		}
+	}
+}
+
+func TestWholeAnswers(t *testing.T) {
+	cases := []struct {
+		name, text, want string
+		single           bool
+	}{
+		{name: "length", text: ok, want: "true"},
+		{name: "chunks", text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ntr\r\n2\r\nue\r\n0\r\n\r\n", want: "true"},
+		{name: "empty", text: "HTTP/1.1 204 OK\r\n\r\n", want: "null"},
+		{name: "opaque", text: "HTTP/1.1 201 OK\r\nContent-Length: 3\r\n\r\n\x00{x", want: "\x00{x", single: true},
+		{name: "own name", text: "HTTP/1.1 200 OK\r\nVanillagrade-Task: a%2Fb/0\r\nContent-Length: 1\r\n\r\n1", want: "1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw := serveRaw(t, answer(c.text))
+			l := link(raw)
+			defer l.Close()
+			for range 3 {
+				res := l.Start(t.Context(), Task{Submission: "a/b", Payload: []byte("1"), Single: c.single})
+				qt.Assert(t, res.Status, qt.Equals, job.TaskDone, qt.Commentf("%+v", res))
+				qt.Assert(t, string(res.Payload), qt.Equals, c.want)
+			}
+			qt.Assert(t, raw.starts, qt.DeepEquals, map[string]int{"/v1/tasks/a/b/0": 3})
+			qt.Assert(t, raw.conns, qt.Equals, 1)
+		})
+	}
+}
+
+// A target that is full or stopping says so and proves that the task did not
+// start. Taken for a failure, its job would fail for nothing; the connection
+// stays good.
+func TestRefusalsProveNotStarted(t *testing.T) {
+	raw := serveRaw(t,
+		answer("HTTP/1.1 429 No\r\nVanillagrade-Run: not-run\r\nContent-Length: 4\r\n\r\nfull"),
+		answer("HTTP/1.1 503 No\r\nVanillagrade-Run: not-run\r\nContent-Length: 0\r\n\r\n"),
+	)
+	l := link(raw)
+	defer l.Close()
+	res := l.Start(t.Context(), Task{Submission: "x", Payload: []byte("1")})
+	res.Ran = 0
+	qt.Assert(t, res, qt.DeepEquals, Result{Status: job.TaskNotStarted, Reason: job.TargetRefused, Refusal: Busy, Detail: "full"})
+	res = l.Start(t.Context(), Task{Submission: "x", Payload: []byte("1")})
+	qt.Assert(t, res.Refusal, qt.Equals, Leaving)
+	qt.Assert(t, raw.conns, qt.Equals, 1)
+}
+
+// A target's VM is gone, or its port is closed. The dispatcher may send the
+// task elsewhere only because nothing can have arrived.
+func TestUnreachableIsNotStarted(t *testing.T) {
+	raw := serveRaw(t, answer(ok))
+	_ = raw.Close()
+	res := link(raw).Start(t.Context(), Task{Submission: "x", Payload: []byte("1")})
+	qt.Assert(t, res.Status, qt.Equals, job.TaskNotStarted)
+	qt.Assert(t, res.Refusal, qt.Equals, Unreachable)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	res = link(raw).Start(ctx, Task{Submission: "x"})
+	qt.Assert(t, res.Status, qt.Equals, job.TaskNotStarted)
+	qt.Assert(t, res.Refusal, qt.Equals, Abandoned)
+}
+
+// brokenConn is a connection whose peer is gone: its first write after a
+// number of good ones fails, with or without having taken some bytes.
+type brokenConn struct {
+	net.Conn
+	good  *int
+	taken int
+}
+
+func (c brokenConn) Write(p []byte) (int, error) {
+	if *c.good--; *c.good >= 0 {
+		return c.Conn.Write(p)
+	}
+	_, _ = c.Conn.Write(p[:c.taken])
+	return c.taken, net.ErrClosed
+}
+
+// A target restarted, and an idle connection to its old process fails at the
+// first write. Nothing has left, so the task goes out on a new connection,
+// and its caller notices nothing. When even one byte has left, it does not.
+func TestFailedWriteOnReusedConnection(t *testing.T) {
+	for _, taken := range []int{0, 1} {
+		t.Run(strconv.Itoa(taken), func(t *testing.T) {
+			raw := serveRaw(t, answer(ok))
+			dials := 0
+			good := 1
+			dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if dials++; dials == 1 {
+					return brokenConn{Conn: c, good: &good, taken: taken}, err
+				}
+				return c, err
+			}
+			l := NewClient(ClientOptions{Dial: dial}).Link(raw.Addr().String(), 1)
+			defer l.Close()
+			qt.Assert(t, l.Start(t.Context(), Task{Submission: "warm"}).Status, qt.Equals, job.TaskDone)
+			res := l.Start(t.Context(), Task{Submission: "x", Payload: []byte("1")})
+			if taken == 0 {
+				qt.Assert(t, res.Status, qt.Equals, job.TaskDone, qt.Commentf("%+v", res))
+				qt.Assert(t, dials, qt.Equals, 2)
+				return
+			}
+			qt.Assert(t, res.Status, qt.Equals, job.TaskErred)
+			qt.Assert(t, dials, qt.Equals, 1)
+		})
+	}
+}
+
+// A task is given up while it runs. Its answer comes late, on a connection
+// that must not carry another task: that one would be handed a stranger's
+// result.
+func TestLateAnswerIsNobodysElse(t *testing.T) {
+	received := make(chan struct{})
+	release := make(chan struct{})
+	raw := serveRaw(t, func(c net.Conn, r *http.Request) bool {
+		if strings.HasSuffix(r.URL.Path, "/late/0") {
+			close(received)
+			<-release
+			return answer("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n\"late\"")(c, r)
+		}
+		return answer(ok)(c, r)
+	})
+	l := link(raw)
+	defer l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan Result, 1)
+	go func() { ended <- l.Start(ctx, Task{Submission: "late"}) }()
+	<-received
+	cancel()
+	res := <-ended
+	qt.Assert(t, res.Status, qt.Equals, job.TaskErred)
+	close(release)
+	for range 4 {
+		res = l.Start(t.Context(), Task{Submission: "next"})
+		qt.Assert(t, string(res.Payload), qt.Equals, "true")
+	}
+}
+
+// A target may let all entries together have only so many connections. One
+// more and it refuses the ones that carry work.
+func TestConnectionLimitIsKept(t *testing.T) {
+	var mu sync.Mutex
+	open, most := 0, 0
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch s {
+		case http.StateNew:
+			open++
+			most = max(most, open)
+		case http.StateClosed:
+			open--
+		}
+	}
+	server.Start()
+	defer server.Close()
+	l := NewClient(ClientOptions{}).Link(server.Listener.Addr().String(), 3)
+	defer l.Close()
+	var all sync.WaitGroup
+	for i := range 50 {
+		all.Go(func() {
+			res := l.Start(t.Context(), Task{Submission: "x", Index: i, Payload: []byte(strconv.Itoa(i))})
+			qt.Check(t, string(res.Payload), qt.Equals, strconv.Itoa(i))
+		})
+	}
+	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, most <= 3, qt.IsTrue, qt.Commentf("%d connections", most))
+}
+
+func TestStopReachesTheTask(t *testing.T) {
+	got := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got <- r.Method + " " + r.URL.EscapedPath()
+	}))
+	defer server.Close()
+	l := NewClient(ClientOptions{}).Link(server.Listener.Addr().String(), 1)
+	defer l.Close()
+	qt.Assert(t, l.Stop(t.Context(), "a/b", 7), qt.IsNil)
+	qt.Assert(t, <-got, qt.Equals, "DELETE /v1/tasks/a%2Fb/7")
+	qt.Assert(t, DefaultIdleTimeout < 5*time.Second, qt.IsTrue)
+}
