--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -28,8 +28,9 @@
 	running map[int]*link
 	// attempts counts how often a task was sent, from its second sending on.
 	attempts map[int]int
-	// fatal is set when the job can't become complete any more.
-	fatal    bool
+	// fatal is why the rest of the batch ends, once the job can't become
+	// complete any more.
+	fatal    job.Reason
 	reported bool
 	deadline *time.Timer
 }
@@ -51,8 +52,12 @@
 func (b *batch) settle(o job.TaskOutcome) {
 	b.outcomes = append(b.outcomes, o)
 	b.open--
-	if o.Status != job.TaskDone && !mayGoElsewhere(o) {
-		b.fatal = true
+	if b.fatal != "" || o.Status == job.TaskDone || mayGoElsewhere(o) {
+		return
+	}
+	b.fatal = job.SiblingFailed
+	if o.Reason == job.DeadlinePassed {
+		b.fatal = job.DeadlinePassed
 	}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -160,8 +160,9 @@
 }
 
 // Offer takes a batch: all of its tasks are queued or none. report is called
-// once, from any goroutine and with no lock held: with all outcomes, or at the
-// first failure with those that are known, after which the rest is dropped.
+// once with the outcomes of all tasks, from any goroutine and with no lock
+// held. At the first failure it is called at once: what waits is then dropped
+// and what runs is reported as "may have run".
 func (h *Holder) Offer(b *job.Batch, report func([]job.TaskOutcome)) {
 	if !h.gate.enter() {
 		report(unstarted(b.Tasks, scheduler.Verdict{Reason: job.Draining, Detail: "the entry is stopping", RetryAfter: time.Second}))
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -16,12 +16,12 @@
 	name   string
 
 	mu      sync.Mutex
+	file    *config.File
 	sched   *scheduler.Pool
 	batches map[batchKey]*batch
 	links   map[job.TargetID]*link
 	budget  retryBudget
 	wake    *time.Timer
-	orphans *time.Timer
 }
 
 // effects are what a change of state asks for. They are carried out after the
@@ -41,6 +41,7 @@
 		batches: make(map[batchKey]*batch),
 		links:   make(map[job.TargetID]*link),
 		budget:  newRetryBudget(),
+		file:    f,
 	}
 	p.sched.Configure(time.Now(), f)
 	return p
@@ -126,7 +127,10 @@
 }
 
 func (p *pool) configure(f *config.File) {
-	p.change(func(now time.Time, _ *effects) { p.sched.Configure(now, f) })
+	p.change(func(now time.Time, _ *effects) {
+		p.file = f
+		p.sched.Configure(now, f)
+	})
 }
 
 func (p *pool) load() job.HolderLoad {
@@ -165,8 +169,8 @@
 
 // conclude reports a batch whose end is decided and forgets one that is over.
 func (p *pool) conclude(now time.Time, b *batch, e *effects) {
-	if !b.reported && (b.fatal || b.open == 0) {
-		p.end(now, b, e, job.SiblingFailed, "another task of the job failed")
+	if !b.reported && (b.fatal != "" || b.open == 0) {
+		p.end(now, b, e, b.fatal)
 	}
 	if b.ended() && p.batches[b.key] == b {
 		delete(p.batches, b.key)
@@ -175,15 +179,16 @@
 }
 
 // end drops the queued tasks of a batch, asks the targets to stop the running
-// ones, and reports. Tasks that run have no outcome in the report: nobody
-// knows yet how they end, and nobody waits for it.
-func (p *pool) end(now time.Time, b *batch, e *effects, reason job.Reason, detail string) {
+// ones, and reports. The running ones are reported as "may have run": how they
+// end is not waited for, and counts for nobody.
+func (p *pool) end(now time.Time, b *batch, e *effects, reason job.Reason) {
 	if b.deadline != nil {
 		b.deadline.Stop()
 	}
 	if b.open > 0 {
-		p.giveBack(now, b, reason, detail)
+		p.giveBack(now, b, reason, "the task left the queue unstarted")
 		for index, l := range b.running {
+			b.settle(job.TaskOutcome{Index: index, Status: job.TaskErred, Reason: reason, Detail: "the task was running", Target: l.target.ID})
 			l.stop(p, b.key.id, index, e)
 		}
 	}
@@ -208,37 +213,21 @@
 
 func (p *pool) record(ev timeline.Event) { p.holder.opts.Events.Record(ev) }
 
-// passDeadline ends a batch whose answer is of no further use. The word that
-// tasks never started goes out at once; those that run may have an effect.
+// passDeadline ends a batch whose answer is of no further use.
 func (p *pool) passDeadline(b *batch) {
-	p.change(func(now time.Time, e *effects) {
-		if b.reported {
-			return
-		}
-		p.giveBack(now, b, job.DeadlinePassed, "the deadline passed before the task started")
-		for index := range b.running {
-			b.settle(job.TaskOutcome{Index: index, Status: job.TaskErred, Reason: job.DeadlinePassed, Detail: "the deadline passed while the task ran"})
-		}
-		p.stopRunning(b, e)
-		p.conclude(now, b, e)
-	})
+	p.change(func(now time.Time, e *effects) { p.abort(now, b, e, job.DeadlinePassed) })
 }
 
-func (p *pool) stopRunning(b *batch, e *effects) {
-	for index, l := range b.running {
-		l.stop(p, b.key.id, index, e)
-	}
+func (p *pool) cancel(key batchKey) {
+	p.change(func(now time.Time, e *effects) { p.abort(now, p.batches[key], e, job.CancelledByCall) })
 }
 
-func (p *pool) cancel(key batchKey) {
-	p.change(func(now time.Time, e *effects) {
-		b := p.batches[key]
-		if b == nil || b.reported {
-			return
-		}
-		p.end(now, b, e, job.CancelledByCall, "the submission was cancelled")
-		p.conclude(now, b, e)
-	})
+func (p *pool) abort(now time.Time, b *batch, e *effects, reason job.Reason) {
+	if b == nil || b.reported {
+		return
+	}
+	p.end(now, b, e, reason)
+	p.conclude(now, b, e)
 }
 
 func (p *pool) drop(owner job.Owner) {
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -10,9 +10,9 @@
 )
 
 // maxAttempts bounds how often one task is sent, counting only sendings that
-// provably started nothing. A lost rack takes eight targets at once; each
-// refusal sets its target aside for all tasks, so more is never needed unless
-// every target refuses, and then the owner should look elsewhere.
+// provably started nothing. A lost rack takes eight targets at once, and the
+// scheduler holds a refusing target back, so one task rarely meets more than
+// these. If every target refuses, the owner should look elsewhere.
 const maxAttempts = 9
 
 // launch is one decided start.
@@ -44,7 +44,6 @@
 	b := l.batch
 	delete(b.running, l.start.Index)
 	l.link.running--
-	p.setAside(now, l.link, res.Refusal, e)
 	p.release(l.link, e)
 	if p.sendAgain(now, l, res) {
 		return
