Join the thin whole path: caller, entry, stand-in targets, one answer

Parts built side by side meet early, so that a wrong seam shows before much stands on it. Package entry wires listeners, stages and the holder in one run group; package fleet runs entries and stand-in targets in one process on loopback; demo sends one job through them.

--- /dev/null
+++ b/cmd/vanillagrade/entry.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"github.com/vanillagrade/vanillagrade/internal/entry"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/settings"
+)
+
+// entryCmd runs an entry.
+type entryCmd struct {
+	Name         string `arg:"--name,env:VANILLAGRADE_NAME,required" help:"this entry's name, as it stands in --peers"`
+	AZ           string `arg:"--az,env:VANILLAGRADE_AZ,required" placeholder:"ZONE" help:"this entry's availability zone"`
+	CallerAddr   string `arg:"--caller-addr,env:VANILLAGRADE_CALLER_ADDR,required" placeholder:"IP:PORT" help:"where callers and targets come"`
+	PeerAddr     string `arg:"--peer-addr,env:VANILLAGRADE_PEER_ADDR,required" placeholder:"IP:PORT" help:"where other entries come"`
+	OperatorAddr string `arg:"--operator-addr,env:VANILLAGRADE_OPERATOR_ADDR,required" placeholder:"IP:PORT" help:"where operators come"`
+	Peers        string `arg:"--peers,env:VANILLAGRADE_PEERS" placeholder:"NAME=ZONE@IP:PORT,..." help:"all entries by their peer addresses"`
+	Data         string `arg:"--data,env:VANILLAGRADE_DATA" placeholder:"DIR" help:"folder on a disk, on VMs that have one"`
+	Voters       string `arg:"--voters,env:VANILLAGRADE_VOTERS" placeholder:"NAME,..." help:"the entries with a disk that agree on configurations"`
+}
+
+// settings returns the checked settings.
+func (c *entryCmd) settings() (*settings.Entry, error) {
+	s := &settings.Entry{
+		Name:         job.EntryID(c.Name),
+		Zone:         job.Zone(c.AZ),
+		CallerAddr:   c.CallerAddr,
+		PeerAddr:     c.PeerAddr,
+		OperatorAddr: c.OperatorAddr,
+		DataDir:      c.Data,
+		Voters:       settings.ParseNames(c.Voters),
+	}
+	peers, err := settings.ParsePeers(c.Peers)
+	if err != nil {
+		return nil, err
+	}
+	s.Peers = peers
+	secret, err := settings.Secret("VANILLAGRADE_PEER_SECRET")
+	if err != nil {
+		return nil, err
+	}
+	s.PeerSecret = []byte(secret)
+	s.OperatorToken, err = settings.Secret("VANILLAGRADE_OPERATOR_TOKEN")
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Check()
+}
+
+func (c *entryCmd) run(ctx context.Context, _, stderr io.Writer) int {
+	s, err := c.settings()
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	e, err := entry.New(entry.Options{Settings: *s, Log: slog.Default()})
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	if err := e.Run(ctx); err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	return exitOK
+}
--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -1,4 +1,96 @@
-// Command vanillagrade is every process of the dispatcher in one binary.
+// Command vanillagrade is every process of the dispatcher in one binary: the
+// entry daemon, the stand-in target and the commands of operators and callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
+)
+
+// Exit codes of every subcommand.
+const (
+	exitOK = 0
+	// exitFailed says that the command did what was asked and the outcome is
+	// bad: a job that failed, a file with errors, a fleet that is not healthy.
+	exitFailed = 1
+	// exitUsage says that a setting is wrong and nothing was done.
+	exitUsage = 2
+)
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, stdout, stderr io.Writer) int
+}
+
+// arguments lists the subcommands; each stands in a file of its own.
+type arguments struct {
+	Entry    *entryCmd  `arg:"subcommand:entry" help:"run an entry: the daemon on each entry VM"`
+	Target   *targetCmd `arg:"subcommand:target" help:"run a stand-in target, for trials and tests"`
+	Check    *checkCmd  `arg:"subcommand:check" help:"check a declarative file offline"`
+	Submit   *submitCmd `arg:"subcommand:submit" help:"send a job and print its answer"`
+	Demo     *demoCmd   `arg:"subcommand:demo" help:"run a whole fleet in this process and one job through it"`
+	LogLevel string     `arg:"--log-level,env:VANILLAGRADE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+}
+
+// Description is printed above the usage.
+func (arguments) Description() string {
+	return "vanillagrade dispatches sub-second tasks: each task starts at most once, each answer is whole or a clear failure."
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := runMain(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// runMain runs one command line and returns its exit code.
+func runMain(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "vanillagrade"}, &parsed)
+	if err != nil {
+		panic(err) // the argument structs are wrong: a broken invariant
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(stderr, "vanillagrade:", err)
+		return exitUsage
+	}
+	c, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(stderr)
+		return exitUsage
+	}
+	if err := setLog(parsed.LogLevel, stderr); err != nil {
+		fmt.Fprintln(stderr, "vanillagrade:", err)
+		return exitUsage
+	}
+	return c.run(ctx, stdout, stderr)
+}
+
+// setLog makes JSON lines on standard error the process's log.
+func setLog(level string, stderr io.Writer) error {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return errors.Annotate(err, "--log-level")
+	}
+	slog.SetDefault(slog.New(slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: l})))
+	return nil
+}
+
+// fail prints one line and returns code.
+func fail(stderr io.Writer, code int, err error) int {
+	fmt.Fprintln(stderr, "vanillagrade:", err)
+	return code
+}
--- /dev/null
+++ b/internal/entry/dispatcher.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+)
+
+var _ api.Dispatcher = (*Entry)(nil)
+
+// Submit implements api.Dispatcher.
+func (e *Entry) Submit(ctx context.Context, s *job.Submission) job.Answer {
+	return e.chain(ctx, &pipeline.Flow{Submission: s})
+}
+
+// Look implements api.Dispatcher.
+func (e *Entry) Look(ctx context.Context, id job.ID) (api.JobStatus, bool) {
+	if e.join.Has(id) {
+		return api.JobStatus{ID: id, State: api.StateRunning, Owner: e.self.Entry}, true
+	}
+	return api.JobStatus{}, false
+}
+
+// Cancel implements api.Dispatcher.
+func (e *Entry) Cancel(ctx context.Context, id job.ID) bool {
+	return e.join.Cancel(id)
+}
+
+// Ready implements api.Dispatcher.
+func (e *Entry) Ready() error {
+	if e.check.Draining() {
+		return errors.New("draining")
+	}
+	if e.config.Current() == nil {
+		return errors.New("no configuration has been accepted yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,202 @@
+// Package entry assembles one entry: the callers', peers' and operators'
+// listeners, the stages of the path, the holder of targets and what entries
+// share. It is wiring; the work stands in the packages that it joins.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/holder"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/settings"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// Listeners are sockets that are open already; nil ones are opened from the
+// settings. Tests and the demo open them first to learn their ports.
+type Listeners struct {
+	Caller, Peer, Operator net.Listener
+}
+
+// Options describes one entry.
+type Options struct {
+	Settings  settings.Entry
+	Listeners Listeners
+	Log       *slog.Logger
+	// Scheduler switches single decisions off, for measurements.
+	Scheduler scheduler.Options
+	// Config is the configuration in force.
+	Config config.View
+	// Incarnation numbers this life of the entry; zero takes the clock.
+	Incarnation job.Incarnation
+}
+
+// Entry is one entry process.
+type Entry struct {
+	opts   Options
+	self   job.Owner
+	log    *slog.Logger
+	clock  *timeline.Clock
+	ring   *timeline.Ring
+	config config.View
+
+	record  *pipeline.Record
+	check   *pipeline.Check
+	join    *pipeline.Join
+	admit   *pipeline.Admit
+	chain   pipeline.Next
+	holder  *holder.Holder
+	holders *holders
+	targets *targets
+	memory  *api.ByteBudget
+}
+
+// bodyMemory bounds the bytes of submissions that one entry holds. It is half
+// of a small entry VM's 1 GiB; the payloads are held once, as they came.
+const bodyMemory = 512 << 20
+
+// stopBound bounds how long a stop waits for callers that do not read their
+// answer after all work has ended.
+const stopBound = 10 * time.Second
+
+// New assembles an entry and opens its listeners.
+func New(o Options) (*Entry, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = job.Incarnation(time.Now().UnixNano())
+	}
+	if err := openListeners(&o); err != nil {
+		return nil, err
+	}
+	self := job.Owner{Entry: o.Settings.Name, Incarnation: o.Incarnation, Zone: o.Settings.Zone}
+	e := &Entry{
+		opts:   o,
+		self:   self,
+		log:    o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
+		clock:  timeline.NewClock(time.Now),
+		memory: api.NewByteBudget(bodyMemory),
+		config: o.Config,
+	}
+	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
+	if err := e.assemble(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return e, nil
+}
+
+func openListeners(o *Options) error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&o.Listeners.Caller, o.Settings.CallerAddr},
+		{&o.Listeners.Peer, o.Settings.PeerAddr},
+		{&o.Listeners.Operator, o.Settings.OperatorAddr},
+	} {
+		if *l.listener != nil {
+			continue
+		}
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+// assemble joins the parts.
+func (e *Entry) assemble() error {
+	e.holder = holder.New(holder.Options{
+		Self:      e.self,
+		Config:    e.config,
+		Client:    target.NewClient(target.ClientOptions{}),
+		Events:    e.ring,
+		Log:       e.log,
+		Scheduler: e.opts.Scheduler,
+	})
+	e.holders = newHolders(e.self, e.holder, nil)
+	e.targets = newTargets(e.self.Zone, e.config, e.holder, e.ring)
+	e.record = &pipeline.Record{Events: e.ring}
+	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
+	e.join = &pipeline.Join{Events: e.ring}
+	e.admit = pipeline.NewAdmit(e.ring)
+	e.chain = pipeline.Chain(
+		e.record,
+		e.check,
+		e.join,
+		e.admit,
+		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
+	)
+	e.admit.Configure(e.config.Current(), 1)
+	return nil
+}
+
+// Run serves until ctx ends and then stops as planned: no request in progress
+// is cut.
+func (e *Entry) Run(ctx context.Context) error {
+	var g run.Group
+	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
+	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
+	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, caller.Handler(), e.opts.Listeners.Caller) })
+	e.add(&g, e.targets.expire)
+	stopped, stop := context.WithCancel(ctx)
+	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
+	err := g.Run()
+	e.holder.Close()
+	e.log.Info("entry stopped")
+	return errors.Trace(err)
+}
+
+// add runs f until the group ends.
+func (e *Entry) add(g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
+	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
+}
+
+// stopAsPlanned waits for ctx and then for all work in progress. The other
+// parts of the entry keep running until it returns.
+func (e *Entry) stopAsPlanned(ctx context.Context) error {
+	<-ctx.Done()
+	e.check.Drain()
+	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
+	e.log.Info("entry drains", "submissions", e.join.Running())
+	e.waitForSubmissions()
+	if err := e.holder.Drain(context.Background()); err != nil {
+		return errors.Trace(err)
+	}
+	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
+	return nil
+}
+
+// drainPoll is how often a stopping entry looks whether its last submission
+// has ended; it delays the stop, never an answer.
+const drainPoll = 20 * time.Millisecond
+
+func (e *Entry) waitForSubmissions() {
+	for e.join.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+}
+
+// Slots returns the slots of a pool that this entry holds.
+func (e *Entry) Slots(pool string) int { return e.holder.Load(pool).Slots }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,275 @@
+// Package fleet runs a whole fleet in one process on loopback: entries in
+// several availability zones and stand-in targets. The demo, the golden
+// sessions and the load tool use it; every message goes through real sockets.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/entry"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/settings"
+	"github.com/vanillagrade/vanillagrade/internal/standin"
+)
+
+// Options describes a fleet.
+type Options struct {
+	// Zones names the availability zones; each gets EntriesPerZone entries and
+	// TargetsPerZone stand-in targets.
+	Zones          []job.Zone
+	EntriesPerZone int
+	TargetsPerZone int
+	// Pool is what the stand-in targets announce as their service.
+	Pool string
+	// TargetsPerRack groups a zone's targets into racks; zero is one rack.
+	TargetsPerRack int
+	// Target is the pattern of every stand-in: slots, sizes, speed.
+	Target standin.Options
+	// Change, when set, may alter one stand-in's options.
+	Change func(index int, o *standin.Options)
+	// Scheduler switches single decisions off, for measurements.
+	Scheduler scheduler.Options
+	// Config is the configuration in force.
+	Config config.View
+	Log    *slog.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	opts    Options
+	Ledger  *standin.Ledger
+	entries []*member
+	targets []*standTarget
+}
+
+// member is one entry's process-like life.
+type member struct {
+	name   job.EntryID
+	zone   job.Zone
+	listen entry.Listeners
+	entry  *entry.Entry
+	life
+}
+
+type standTarget struct {
+	*standin.Target
+	life
+}
+
+// life is something that runs until it is stopped.
+type life struct {
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
+}
+
+// start runs f until stop is called.
+func (l *life) start(f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stop = cancel
+	l.done = make(chan struct{})
+	go func() {
+		defer close(l.done)
+		l.err = f(ctx)
+	}()
+}
+
+// Start starts all entries and then all targets, and returns once each entry
+// is ready.
+func Start(o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	f := &Fleet{opts: o, Ledger: standin.NewLedger()}
+	if err := f.startEntries(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := f.startTargets(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) startEntries() error {
+	for _, zone := range f.opts.Zones {
+		for i := range f.opts.EntriesPerZone {
+			m := &member{name: job.EntryID(fmt.Sprintf("%s-%d", zone, i+1)), zone: zone}
+			if err := m.open(); err != nil {
+				return errors.Trace(err)
+			}
+			f.entries = append(f.entries, m)
+		}
+	}
+	for _, m := range f.entries {
+		if err := f.run(m); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (m *member) open() error {
+	for _, l := range []*net.Listener{&m.listen.Caller, &m.listen.Peer, &m.listen.Operator} {
+		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*l = opened
+	}
+	return nil
+}
+
+func (f *Fleet) run(m *member) error {
+	e, err := entry.New(entry.Options{
+		Settings:  f.settings(m),
+		Listeners: m.listen,
+		Log:       f.opts.Log,
+		Scheduler: f.opts.Scheduler,
+		Config:    f.opts.Config,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	m.entry = e
+	m.start(e.Run)
+	return nil
+}
+
+func (f *Fleet) settings(m *member) settings.Entry {
+	s := settings.Entry{
+		Name:         m.name,
+		Zone:         m.zone,
+		CallerAddr:   m.listen.Caller.Addr().String(),
+		PeerAddr:     m.listen.Peer.Addr().String(),
+		OperatorAddr: m.listen.Operator.Addr().String(),
+	}
+	for _, p := range f.entries {
+		s.Peers = append(s.Peers, settings.Peer{Entry: p.name, Zone: p.zone, Address: p.listen.Peer.Addr().String()})
+	}
+	return s
+}
+
+func (f *Fleet) startTargets() error {
+	index := 0
+	for _, zone := range f.opts.Zones {
+		for i := range f.opts.TargetsPerZone {
+			if err := f.startTarget(zone, index, i); err != nil {
+				return errors.Trace(err)
+			}
+			index++
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startTarget(zone job.Zone, index, i int) error {
+	o := f.opts.Target
+	o.ID = job.TargetID(fmt.Sprintf("%s-t%d", zone, i+1))
+	o.Service = f.opts.Pool
+	o.Zone = zone
+	o.Rack = fmt.Sprintf("%s-r%d", zone, i/max(1, f.opts.TargetsPerRack))
+	o.Entries = f.CallerAddresses(zone)
+	o.Ledger = f.Ledger
+	o.Log = f.opts.Log
+	if f.opts.Change != nil {
+		f.opts.Change(index, &o)
+	}
+	t, err := standin.New(o)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	st := &standTarget{Target: t}
+	st.start(t.Run)
+	f.targets = append(f.targets, st)
+	return nil
+}
+
+// CallerAddresses returns the callers' addresses of a zone's entries, or of
+// all entries for an empty zone.
+func (f *Fleet) CallerAddresses(zone job.Zone) []string {
+	var out []string
+	for _, m := range f.entries {
+		if zone == "" || m.zone == zone {
+			out = append(out, m.listen.Caller.Addr().String())
+		}
+	}
+	return out
+}
+
+// OperatorAddresses returns the operators' addresses of all entries.
+func (f *Fleet) OperatorAddresses() []string {
+	var out []string
+	for _, m := range f.entries {
+		out = append(out, m.listen.Operator.Addr().String())
+	}
+	return out
+}
+
+// TargetAddresses returns the addresses of all stand-in targets.
+func (f *Fleet) TargetAddresses() []string {
+	var out []string
+	for _, t := range f.targets {
+		out = append(out, t.Addr())
+	}
+	return out
+}
+
+// Names returns the names of all entries.
+func (f *Fleet) Names() []job.EntryID {
+	var out []job.EntryID
+	for _, m := range f.entries {
+		out = append(out, m.name)
+	}
+	return out
+}
+
+// WaitReady waits until the entries know slots of the pool in all, or ctx
+// ends.
+func (f *Fleet) WaitReady(ctx context.Context, slots int) error {
+	const poll = 10 * time.Millisecond
+	for {
+		known := 0
+		for _, m := range f.entries {
+			known += m.entry.Slots(f.opts.Pool)
+		}
+		if known >= slots {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Annotatef(ctx.Err(), "%d of %d slots are known", known, slots)
+		case <-time.After(poll):
+		}
+	}
+}
+
+// Stop stops all entries as planned, side by side, and then the targets.
+func (f *Fleet) Stop() error {
+	var wg sync.WaitGroup
+	for _, m := range f.entries {
+		m.stop()
+		wg.Go(func() { <-m.done })
+	}
+	wg.Wait()
+	for _, t := range f.targets {
+		t.stop()
+	}
+	for _, t := range f.targets {
+		<-t.done
+	}
+	for _, m := range f.entries {
+		if m.err != nil {
+			return errors.Annotatef(m.err, "entry %s", m.name)
+		}
+	}
+	return nil
+}
--- a/internal/pipeline/join.go
+++ b/internal/pipeline/join.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// Has reports whether the submission runs here.
+func (j *Join) Has(id job.ID) bool { return j.find(id) != nil }
+
 func (j *Join) find(id job.ID) *running {
 	shard := j.shard(id)
 	shard.mu.Lock()
--- /dev/null
+++ b/internal/pipeline/record.go
@@ -0,0 +1,62 @@
+package pipeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// Record notes how each submission ended, for the time line and the counters.
+// It is the first stage, so that it sees every answer whatever stage gave it.
+type Record struct {
+	Events timeline.Sink
+
+	mu       sync.Mutex
+	outcomes map[job.Outcome]uint64
+	reasons  map[job.Reason]uint64
+}
+
+// Process implements Stage.
+func (r *Record) Process(ctx context.Context, f *Flow, next Next) job.Answer {
+	a := next(ctx, f)
+	r.count(&a)
+	r.Events.Record(timeline.Event{
+		Kind:       timeline.SubmissionAnswered,
+		Submission: a.ID,
+		Reason:     a.Reason,
+		Cause:      string(a.Outcome) + ", " + a.Run.String(),
+		Took:       time.Since(f.Submission.Received),
+	})
+	return a
+}
+
+func (r *Record) count(a *job.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outcomes == nil {
+		r.outcomes = map[job.Outcome]uint64{}
+		r.reasons = map[job.Reason]uint64{}
+	}
+	r.outcomes[a.Outcome]++
+	if a.Reason != "" {
+		r.reasons[a.Reason]++
+	}
+}
+
+// Counts returns how many submissions ended in each way since the start.
+func (r *Record) Counts() (outcomes map[job.Outcome]uint64, reasons map[job.Reason]uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return copied(r.outcomes), copied(r.reasons)
+}
+
+func copied[K comparable](m map[K]uint64) map[K]uint64 {
+	c := make(map[K]uint64, len(m))
+	for k, n := range m {
+		c[k] = n
+	}
+	return c
+}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -35,12 +35,12 @@
 
 // Holders is the owner's way to the holders of targets.
 type Holders interface {
-	// Place splits tasks over holders. It returns nothing when no holder has
-	// a target of the pool.
-	Place(now time.Time, f *Flow, tasks []int) []Part
+	// Place splits tasks over holders. Without any part it gives the reason:
+	// NoTarget or Infeasible.
+	Place(now time.Time, f *Flow, tasks []int) ([]Part, job.Reason)
 	// Offer hands a batch over; report is called once with all outcomes or
 	// early with a failure, from any goroutine.
-	Offer(to job.EntryID, b *job.Batch, report func([]job.TaskOutcome))
+	Offer(to job.EntryID, pool string, b *job.Batch, report func([]job.TaskOutcome))
 	// Cancel asks the holder to drop what is left of the submission.
 	Cancel(to job.EntryID, owner job.Owner, id job.ID)
 }
@@ -120,12 +120,13 @@
 // offer places tasks and hands them over, one batch a holder.
 func (fl *flight) offer(tasks []int) {
 	now := time.Now()
-	var parts []Part
-	if len(tasks) > 0 {
-		parts = fl.stage.Holders.Place(now, fl.flow, tasks)
+	if len(tasks) == 0 {
+		fl.report("", nil)
+		return
 	}
+	parts, reason := fl.stage.Holders.Place(now, fl.flow, tasks)
 	if len(parts) == 0 {
-		fl.unplaced(tasks)
+		fl.unplaced(tasks, reason)
 		return
 	}
 	fl.mu.Lock()
@@ -139,12 +140,15 @@
 	}
 }
 
-// unplaced ends tasks for which there is no holder at all. Without tasks it
-// lets the collector decide on what an earlier owner left.
-func (fl *flight) unplaced(tasks []int) {
+// unplaced ends tasks for which there is no holder at all.
+func (fl *flight) unplaced(tasks []int, reason job.Reason) {
+	detail := "no target of the service's pool is known"
+	if reason == job.Infeasible {
+		detail = "no known target of the service's pool could ever hold a task of this size"
+	}
 	outcomes := make([]job.TaskOutcome, len(tasks))
 	for i, task := range tasks {
-		outcomes[i] = job.TaskOutcome{Index: task, Status: job.TaskNotStarted, Reason: job.NoTarget, Detail: "no target of the service's pool is known"}
+		outcomes[i] = job.TaskOutcome{Index: task, Status: job.TaskNotStarted, Reason: reason, Detail: detail}
 	}
 	fl.mu.Lock()
 	for fl.collector.CanReoffer() {
@@ -172,7 +176,7 @@
 		b.Tasks[i] = job.BatchTask{Index: task, TaskSpec: s.Tasks[task]}
 	}
 	fl.stage.Events.Record(timeline.Event{Kind: timeline.BatchOffered, Submission: s.ID, Peer: p.Holder, Count: len(p.Tasks)})
-	fl.stage.Holders.Offer(p.Holder, b, func(outcomes []job.TaskOutcome) { fl.report(p.Holder, outcomes) })
+	fl.stage.Holders.Offer(p.Holder, fl.flow.Service.Pool, b, func(outcomes []job.TaskOutcome) { fl.report(p.Holder, outcomes) })
 }
 
 // report takes a holder's outcomes. It may be called from any goroutine, also
