--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -168,10 +168,7 @@
 		return nil, release, refuse(job.Overloaded, "the bodies of other submissions fill the memory set aside for them", time.Second)
 	}
 	release = func() { c.Memory.Give(want) }
-	deadline := http.NewResponseController(w)
-	_ = deadline.SetReadDeadline(time.Now().Add(bodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = deadline.SetReadDeadline(time.Time{})
+	body, err := readTimely(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -182,6 +179,20 @@
 	return body, release, nil
 }
 
+// readTimely reads the body within bodyTime. The deadline is lifted only after a
+// body that came whole: the server reads on after a broken one, to reuse the
+// connection, and would wait for ever for a caller that sends no more.
+func readTimely(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
 func decodeJob(body []byte, now time.Time) (*job.Submission, error) {
 	var req JobRequest
 	if err := json.Unmarshal(body, &req); err != nil {
--- /dev/null
+++ b/internal/api/operator.go
@@ -0,0 +1,174 @@
+package api
+
+import (
+	"context"
+	"crypto/subtle"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// configurationBytes bounds a declarative file.
+const configurationBytes = 1 << 20
+
+// Errors of an apply that has no configuration of its own to name.
+const (
+	// ErrUnavailable says that no majority of voters answers; the file is
+	// certainly not accepted.
+	ErrUnavailable = errors.ConstError("no majority of voters answers; nothing was accepted")
+	// ErrUnknown says that the file may have been accepted; sending the same
+	// change id again tells.
+	ErrUnknown = errors.ConstError("the outcome is unknown; apply again with the same change id to learn it")
+)
+
+// Accepted names a configuration that a majority of voters holds on disk.
+type Accepted struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+}
+
+// Conflict names the change that was accepted in place of this one.
+type Conflict struct {
+	Number   uint64 `json:"number"`
+	Digest   string `json:"digest"`
+	ChangeID string `json:"change_id"`
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return "configuration " + c.Digest + " of change " + c.ChangeID + " was accepted before"
+}
+
+// Configurator agrees on configurations.
+type Configurator interface {
+	// Apply returns a config.Problems for a wrong file, a *Conflict,
+	// ErrUnavailable or ErrUnknown.
+	Apply(ctx context.Context, changeID string, body []byte) (Accepted, error)
+	// Body returns the file in force with its number and digest.
+	Body() (body []byte, a Accepted)
+	// ReplaceVoter puts one voter in another's place.
+	ReplaceVoter(ctx context.Context, old, replacement job.EntryID) error
+}
+
+// Operator is the handler of the operators' listener.
+type Operator struct {
+	// Token is the bearer token; empty lets everybody in, which the settings
+	// allow on loopback only.
+	Token        string
+	Configurator Configurator
+	Timeline     http.Handler
+	Status       http.Handler
+	Drain        func()
+	Vars         *expvar.Map
+}
+
+// Handler returns the routes towards operators.
+func (o *Operator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/configuration", o.putConfiguration)
+	mux.HandleFunc("GET /v1/configuration", o.getConfiguration)
+	mux.HandleFunc("POST /v1/voters/{old}/replace/{new}", o.replaceVoter)
+	mux.HandleFunc("POST /v1/drain", o.drain)
+	mux.Handle("GET /v1/timeline", o.Timeline)
+	mux.Handle("GET /v1/status", o.Status)
+	mux.HandleFunc("GET /debug/vars", o.vars)
+	return o.authorized(mux)
+}
+
+// authorized lets only requests with the token through. Comparing in constant
+// time keeps the token from being guessed byte by byte.
+func (o *Operator) authorized(next http.Handler) http.Handler {
+	want := []byte("Bearer " + o.Token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if o.Token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "the bearer token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// problem is the body of an operator's request that was not carried out.
+type problem struct {
+	Error    string    `json:"error"`
+	Problems []string  `json:"problems,omitempty"`
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// Unknown is set when the change may have been accepted all the same.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+func (o *Operator) putConfiguration(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configurationBytes))
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, problem{Error: "the file could not be read whole: " + err.Error()})
+		return
+	}
+	changeID := strings.TrimSpace(r.Header.Get(HeaderChangeID))
+	if changeID == "" || len(changeID) > maxIDBytes {
+		writeJSON(w, http.StatusBadRequest, problem{Error: "header " + HeaderChangeID + " is missing or too long: it lets a change be sent again safely"})
+		return
+	}
+	accepted, err := o.Configurator.Apply(r.Context(), changeID, body)
+	if err != nil {
+		writeApplyError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, accepted)
+}
+
+func writeApplyError(w http.ResponseWriter, err error) {
+	var problems config.Problems
+	var conflict *Conflict
+	switch {
+	case errors.As(err, &problems):
+		p := problem{Error: "the file is wrong; nothing of it took effect"}
+		for _, one := range problems {
+			p.Problems = append(p.Problems, one.String())
+		}
+		writeJSON(w, http.StatusBadRequest, p)
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, problem{Error: conflict.Error(), Conflict: conflict})
+	case errors.Is(err, ErrUnavailable):
+		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error()})
+	default:
+		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error(), Unknown: true})
+	}
+}
+
+func (o *Operator) getConfiguration(w http.ResponseWriter, _ *http.Request) {
+	body, accepted := o.Configurator.Body()
+	if body == nil {
+		http.Error(w, "no configuration has been accepted yet", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Vanillagrade-Digest", accepted.Digest)
+	w.Header().Set("Content-Type", "application/yaml")
+	_, _ = w.Write(body)
+}
+
+func (o *Operator) replaceVoter(w http.ResponseWriter, r *http.Request) {
+	err := o.Configurator.ReplaceVoter(r.Context(), job.EntryID(r.PathValue("old")), job.EntryID(r.PathValue("new")))
+	if err != nil {
+		writeApplyError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (o *Operator) drain(w http.ResponseWriter, _ *http.Request) {
+	o.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (o *Operator) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, o.Vars.String())
+}
