--- /dev/null
+++ b/internal/holder/link.go
@@ -0,0 +1,147 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// link is one held target at one address. The pool's lock guards it.
+type link struct {
+	target  job.Target
+	conn    Connection
+	running int
+	// removed is set when this entry does not hold the target any more, or
+	// holds it at another address.
+	removed bool
+	// foreign is how many of the target's tasks an earlier holder started.
+	foreign int
+	// stopping are the tasks that the target is still to be asked to stop.
+	stopping []stopRequest
+	asking   bool
+}
+
+type stopRequest struct {
+	submission job.ID
+	index      int
+}
+
+func (p *pool) setTarget(t job.Target) {
+	p.change(func(now time.Time, e *effects) {
+		t = p.withDefaults(t)
+		l := p.links[t.ID]
+		if l != nil && l.target.Address != t.Address {
+			l.removed = true
+			p.release(l, e)
+			l = nil
+		}
+		if l == nil {
+			l = &link{conn: p.holder.opts.Connect(t), foreign: t.Running}
+			p.links[t.ID] = l
+		}
+		l.target = t
+		l.removed = false
+		p.sched.SetTarget(now, l.usable())
+	})
+}
+
+func (p *pool) withDefaults(t job.Target) job.Target {
+	var defaults config.TargetDefaults
+	if p.file != nil {
+		defaults = p.file.Targets
+	}
+	t.Slots = firstAbove0(t.Slots, defaults.Slots, config.DefaultSlots)
+	t.Connections = firstAbove0(t.Connections, defaults.Connections, config.DefaultConnections)
+	return t
+}
+
+func firstAbove0(values ...int) int {
+	for _, v := range values {
+		if v > 0 {
+			return v
+		}
+	}
+	return 0
+}
+
+// usable returns the target with the slots that this holder may fill. A target
+// that was taken over still runs what its earlier holder started, which this
+// one learns only from the target's own count. The count lags, so it is taken
+// as falling only; one slot is always left, whose refusal proves that nothing
+// started.
+func (l *link) usable() job.Target {
+	t := l.target
+	l.foreign = min(l.foreign, max(0, t.Running-l.running))
+	t.Slots = max(1, t.Slots-l.foreign)
+	return t
+}
+
+func (p *pool) removeTarget(id job.TargetID) {
+	p.change(func(now time.Time, e *effects) {
+		l := p.links[id]
+		if l == nil {
+			return
+		}
+		l.removed = true
+		p.sched.RemoveTarget(now, id)
+		p.release(l, e)
+		if len(p.sched.Targets()) == 0 {
+			p.giveBackAll(now, e)
+		}
+	})
+}
+
+// release closes the idle connections of a target that is gone and has nothing
+// running; a busy connection closes when its task ends.
+func (p *pool) release(l *link, e *effects) {
+	if !l.removed {
+		return
+	}
+	e.then(l.conn.Close)
+	if l.running == 0 && p.links[l.target.ID] == l {
+		delete(p.links, l.target.ID)
+	}
+}
+
+// giveBackAll empties the queue of a pool whose last target left. The tasks
+// would otherwise wait here while another holder has free slots.
+func (p *pool) giveBackAll(now time.Time, e *effects) {
+	for _, b := range p.batches {
+		if b.reported {
+			continue
+		}
+		p.giveBack(now, b, job.NoTarget, "the last target of pool "+p.name+" left this holder")
+		p.conclude(now, b, e)
+	}
+}
+
+// stop asks the target to stop a task. One goroutine a target asks for one
+// task at a time, so that a wave of cancellations takes one connection.
+func (l *link) stop(p *pool, submission job.ID, index int, e *effects) {
+	l.stopping = append(l.stopping, stopRequest{submission, index})
+	if l.asking {
+		return
+	}
+	l.asking = true
+	e.then(func() { go p.askToStop(l) })
+}
+
+func (p *pool) askToStop(l *link) {
+	for {
+		p.mu.Lock()
+		if len(l.stopping) == 0 {
+			l.asking = false
+			p.mu.Unlock()
+			return
+		}
+		r := l.stopping[0]
+		l.stopping = l.stopping[1:]
+		p.mu.Unlock()
+		p.holder.stats.stops.Add(1)
+		if err := l.conn.Stop(context.WithoutCancel(p.holder.ctx), r.submission, r.index); err != nil {
+			p.holder.opts.Log.Debug("stop request failed", "target", l.target.ID, "error", err)
+		}
+	}
+}
