Explore the voters' step function in small bounds

Random tests find what goes wrong often; what undoes an accepted configuration needs several unlikely things in one order. The explorer runs the real step function with a network that loses, repeats and reorders, writes that complete late, crashes, lost disks and replacements, and checks that each version has one value, that numbers rise, that no disk goes back, and that every answer is true.

The first run found that replies held back by a stalled disk were kept once for each repetition of a message; each is now kept once.

--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -56,7 +56,26 @@
 		t.out.Messages = append(t.out.Messages, t.later...)
 		return
 	}
-	t.Held = append(slices.Clone(t.Held), held{Seq: t.Issued, Messages: t.later})
+	// While a disk stalls, the same messages come again and again. Each reply
+	// waits once, or the waiting replies would grow without bound.
+	waits := func(m Message) bool { return t.waits(&m) }
+	t.later = slices.DeleteFunc(t.later, waits)
+	if len(t.later) > 0 {
+		t.Held = append(slices.Clone(t.Held), held{Seq: t.Issued, Messages: t.later})
+	}
+}
+
+// waits reports whether an equal message is held back already.
+func (s *State) waits(m *Message) bool {
+	for _, h := range s.Held {
+		for i := range h.Messages {
+			k := &h.Messages[i]
+			if k.Kind == m.Kind && k.To == m.To && k.Version == m.Version && k.Ballot == m.Ballot && k.Accepted == m.Accepted {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (t *step) synced(seq uint64) {
--- /dev/null
+++ b/internal/explore/voters_step.go
@@ -0,0 +1,291 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+)
+
+// effect computes what one input does to one node.
+func (m *Voters) effect(number uint32, input uint64) effect {
+	n := m.nodes.things[number]
+	before := n.State.Chosen.Version
+	var in consensus.Input
+	switch {
+	case input < inputSync:
+		in = consensus.Received{Message: m.messages.things[input]}
+	case input == inputSync:
+		last := n.Pending[len(n.Pending)-1]
+		back := last.Record.Chosen.Version < n.Disk.Chosen.Version
+		n.Disk, n.Pending = last.Record, nil
+		e := m.finishEffect(n, before, consensus.Synced{Seq: last.Seq})
+		e.back = back
+		return e
+	case input == inputRetry:
+		in = consensus.Retry{}
+	case input == inputFinish:
+		in = consensus.Finish{}
+	case input < inputAbandon:
+		o := input - inputSubmit
+		in = consensus.Submit{Token: consensus.Token(o), Command: m.Operators[o].Command}
+	default:
+		in = consensus.Abandon{Token: consensus.Token(input - inputAbandon)}
+	}
+	return m.finishEffect(n, before, in)
+}
+
+func (m *Voters) finishEffect(n nodeState, before uint64, in consensus.Input) effect {
+	var e effect
+	inputs := []consensus.Input{in}
+	for len(inputs) > 0 {
+		var out consensus.Output
+		n.State, out = m.step(n.State, inputs[0])
+		inputs = inputs[1:]
+		for _, msg := range out.Messages {
+			if msg.To == n.State.Self.Entry {
+				// As at run time: a node takes its own messages in at once.
+				inputs = append(inputs, consensus.Received{Message: msg})
+				continue
+			}
+			if m.dropped(&msg) {
+				continue
+			}
+			number := m.messages.number(msg)
+			if number > 0xffff {
+				panic("explore: more messages than numbers")
+			}
+			e.sent = append(e.sent, uint16(number))
+		}
+		e.answers = append(e.answers, out.Answers...)
+		for _, w := range out.Writes {
+			switch {
+			case m.EarlySend:
+				n.Pending = append(slices.Clone(n.Pending), w)
+				inputs = append(inputs, consensus.Synced{Seq: w.Seq})
+			case m.SyncAtOnce:
+				n.Disk = w.Record
+				inputs = append(inputs, consensus.Synced{Seq: w.Seq})
+			default:
+				n.Pending = append(slices.Clone(n.Pending), w)
+			}
+		}
+	}
+	if n.State.Chosen.Version != before {
+		v := n.State.Chosen
+		e.chosen = &v
+	}
+	renumber(&n)
+	e.node = m.nodes.number(n)
+	return e
+}
+
+// renumber counts writes from the last completed one, so that states which
+// differ only in how many writes there were before are one.
+func renumber(n *nodeState) {
+	done := n.State.Done
+	n.State.Issued -= done
+	n.State.Done = 0
+	n.State.Held = slices.Clone(n.State.Held)
+	for i := range n.State.Held {
+		n.State.Held[i].Seq -= done
+	}
+	n.Pending = slices.Clone(n.Pending)
+	for i := range n.Pending {
+		n.Pending[i].Seq -= done
+	}
+}
+
+// spent reports whether a message can never again have an effect on the node,
+// whatever happens. Leaving such messages out of the network merges states that
+// differ in nothing that matters.
+func (m *Voters) spent(n *nodeState, msg *consensus.Message, lossless bool) bool {
+	durable := n.Disk.Chosen.Version
+	switch msg.Kind {
+	case consensus.MsgPromise, consensus.MsgAccepted:
+		// A ballot is used for one attempt, and an attempt that went on to ask
+		// for votes takes no more promises.
+		a := n.State.Attempt
+		if a == nil || a.Ballot != msg.Ballot || a.Version != msg.Version {
+			return true
+		}
+		if msg.Kind == consensus.MsgPromise {
+			return a.Command.Kind != 0 || slices.ContainsFunc(a.Promises, func(p consensus.Promise) bool { return p.From == msg.From })
+		}
+		return slices.Contains(a.Accepts, msg.From)
+	case consensus.MsgReject, consensus.MsgChosen:
+		return lossless && msg.Version <= durable
+	case consensus.MsgLearn:
+		return lossless && msg.Value.Version <= durable && m.dropped(&consensus.Message{Kind: consensus.MsgLearned})
+	}
+	return false
+}
+
+// dropped reports whether a message can't matter in this model: an
+// acknowledgement counts only for a replacement.
+func (m *Voters) dropped(msg *consensus.Message) bool {
+	return msg.Kind == consensus.MsgLearned && !slices.ContainsFunc(m.Operators, func(o Operator) bool {
+		return o.Command.Kind == consensus.Replace
+	})
+}
+
+func (m *Voters) step(s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+	if m.OnStep != nil {
+		return m.OnStep(consensus.Step, s, in)
+	}
+	return consensus.Step(s, in)
+}
+
+// crash visits what a crash of the node may leave.
+func (m *Voters) crash(w World, node int, visit func(string, World)) {
+	n := m.nodes.things[w.nodes[node]]
+	restart := func(action string, r consensus.Record, lost bool) {
+		if m.OnRestart != nil {
+			r = m.OnRestart(r, n.State, lost)
+		}
+		next := n
+		next.Life++
+		if lost {
+			next.Disks++
+		}
+		next.Disk, next.Pending = r, nil
+		next.State = consensus.Start(r, m.Names[:m.Genesis], m.lifeOf(node, next.Life))
+		to := w
+		to.nodes[node] = m.nodes.number(next)
+		if lost {
+			to.losses++
+		} else {
+			to.crashes++
+		}
+		visit(fmt.Sprintf("%s %s", m.Names[node], action), to)
+	}
+	if int(w.crashes) < m.Crashes {
+		restart("crashes and loses what was not synced", n.Disk, false)
+		for _, p := range n.Pending {
+			restart(fmt.Sprintf("crashes and keeps write %d", p.Seq), p.Record, false)
+		}
+	}
+	if int(w.losses) < m.Losses {
+		self := consensus.Voter{Entry: m.Names[node], Identity: diskName(m.Names[node], n.Disks+1)}
+		restart("loses its disk", consensus.Record{Self: self}, true)
+	}
+}
+
+// observe updates the history by an effect.
+func (m *Voters) observe(w World, e effect, input uint64) uint32 {
+	h := m.histories.things[w.history]
+	h.Answers = slices.Clone(h.Answers)
+	if input >= inputSubmit && input < inputAbandon {
+		h.Submitted[input-inputSubmit]++
+	}
+	if e.back {
+		h.fail("a disk went back to an older version")
+	}
+	if e.chosen != nil {
+		h.choose(*e.chosen, m.Operators)
+	}
+	for _, a := range e.answers {
+		m.tell(w, &h, int(a.Token), a.Outcome)
+	}
+	return m.histories.number(h)
+}
+
+// fail notes what went wrong first.
+func (h *history) fail(format string, args ...any) {
+	if h.Wrong == "" {
+		h.Wrong = fmt.Sprintf(format, args...)
+	}
+}
+
+// choose notes that a node holds v to be chosen.
+func (h *history) choose(v consensus.Value, operators []Operator) {
+	for i := range h.Chosen {
+		if h.Chosen[i].Version != v.Version {
+			continue
+		}
+		if !sameValue(&h.Chosen[i], &v) {
+			h.fail("two values of version %d: number %d of %q with voters %v, and number %d of %q with voters %v", v.Version,
+				h.Chosen[i].Change.Number, h.Chosen[i].Change.ID, h.Chosen[i].Voters, v.Change.Number, v.Change.ID, v.Voters)
+		}
+		return
+	}
+	if n := len(h.Chosen); n > 0 {
+		last := &h.Chosen[n-1]
+		if v.Version != last.Version+1 {
+			h.fail("version %d chosen after version %d", v.Version, last.Version)
+		}
+		if v.Change != last.Change && v.Change.Number <= last.Change.Number {
+			h.fail("number %d chosen after number %d", v.Change.Number, last.Change.Number)
+		}
+	}
+	h.Chosen = append(slices.Clone(h.Chosen), v)
+	for _, a := range h.Answers {
+		h.checkAnswer(a, operators)
+	}
+}
+
+func sameValue(a, b *consensus.Value) bool {
+	return a.Lineage == b.Lineage && a.Change == b.Change && slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Recent, b.Recent)
+}
+
+// tell notes an answer and checks it against all that is known by now.
+func (m *Voters) tell(w World, h *history, operator int, o consensus.Outcome) {
+	a := told{Operator: operator, Outcome: o, Submitted: h.Submitted[operator]}
+	if !slices.Contains(h.Answers, a) {
+		h.Answers = append(h.Answers, a)
+		slices.SortFunc(h.Answers, func(a, b told) int { return a.Operator - b.Operator })
+	}
+	h.checkAnswer(a, m.Operators)
+	c := &m.Operators[operator].Command
+	if c.Kind == consensus.Replace && o.Kind == consensus.Accepted {
+		m.checkSettled(w, h, c.New)
+	}
+}
+
+// checkAnswer compares one answer with the chosen values.
+func (h *history) checkAnswer(a told, operators []Operator) {
+	c := &operators[a.Operator].Command
+	if c.Kind != consensus.Configure {
+		return
+	}
+	chosen := slices.ContainsFunc(h.Chosen, func(v consensus.Value) bool { return v.Change == c.Change })
+	switch a.Outcome.Kind {
+	case consensus.Accepted:
+		if !chosen {
+			h.fail("operator %d was told yes, but %q is not chosen", a.Operator, c.Change.ID)
+		}
+	case consensus.Conflicted, consensus.Reused:
+		if chosen {
+			h.fail("operator %d was told of a conflict, but %q is chosen", a.Operator, c.Change.ID)
+		}
+	case consensus.Unavailable:
+		if chosen && a.Submitted == 1 && h.Submitted[a.Operator] == 1 {
+			h.fail("operator %d was told no, but %q is chosen", a.Operator, c.Change.ID)
+		}
+	}
+}
+
+// checkSettled wants a membership change that was answered to be on the disk of
+// the new voter and of a majority, so that the next loss can't undo it.
+func (m *Voters) checkSettled(w World, h *history, updated consensus.Voter) {
+	i := slices.IndexFunc(h.Chosen, func(v consensus.Value) bool { return v.Votes(updated) })
+	if i < 0 {
+		h.fail("a replacement was answered but is not chosen")
+		return
+	}
+	value := &h.Chosen[i]
+	holders, hasIt := 0, false
+	for _, voter := range value.Voters {
+		n := slices.Index(m.Names, voter.Entry)
+		disk := &m.nodes.things[w.nodes[n]].Disk
+		// A disk that was lost since may have held it when it said so.
+		if disk.Self == voter && disk.Chosen.Version < value.Version {
+			continue
+		}
+		holders++
+		hasIt = hasIt || voter == updated
+	}
+	if !hasIt || holders < len(value.Voters)/2+1 {
+		h.fail("a replacement was answered with only %d disks holding it (the new one: %v)", holders, hasIt)
+	}
+}
--- /dev/null
+++ b/internal/explore/voters_test.go
@@ -0,0 +1,252 @@
+package explore
+
+import (
+	"flag"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+var deep = flag.Bool("explore.deep", false, "explore the larger bounds too (minutes, gigabytes)")
+
+// deepLimit bounds the states of one deep run.
+const deepLimit = 6_000_000
+
+var names = []job.EntryID{"a", "b", "c", "d"}
+
+func configure(id string, number uint64, at ...int) Operator {
+	body := []byte(id)
+	change := consensus.Change{ID: id, Number: number, Digest: consensus.DigestOf(body)}
+	return Operator{Command: consensus.Command{Kind: consensus.Configure, Change: change, Body: body}, At: at}
+}
+
+func replace(old, updated job.EntryID, disk int, at ...int) Operator {
+	voter := consensus.Voter{Entry: updated, Identity: diskName(updated, disk)}
+	return Operator{Command: consensus.Command{Kind: consensus.Replace, Old: old, New: voter}, At: at}
+}
+
+func givingUp(o Operator) Operator {
+	o.GivesUp = true
+	return o
+}
+
+// three returns a formed register of three voters.
+func three(rounds uint64, operators ...Operator) *Voters {
+	return &Voters{Names: names[:3], Genesis: 3, Formed: true, MaxRound: rounds, SyncAtOnce: true, Operators: operators}
+}
+
+func (m *Voters) with(change func(*Voters)) *Voters {
+	change(m)
+	return m
+}
+
+// size says when a scenario runs.
+type size int
+
+const (
+	always size = iota
+	// notUnderRace is too slow under the race detector.
+	notUnderRace
+	onlyDeep
+)
+
+// Each scenario lets messages be lost, repeated and reordered without bound;
+// what else may happen stands in its name.
+var scenarios = []struct {
+	name  string
+	size  size
+	model func() *Voters
+	// want are outcomes that must have been met, or the bounds prove nothing.
+	want []string
+}{
+	{"one change, a crash between any two events", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.SyncAtOnce, m.Crashes = false, 1 })
+	}, []string{"0: accepted"}},
+	{"two operators with one number", always, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1))
+	}, []string{"0: accepted", "0: conflict", "1: accepted", "1: conflict"}},
+	{"a change sent again to another voter", always, func() *Voters {
+		return three(1, configure("x", 2, 0, 2))
+	}, []string{"0: accepted"}},
+	{"an operator who gives up", always, func() *Voters {
+		return three(1, givingUp(configure("x", 2, 0)))
+	}, []string{"0: accepted", "0: unavailable", "0: unknown"}},
+	{"numbers that are not above the one in force", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.Number = 2 })
+	}, []string{"0: conflict"}},
+	{"a disk lost during a change", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.Losses = 1 })
+	}, []string{"0: accepted"}},
+	{"forming with a crash", always, func() *Voters {
+		return &Voters{Names: names[:3], Genesis: 3, MaxRound: 2, SyncAtOnce: true, Crashes: 1}
+	}, nil},
+	{"forming with a lost disk", always, func() *Voters {
+		return &Voters{Names: names[:3], Genesis: 3, MaxRound: 2, SyncAtOnce: true, Losses: 1}
+	}, nil},
+	{"a lost disk replaced under its old name", always, func() *Voters {
+		return three(1, replace("c", "c", 1, 0)).with(func(m *Voters) { m.Losses = 1 })
+	}, []string{"0: accepted"}},
+	{"a second disk lost during or after the repair", notUnderRace, func() *Voters {
+		return three(1, replace("c", "c", 1, 0)).with(func(m *Voters) { m.Losses = 2 })
+	}, []string{"0: accepted"}},
+	{"a spare in the place of a voter, with a crash", notUnderRace, func() *Voters {
+		return three(1, replace("c", "d", 0, 0)).with(func(m *Voters) { m.Names, m.Crashes = names[:4], 1 })
+	}, []string{"0: accepted"}},
+	{"two operators, one gives up", notUnderRace, func() *Voters {
+		return three(1, givingUp(configure("x", 2, 0)), configure("y", 2, 1))
+	}, []string{"0: accepted", "0: conflict", "0: unavailable", "0: unknown", "1: accepted", "1: conflict"}},
+	{"two operators with one number and a crash", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) { m.Crashes = 1 })
+	}, []string{"0: accepted", "0: conflict", "1: accepted", "1: conflict"}},
+	{"a change, retried, with a crash", notUnderRace, func() *Voters {
+		return three(2, configure("x", 2, 0)).with(func(m *Voters) { m.Crashes = 1 })
+	}, []string{"0: accepted"}},
+	{"two operators with one number, retried", onlyDeep, func() *Voters {
+		return three(2, configure("x", 2, 0), configure("y", 2, 1))
+	}, []string{"0: accepted", "1: accepted"}},
+	{"a change, retried, a crash between any two events", onlyDeep, func() *Voters {
+		return three(2, configure("x", 2, 0)).with(func(m *Voters) { m.SyncAtOnce, m.Crashes = false, 1 })
+	}, []string{"0: accepted"}},
+	{"two operators, a disk lost", onlyDeep, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) { m.Losses = 1 })
+	}, []string{"0: accepted", "1: accepted"}},
+	{"a replacement racing a change", onlyDeep, func() *Voters {
+		return three(1, replace("c", "d", 0, 0), configure("y", 2, 1)).with(func(m *Voters) { m.Names = names[:4] })
+	}, []string{"0: accepted", "1: accepted"}},
+}
+
+func TestVotersHoldTheirInvariants(t *testing.T) {
+	for _, c := range scenarios {
+		if c.size == onlyDeep && !*deep || c.size == notUnderRace && raceDetector {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			m := c.model()
+			r := Run(m, deepLimit)
+			t.Logf("%s", r)
+			qt.Assert(t, r.Violation, qt.IsNil)
+			qt.Assert(t, r.Complete || c.size == onlyDeep, qt.IsTrue)
+			for _, want := range c.want {
+				qt.Assert(t, m.Outcomes()[want], qt.IsTrue, qt.Commentf("never met %q", want))
+			}
+		})
+	}
+}
+
+// Each mutation is a mistake that an implementer of such a protocol makes, and
+// after which an accepted configuration is lost or two are in force. If the
+// explorer did not see it, its silence about the real code would mean nothing.
+var mutations = []struct {
+	name  string
+	size  size
+	model func() *Voters
+	want  string
+}{
+	{"votes leave before they are synced", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) { m.EarlySend, m.Crashes = true, 1 })
+	}, "two values of version 2"},
+	{"a restart forgets the promise", always, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) {
+			m.Crashes = 1
+			m.OnRestart = func(r consensus.Record, _ consensus.State, _ bool) consensus.Record {
+				r.Promised = consensus.Ballot{}
+				return r
+			}
+		})
+	}, "two values of version 2"},
+	{"an empty disk votes under the old identity", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) {
+			m.Losses = 1
+			m.OnRestart = func(r consensus.Record, before consensus.State, lost bool) consensus.Record {
+				r.Self = before.Self
+				return r
+			}
+		})
+	}, "two values of version 2"},
+	{"proposals that others accepted are ignored", always, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 1)).with(func(m *Voters) {
+			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+				if r, ok := in.(consensus.Received); ok && r.Message.Kind == consensus.MsgPromise {
+					r.Message.Accepted = nil
+					in = r
+				}
+				return step(s, in)
+			}
+		})
+	}, "two values of version 2"},
+	{"a number that is not higher is proposed", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) {
+			m.Number = 2
+			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+				r, ok := in.(consensus.Received)
+				if !ok || r.Message.Kind != consensus.MsgPromise {
+					return step(s, in)
+				}
+				change := s.Chosen.Change
+				s.Chosen.Change = consensus.Change{}
+				next, out := step(s, in)
+				next.Chosen.Change = change
+				return next, out
+			}
+		})
+	}, "number 2 chosen after number 2"},
+	{"a replacement is answered before it is safe", always, func() *Voters {
+		return three(1, replace("c", "d", 0, 0)).with(func(m *Voters) {
+			m.Names = names[:4]
+			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+				s, out := step(s, in)
+				for _, w := range s.Settle {
+					out.Answers = append(out.Answers, consensus.Answer{Token: w.Token, Outcome: consensus.Outcome{Kind: consensus.Accepted}})
+				}
+				s.Settle = nil
+				return s, out
+			}
+		})
+	}, "a replacement was answered with only"},
+	{"the register is formed by a majority", always, func() *Voters {
+		return (&Voters{Names: names[:3], Genesis: 3, MaxRound: 2, SyncAtOnce: true, Losses: 1}).with(func(m *Voters) {
+			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+				r, ok := in.(consensus.Received)
+				if !ok || s.Chosen.Version > 0 || s.Attempt == nil {
+					return step(s, in)
+				}
+				genesis := s.Genesis
+				answered := []job.EntryID{r.Message.From.Entry}
+				for _, p := range s.Attempt.Promises {
+					answered = append(answered, p.From.Entry)
+				}
+				slices.Sort(answered)
+				if answered = slices.Compact(answered); len(answered) == 2 {
+					s.Genesis = answered
+				}
+				next, out := step(s, in)
+				next.Genesis = genesis
+				return next, out
+			}
+		})
+	}, "two values of version 1"},
+	{"a restart uses its old ballots again", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 2, 0)).with(func(m *Voters) {
+			m.SyncAtOnce, m.OneLife, m.Crashes = false, true, 1
+		})
+	}, "two values of version 2"},
+}
+
+func TestExplorerCatchesMutations(t *testing.T) {
+	for _, c := range mutations {
+		if c.size == notUnderRace && raceDetector {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			r := Run(c.model(), deepLimit)
+			t.Logf("%s", r)
+			qt.Assert(t, r.Violation, qt.IsNotNil)
+			qt.Assert(t, strings.Contains(r.Violation.Error(), c.want), qt.IsTrue)
+		})
+	}
+}
