--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -28,6 +28,8 @@
 	Fail        bool  `json:"fail"`
 	// Size is how many bytes of filling the answer carries.
 	Size int `json:"size"`
+	// Nonce comes back in the answer, so that a caller sees whose it is.
+	Nonce string `json:"nonce"`
 }
 
 // Answer is what the built-in work answers.
@@ -35,6 +37,7 @@
 	Task      string       `json:"task"`
 	Target    job.TargetID `json:"target"`
 	RanMillis float64      `json:"ran_ms"`
+	Nonce     string       `json:"nonce,omitempty"`
 	Filling   string       `json:"filling,omitempty"`
 }
 
@@ -153,6 +156,7 @@
 		Task:      target.TaskName(key.submission, key.index),
 		Target:    t.opts.ID,
 		RanMillis: float64(time.Since(begun).Microseconds()) / 1000,
+		Nonce:     p.Nonce,
 		Filling:   strings.Repeat("x", max(0, p.Size)),
 	})
 }
