--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -12,46 +12,19 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/register"
 )
 
 // configurationBytes bounds a declarative file.
 const configurationBytes = 1 << 20
 
-// Errors of an apply that has no configuration of its own to name.
-const (
-	// ErrUnavailable says that no majority of voters answers; the file is
-	// certainly not accepted.
-	ErrUnavailable = errors.ConstError("no majority of voters answers; nothing was accepted")
-	// ErrUnknown says that the file may have been accepted; sending the same
-	// change id again tells.
-	ErrUnknown = errors.ConstError("the outcome is unknown; apply again with the same change id to learn it")
-)
-
-// Accepted names a configuration that a majority of voters holds on disk.
-type Accepted struct {
-	Number uint64 `json:"number"`
-	Digest string `json:"digest"`
-}
-
-// Conflict names the change that was accepted in place of this one.
-type Conflict struct {
-	Number   uint64 `json:"number"`
-	Digest   string `json:"digest"`
-	ChangeID string `json:"change_id"`
-}
-
-// Error implements error.
-func (c *Conflict) Error() string {
-	return "configuration " + c.Digest + " of change " + c.ChangeID + " was accepted before"
-}
-
 // Configurator agrees on configurations.
 type Configurator interface {
-	// Apply returns a config.Problems for a wrong file, a *Conflict,
-	// ErrUnavailable or ErrUnknown.
-	Apply(ctx context.Context, changeID string, body []byte) (Accepted, error)
-	// Body returns the file in force with its number and digest.
-	Body() (body []byte, a Accepted)
+	// Apply returns a config.Problems for a wrong file, a *register.Conflict,
+	// register.ErrUnavailable or register.ErrUnknown.
+	Apply(ctx context.Context, changeID string, body []byte) (register.Accepted, error)
+	// Body returns the file in force; nil before the first one.
+	Body() (body []byte, a register.Accepted)
 	// ReplaceVoter puts one voter in another's place.
 	ReplaceVoter(ctx context.Context, old, replacement job.EntryID) error
 }
@@ -96,11 +69,18 @@
 	})
 }
 
+// Configuration names one accepted configuration.
+type Configuration struct {
+	Number   uint64 `json:"number"`
+	Digest   string `json:"digest"`
+	ChangeID string `json:"change_id,omitempty"`
+}
+
 // problem is the body of an operator's request that was not carried out.
 type problem struct {
-	Error    string    `json:"error"`
-	Problems []string  `json:"problems,omitempty"`
-	Conflict *Conflict `json:"conflict,omitempty"`
+	Error    string         `json:"error"`
+	Problems []string       `json:"problems,omitempty"`
+	Conflict *Configuration `json:"conflict,omitempty"`
 	// Unknown is set when the change may have been accepted all the same.
 	Unknown bool `json:"unknown,omitempty"`
 }
@@ -121,12 +101,12 @@
 		writeApplyError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, accepted)
+	writeJSON(w, http.StatusOK, Configuration(accepted))
 }
 
 func writeApplyError(w http.ResponseWriter, err error) {
 	var problems config.Problems
-	var conflict *Conflict
+	var conflict *register.Conflict
 	switch {
 	case errors.As(err, &problems):
 		p := problem{Error: "the file is wrong; nothing of it took effect"}
@@ -135,8 +115,11 @@
 		}
 		writeJSON(w, http.StatusBadRequest, p)
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, problem{Error: conflict.Error(), Conflict: conflict})
-	case errors.Is(err, ErrUnavailable):
+		writeJSON(w, http.StatusConflict, problem{
+			Error:    conflict.Error(),
+			Conflict: &Configuration{Number: conflict.Number, Digest: conflict.Digest, ChangeID: conflict.ChangeID},
+		})
+	case errors.Is(err, register.ErrUnavailable):
 		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error()})
 	default:
 		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error(), Unknown: true})
