--- /dev/null
+++ b/cmd/vanillagrade/explain.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/url"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// explainCmd tells the story of one submission.
+type explainCmd struct {
+	operatorFlags
+	ID   string `arg:"positional,required" placeholder:"ID" help:"the submission's id"`
+	JSON bool   `arg:"--json" help:"the story as JSON"`
+}
+
+// fleetKinds are the events that the story of a submission may refer to beside
+// its own.
+const fleetKinds = timeline.TargetLapsed + "," + timeline.TargetLeaving + "," + timeline.TargetSuspect + "," +
+	timeline.EntryDead + "," + timeline.EntrySuspect + "," + timeline.EntryDraining + "," + timeline.EntryStopped
+
+func (c *explainCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
+	own, err := readTimeline(ctx, &c.operatorFlags, url.Values{"submission": {c.ID}})
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	fleet, err := readTimeline(ctx, &c.operatorFlags, url.Values{"kind": {string(fleetKinds)}})
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	own.Events = append(own.Events, fleet.Events...)
+	own.Sort()
+	story := timeline.Explain(own, job.ID(c.ID))
+	if c.JSON {
+		err = json.NewEncoder(stdout).Encode(story)
+	} else {
+		err = timeline.WriteStory(stdout, story)
+	}
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	if !story.Found {
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/peer/kinds.go
@@ -0,0 +1,42 @@
+package peer
+
+import "strconv"
+
+var kindNames = map[Kind]string{
+	Heartbeat:        "heartbeat",
+	TargetForward:    "target_forward",
+	TargetSnapshot:   "target_snapshot",
+	RegistrarClaim:   "registrar_claim",
+	RegistrarSettle:  "registrar_settle",
+	RegistrarSync:    "registrar_sync",
+	RegistrarYield:   "registrar_yield",
+	SubmissionJoin:   "submission_join",
+	BatchOffer:       "batch_offer",
+	BatchCancel:      "batch_cancel",
+	BatchFetch:       "batch_fetch",
+	SubmissionKeep:   "submission_keep",
+	ConsensusMessage: "consensus_message",
+	ConfigPull:       "config_pull",
+	ConfigApply:      "config_apply",
+	TimelineRead:     "timeline_read",
+	StatusRead:       "status_read",
+}
+
+// String returns the name under which the kind is counted.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "kind_" + strconv.Itoa(int(k))
+}
+
+// CarriesWork reports whether messages of the kind carry tasks, results or a
+// caller's answer. All others, needed as they are, count as wasted: operators
+// of shared links pay for them without a caller getting anything by them.
+func (k Kind) CarriesWork() bool {
+	switch k {
+	case BatchOffer, BatchFetch, SubmissionJoin, SubmissionKeep:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/status/write.go
@@ -0,0 +1,102 @@
+package status
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Handler serves GET /v1/status as JSON. The code is 200 also when the entry
+// is not healthy: the answer itself says so.
+func Handler(read func() Status) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the operator has gone.
+		_ = json.NewEncoder(w).Encode(read())
+	})
+}
+
+// WriteText writes the status for people.
+func WriteText(w io.Writer, st *Status) error {
+	var out strings.Builder
+	health := "healthy"
+	if !st.Healthy {
+		health = "NOT healthy"
+	}
+	fmt.Fprintf(&out, "entry %s in %s: %s, version %s, %d submissions at work\n", st.Entry, st.Zone, health, st.Version, st.Running)
+	for _, why := range st.Why {
+		fmt.Fprintf(&out, "  ! %s\n", why)
+	}
+	st.writeConfiguration(&out)
+	tab := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+	st.writeMembers(tab)
+	st.writePools(tab)
+	if err := tab.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(st.Refusals)) {
+		fmt.Fprintf(&out, "not completed, %s: %d\n", reason, st.Refusals[reason])
+	}
+	_, err := io.WriteString(w, out.String())
+	return errors.Trace(err)
+}
+
+func (st *Status) writeConfiguration(out *strings.Builder) {
+	c := &st.Configuration
+	if c.Number == 0 {
+		fmt.Fprintln(out, "configuration: none")
+		return
+	}
+	since := ""
+	if !c.Since.IsZero() {
+		since = ", in force since " + c.Since.UTC().Format(time.RFC3339)
+	}
+	fmt.Fprintf(out, "configuration: number %d, digest %.12s%s\n", c.Number, c.Digest, since)
+}
+
+func (st *Status) writeMembers(w io.Writer) {
+	voters := map[string]bool{}
+	for _, v := range st.Voters {
+		voters[string(v.Entry)] = true
+	}
+	if len(st.Members) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "member\tavailability zone\tstate\tvotes\tconfiguration")
+	for _, m := range st.Members {
+		votes := ""
+		if voters[string(m.Entry)] {
+			votes = "yes"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.Entry, m.Zone, m.State, votes, m.Configuration)
+	}
+}
+
+func (st *Status) writePools(w io.Writer) {
+	if len(st.Holders) > 0 {
+		fmt.Fprintln(w, "pool\theld by\ttargets\tslots\tfree\twaiting tasks")
+	}
+	for i := range st.Holders {
+		h := &st.Holders[i]
+		waiting := 0
+		for _, n := range h.Queued {
+			waiting += n
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", h.Pool, h.Entry, h.Targets, h.Slots, h.Free, waiting)
+	}
+	if len(st.Targets) > 0 {
+		fmt.Fprintln(w, "target\tpool\tstate\trunning\tslots\tslowness")
+	}
+	for i := range st.Targets {
+		t := &st.Targets[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\n", t.ID, t.Pool, t.State, t.Running, t.Slots, t.Slowness)
+	}
+}
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -59,10 +59,7 @@
 			earliest = p.Now
 		}
 	}
-	slices.SortFunc(t.Events, byStamp)
-	t.Events = slices.CompactFunc(t.Events, func(a, b Event) bool {
-		return a.Stamp == b.Stamp && a.Entry == b.Entry
-	})
+	t.Sort()
 	slices.SortFunc(t.Gaps, func(a, b Gap) int { return compareEntries(a.Entry, b.Entry) })
 	for i := range pages {
 		ahead := pages[i].Now.Time().Sub(earliest.Time())
@@ -76,6 +73,14 @@
 	return t
 }
 
+// Sort orders the events and drops those that stand there twice.
+func (t *Timeline) Sort() {
+	slices.SortFunc(t.Events, byStamp)
+	t.Events = slices.CompactFunc(t.Events, func(a, b Event) bool {
+		return a.Stamp == b.Stamp && a.Entry == b.Entry
+	})
+}
+
 func compareEntries(a, b job.EntryID) int {
 	switch {
 	case a < b:
