Add the capacity command: slopes measured here, worked out for a size

The size to come can't be run on one machine, so the command measures what one more target, team, task, event and change costs, and sums up control and work for one entry. Processor time is the process's own, the collector's included, so that a busy machine doesn't count as cost.

--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -41,6 +41,7 @@
 	Timeline *timelineCmd `arg:"subcommand:timeline" help:"print the events of all entries in their order"`
 	Explain  *explainCmd  `arg:"subcommand:explain" help:"tell why a submission ended as it did"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"send open-loop load and measure the answers"`
+	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure how costs grow and work out a size"`
 	LogLevel string       `arg:"--log-level,env:VANILLAGRADE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,37 @@
+package capacity
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestControlAtSize(t *testing.T) {
+	size := Size{Entries: 10, Targets: 1000, Renew: 2 * time.Second, Starts: 1000, Changes: 86400, TasksPerJob: 10}
+	slopes := &Slopes{
+		RenewalCPU: 100 * time.Microsecond, RenewalBytes: 500, TargetBytes: 1 << 20,
+		HeartbeatBytes: 30, ConfigBytes: 7, EventCPU: time.Microsecond, RingMemory: 5 << 20,
+	}
+	sum := Sum(Control(&size, slopes))
+	qt.Assert(t, sum.Core > 0.0053-1e-9 && sum.Core < 0.0053+1e-9, qt.IsTrue, qt.Commentf("%v", sum.Core))
+	qt.Assert(t, sum.Bytes, qt.Equals, 50*500.0+9*30+7)
+	qt.Assert(t, sum.Memory, qt.Equals, 105.0*(1<<20))
+}
+
+// The page's figures come from this command; a part that fails, or measures
+// nothing, would leave a zero in its sum that reads as cheap.
+func TestMeasurements(t *testing.T) {
+	m := &Slopes{}
+	for _, part := range Parts() {
+		qt.Assert(t, part(m, time.Millisecond), qt.IsNil)
+	}
+	for _, p := range m.Points {
+		qt.Assert(t, p.Value > 0, qt.IsTrue, qt.Commentf("%s at %s", p.What, p.At))
+	}
+	size := TwoYears()
+	var out bytes.Buffer
+	qt.Assert(t, Write(&out, &size, m), qt.IsNil)
+	qt.Assert(t, out.String(), qt.Contains, "| budget | 2.50 | 6144 | 64.0 |")
+}
--- /dev/null
+++ b/internal/capacity/size.go
@@ -0,0 +1,134 @@
+// Package capacity measures how the costs of an entry grow with targets, teams,
+// tasks, events and changes, and works out from these slopes what a size that
+// can't be run on one machine takes.
+package capacity
+
+import "time"
+
+// Size is a fleet to work out.
+type Size struct {
+	Regions int
+	Zones   int
+	// Entries is the entry VMs of all zones together.
+	Entries int
+	Targets int
+	// Starts is task starts a second of the whole fleet at its peak.
+	Starts float64
+	// TasksPerJob is the mean; the largest job has 1,900.
+	TasksPerJob float64
+	Teams       int
+	Services    int
+	// Changes is accepted configurations a day.
+	Changes float64
+	// Renew is the time between two announcements of one target.
+	Renew time.Duration
+}
+
+// TwoYears is the size that the users expect within two years. Entries and
+// TasksPerJob are assumptions of this page: 7 entry VMs, as a user has today,
+// for each of the 7 zones, and jobs of ten tasks in the mean. Renew follows
+// from the default lease.
+func TwoYears() Size {
+	return Size{
+		Regions: 2, Zones: 7, Entries: 49, Targets: 2700, Starts: 110_000, TasksPerJob: 10,
+		Teams: 63, Services: 20, Changes: 2900, Renew: 4 * time.Second / 3,
+	}
+}
+
+// TargetsPerEntry is how many targets one entry holds.
+func (s *Size) TargetsPerEntry() float64 { return float64(s.Targets) / float64(s.Entries) }
+
+// StartsPerEntry is how many tasks one entry starts a second at the peak.
+func (s *Size) StartsPerEntry() float64 { return s.Starts / float64(s.Entries) }
+
+// RenewalsPerEntry is how many announcements one entry takes a second.
+func (s *Size) RenewalsPerEntry() float64 { return s.TargetsPerEntry() / s.Renew.Seconds() }
+
+// ChangesPerSecond is the mean rate of accepted configurations.
+func (s *Size) ChangesPerSecond() float64 { return s.Changes / (24 * time.Hour).Seconds() }
+
+// Budget of control for one daemon.
+const (
+	BudgetCore   = 0.025
+	BudgetMemory = 64 << 20
+	BudgetBytes  = 6 << 10
+)
+
+// Cost is what one thing takes of one daemon at a size.
+type Cost struct {
+	What string
+	// Core is processor time a second, in cores; Bytes is sent and received a
+	// second; Memory is in bytes.
+	Core   float64
+	Bytes  float64
+	Memory float64
+	// Mechanism names what carries it.
+	Mechanism string
+}
+
+// Sum adds up costs.
+func Sum(costs []Cost) Cost {
+	sum := Cost{What: "sum"}
+	for _, c := range costs {
+		sum.Core += c.Core
+		sum.Bytes += c.Bytes
+		sum.Memory += c.Memory
+	}
+	return sum
+}
+
+// Control returns what control takes of one entry at the size.
+func Control(s *Size, m *Slopes) []Cost {
+	return []Cost{
+		{
+			What: "targets' leases", Core: s.RenewalsPerEntry() * m.RenewalCPU.Seconds(),
+			Bytes: s.RenewalsPerEntry() * m.RenewalBytes, Memory: s.TargetsPerEntry() * m.TargetBytes,
+			Mechanism: "each target announces to its zone, one entry holds it (rendezvous hash)",
+		},
+		{
+			What: "lapsed leases", Core: s.TargetsPerEntry() * m.ExpireCPU.Seconds() * expiresPerSecond,
+			Mechanism: "one scan of the held leases each 250 ms",
+		},
+		{
+			What: "heartbeats", Core: float64(s.Entries-1) * m.HeartbeatCPU.Seconds(), Bytes: float64(s.Entries-1) * m.HeartbeatBytes,
+			Memory: float64(s.Entries-1) * m.PeerMemory, Mechanism: "one message a peer and interval, loads and digest on it",
+		},
+		{
+			What: "configuration", Core: s.ChangesPerSecond() * m.ParseCPU.Seconds(),
+			Bytes: s.ChangesPerSecond() * m.ConfigBytes, Memory: m.ConfigMemory,
+			Mechanism: "digest on heartbeats, pull of the whole file, one register",
+		},
+		{
+			What: "time line", Core: s.StartsPerEntry() * eventsPerTask * m.EventCPU.Seconds(), Memory: m.RingMemory,
+			Mechanism: "bounded ring, read only when asked",
+		},
+	}
+}
+
+// expiresPerSecond is how often the leases are scanned.
+const expiresPerSecond = 4
+
+// eventsPerTask is how many events one started task leaves at its holder:
+// queued, started, ended.
+const eventsPerTask = 3
+
+// Work returns what the work itself takes of one entry at the peak.
+func Work(s *Size, m *Slopes) []Cost {
+	jobs := s.StartsPerEntry() / s.TasksPerJob
+	return []Cost{
+		{
+			What: "tasks through one entry, both ends and callers included", Core: s.StartsPerEntry() * m.TaskCPU.Seconds(),
+			Mechanism: "HTTP to the target on kept connections",
+		},
+		{
+			What: "of that: choice of task and target", Core: s.StartsPerEntry() * m.ScheduleCPU.Seconds(),
+			Mechanism: "heaps by pool; one lock a pool",
+		},
+		{What: "of that: split of jobs over holders", Core: jobs * m.SplitCPU.Seconds(), Mechanism: "one message a holder a job"},
+		{What: "of that: teams' quotas", Core: jobs * m.QuotaCPU.Seconds(), Mechanism: "one bucket a team and entry"},
+		{
+			What: "waiting tasks, for ten seconds of the peak", Memory: 10 * s.StartsPerEntry() * m.QueuedBytes,
+			Mechanism: "bounded queues by count and bytes",
+		},
+	}
+}
