Keep submissions in a log with group commit

A submission of a service that says synced must come back after a crash, its tasks that were handed out must not start again, and its answer must be there for the caller's return. Records that wait together are one batch with one checksum and one sync. Every open, compaction and failed write starts a new segment that holds all that is needed and gets its name only when it is synced, so one segment is always whole. After a failed write the log says not kept only once such a segment without the record is synced, and uncertain otherwise.

A bad batch with a good one after it was synced once and is refused as corrupt; one at the very end is the torn end of a write that nobody was told of. A bit flipped in the last batch looks the same and can't be told apart.

--- /dev/null
+++ b/internal/storage/submissions_test.go
@@ -0,0 +1,284 @@
+package storage_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
+)
+
+func accepted(id, body string) storage.Record {
+	return storage.Record{Kind: storage.RecordAccepted, ID: job.ID(id), Body: []byte(body)}
+}
+
+func handed(id string, tasks ...int) storage.Record {
+	return storage.Record{Kind: storage.RecordHanded, ID: job.ID(id), Tasks: tasks}
+}
+
+func finished(id, body string) storage.Record {
+	return storage.Record{Kind: storage.RecordFinished, ID: job.ID(id), Body: []byte(body)}
+}
+
+func forgotten(id string) storage.Record {
+	return storage.Record{Kind: storage.RecordForgotten, ID: job.ID(id)}
+}
+
+func openLog(t testing.TB, fs storage.FS) *storage.SubmissionLog {
+	l, err := storage.OpenSubmissionLog(dir, fs)
+	qt.Assert(t, err, qt.IsNil)
+	return l
+}
+
+func TestReplayGivesWhatIsNeeded(t *testing.T) {
+	fs := &storagetest.FS{}
+	l := openLog(t, fs)
+	for _, r := range []storage.Record{
+		accepted("a", "job a"), accepted("b", "job b"), accepted("c", "job c"),
+		handed("a", 0, 1), handed("b", 0), handed("a", 2), finished("b", "answer b"), finished("b", "second answer"),
+		accepted("d", "job d"), finished("d", "answer d"), forgotten("d"), handed("unknown", 1), forgotten("c"),
+	} {
+		qt.Assert(t, l.Append(context.Background(), r), qt.IsNil)
+	}
+	want := []storage.Record{accepted("a", "job a"), handed("a", 0, 1, 2), finished("b", "answer b")}
+	qt.Assert(t, l.Replay(), qt.DeepEquals, want)
+	for range 3 {
+		qt.Assert(t, l.Close(), qt.IsNil)
+		l = openLog(t, fs)
+		qt.Assert(t, l.Replay(), qt.DeepEquals, want)
+	}
+	qt.Assert(t, l.Close(), qt.IsNil)
+	qt.Assert(t, errors.Is(l.Append(context.Background(), forgotten("a")), storage.ErrNotKept), qt.IsTrue)
+	qt.Assert(t, fs.Names(), qt.HasLen, 1)
+}
+
+// The process is killed, the VM loses power or the disk fails once, at any
+// operation. A submission that was acknowledged as kept must come back, and one
+// that was refused as not kept must not: it would run although its caller was
+// told that it did not.
+func TestLogSurvivesACrashOrErrorAtEveryOperation(t *testing.T) {
+	for _, keep := range storagetest.Keeps {
+		for _, fail := range []bool{false, true} {
+			for at := 1; ; at++ {
+				fs := &storagetest.FS{}
+				l := openLog(t, fs)
+				qt.Assert(t, l.Append(context.Background(), accepted("first", "x")), qt.IsNil)
+				if fail {
+					fs.FailAt(at)
+				} else {
+					fs.CrashAt(at)
+				}
+				before := fs.Ops()
+				verdict := map[string]error{}
+				for i := range 6 {
+					id := fmt.Sprint(i)
+					verdict[id] = l.Append(context.Background(), accepted(id, "body of "+id))
+				}
+				used := fs.Ops() - before
+				_ = l.Close()
+				again := openLog(t, fs.Restart(keep))
+				back := map[string]bool{}
+				for _, r := range again.Replay() {
+					back[string(r.ID)] = true
+				}
+				qt.Assert(t, again.Close(), qt.IsNil)
+				note := qt.Commentf("keep %d, operation %d, fail %v: %v, back %v", keep, at, fail, verdict, back)
+				qt.Assert(t, back["first"], qt.IsTrue, note)
+				for id, err := range verdict {
+					switch {
+					case err == nil:
+						qt.Assert(t, back[id], qt.IsTrue, note)
+					case errors.Is(err, storage.ErrNotKept):
+						qt.Assert(t, back[id], qt.IsFalse, note)
+					default:
+						qt.Assert(t, errors.Is(err, storage.ErrUncertain), qt.IsTrue, note)
+					}
+				}
+				if used < at {
+					qt.Assert(t, at > 12, qt.IsTrue, note)
+					break
+				}
+			}
+		}
+	}
+}
+
+// The disk is full for a while. Nothing may be acknowledged meanwhile, and the
+// log must go on by itself afterwards without losing what it had.
+func TestLogOnAFullDisk(t *testing.T) {
+	fs := &storagetest.FS{}
+	l := openLog(t, fs)
+	qt.Assert(t, l.Append(context.Background(), accepted("a", "x")), qt.IsNil)
+	fs.Fill(true)
+	for range 3 {
+		qt.Assert(t, l.Append(context.Background(), accepted("b", "x")), qt.IsNotNil)
+	}
+	fs.Fill(false)
+	qt.Assert(t, l.Append(context.Background(), accepted("c", "x")), qt.IsNil)
+	qt.Assert(t, l.Close(), qt.IsNil)
+	l = openLog(t, fs.Restart(storagetest.KeepNone))
+	qt.Assert(t, l.Replay(), qt.DeepEquals, []storage.Record{accepted("a", "x"), accepted("c", "x")})
+	qt.Assert(t, l.Close(), qt.IsNil)
+}
+
+// A disk changes a bit of something that was synced long ago. Leaving the rest
+// of the log out would silently lose accepted submissions, so the log must
+// refuse to open and name the file.
+func TestLogRefusesAChangedBatch(t *testing.T) {
+	fs := &storagetest.FS{}
+	l := openLog(t, fs)
+	for i := range 3 {
+		qt.Assert(t, l.Append(context.Background(), accepted(fmt.Sprint(i), "body")), qt.IsNil)
+	}
+	qt.Assert(t, l.Close(), qt.IsNil)
+	name := fs.Names()[0]
+	whole, err := fs.ReadFile(name)
+	qt.Assert(t, err, qt.IsNil)
+	last := bytes.LastIndex(whole, []byte("VGB1"))
+	for at := range last {
+		b := bytes.Clone(whole)
+		b[at] ^= 0x10
+		fs.Change(name, func([]byte) []byte { return b })
+		_, err := storage.OpenSubmissionLog(dir, fs)
+		qt.Assert(t, errors.Is(err, storage.ErrCorrupt), qt.IsTrue, qt.Commentf("byte %d: %v", at, err))
+		qt.Assert(t, err, qt.ErrorMatches, ".*submissions-.*")
+	}
+}
+
+// slowFS takes time for each sync, as a disk does.
+type slowFS struct{ *storagetest.FS }
+
+type slowFile struct{ storage.File }
+
+func (s slowFS) Create(name string) (storage.File, error) {
+	f, err := s.FS.Create(name)
+	return slowFile{f}, err
+}
+
+func (s slowFile) Sync() error {
+	time.Sleep(5 * time.Millisecond)
+	return s.File.Sync()
+}
+
+// A burst of submissions that must be kept arrives at once. With one sync for
+// each the last would wait 200 times a disk's sync; shared, they wait for two.
+func TestWaitingRecordsShareASync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := openLog(t, slowFS{&storagetest.FS{}})
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				qt.Check(t, l.Append(context.Background(), accepted(fmt.Sprint(i), "x")), qt.IsNil)
+			})
+		}
+		wg.Wait()
+		qt.Assert(t, time.Since(start) <= 15*time.Millisecond, qt.IsTrue)
+		qt.Assert(t, l.Stats().Batches <= 3, qt.IsTrue)
+		qt.Assert(t, l.Replay(), qt.HasLen, 200)
+		qt.Assert(t, l.Close(), qt.IsNil)
+	})
+}
+
+// A log that only grew would fill the small disk of its VM within hours.
+func TestLogStaysBounded(t *testing.T) {
+	fs := &storagetest.FS{}
+	l := openLog(t, fs)
+	body := string(make([]byte, 100<<10))
+	qt.Assert(t, l.Append(context.Background(), accepted("keep", "x")), qt.IsNil)
+	for i := range 300 {
+		id := fmt.Sprint(i)
+		qt.Assert(t, l.Append(context.Background(), accepted(id, body)), qt.IsNil)
+		qt.Assert(t, l.Append(context.Background(), finished(id, "answer")), qt.IsNil)
+	}
+	qt.Assert(t, l.Stats().Bytes < 6<<20, qt.IsTrue, qt.Commentf("%+v", l.Stats()))
+	qt.Assert(t, l.Stats().Compactions > 3, qt.IsTrue)
+	qt.Assert(t, l.Replay(), qt.HasLen, 301)
+	qt.Assert(t, l.Replay()[0], qt.DeepEquals, accepted("keep", "x"))
+	qt.Assert(t, l.Close(), qt.IsNil)
+	qt.Assert(t, fs.Names(), qt.HasLen, 1)
+}
+
+// Many random histories with crashes: what was acknowledged last for each
+// submission must be what a simple map says.
+func TestLogAgainstAModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := &storagetest.FS{}
+		l, err := storage.OpenSubmissionLog(dir, fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		model := map[job.ID]string{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := job.ID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"))
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				if model[id] == "" && l.Append(context.Background(), accepted(string(id), "job")) == nil {
+					model[id] = "accepted"
+				}
+			case 2:
+				if model[id] == "accepted" && l.Append(context.Background(), finished(string(id), "answer")) == nil {
+					model[id] = "finished"
+				}
+			case 3:
+				if l.Append(context.Background(), forgotten(string(id))) == nil {
+					delete(model, id)
+				}
+			case 4:
+				_ = l.Close()
+				fs = fs.Restart(rapid.SampledFrom(storagetest.Keeps).Draw(t, "keep"))
+				if l, err = storage.OpenSubmissionLog(dir, fs); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got := map[job.ID]string{}
+			for _, r := range l.Replay() {
+				got[r.ID] = map[storage.RecordKind]string{storage.RecordAccepted: "accepted", storage.RecordFinished: "finished"}[r.Kind]
+			}
+			if fmt.Sprint(got) != fmt.Sprint(model) {
+				t.Fatalf("log has %v, want %v", got, model)
+			}
+		}
+		_ = l.Close()
+	})
+}
+
+// A segment is whatever a broken disk returns: opening must not panic, and what
+// opens must open again to the same.
+func FuzzOpenSubmissionLog(f *testing.F) {
+	fs := &storagetest.FS{}
+	l := openLog(f, fs)
+	qt.Assert(f, l.Append(context.Background(), accepted("a", "x")), qt.IsNil)
+	qt.Assert(f, l.Append(context.Background(), handed("a", 1, 2)), qt.IsNil)
+	qt.Assert(f, l.Close(), qt.IsNil)
+	whole, err := fs.ReadFile(fs.Names()[0])
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-3])
+	f.Add([]byte("VGB1"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		fs := &storagetest.FS{}
+		file, err := fs.Create(dir + "/submissions-000000000001.log")
+		qt.Assert(t, err, qt.IsNil)
+		_, _ = file.Write(content)
+		l, err := storage.OpenSubmissionLog(dir, fs)
+		if err != nil {
+			return
+		}
+		first := l.Replay()
+		qt.Assert(t, l.Close(), qt.IsNil)
+		again := openLog(t, fs)
+		qt.Assert(t, again.Replay(), qt.DeepEquals, first)
+		qt.Assert(t, again.Close(), qt.IsNil)
+	})
+}
