--- a/internal/load/write.go
+++ b/internal/load/write.go
@@ -110,14 +110,21 @@
 		other := &reports[i]
 		for _, g := range append([]Group{other.Total}, other.Services...) {
 			base := ours.find(g.Service)
-			fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%s\t%s\t%.1f%%\n", other.Policy, cmp.Or(g.Service, "all"),
+			fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", other.Policy, cmp.Or(g.Service, "all"),
 				ratio(g.Stretch.Median, base.Stretch.Median), ratio(g.Stretch.P99, base.Stretch.P99),
-				ratio(g.Stretch.P999, base.Stretch.P999), ratio(g.Goodput, base.Goodput), 100*other.Messages.UsefulShare())
+				ratio(g.Stretch.P999, base.Stretch.P999), ratio(g.Goodput, base.Goodput), other.Messages.share())
 		}
 	}
 	return errors.Trace(tab.Flush())
 }
 
+func (m *Messages) share() string {
+	if !m.Counted {
+		return "not counted"
+	}
+	return fmt.Sprintf("%.1f%%", 100*m.UsefulShare())
+}
+
 func (r *Report) find(service string) *Group {
 	for i := range r.Services {
 		if r.Services[i].Service == service {
