Bound waits of every class, and judge targets by their own faults only

An empty batch is refused, a batch that no longer has queued tasks lets go of the target that was emptied for it, and a new file takes back the weight of teams that it doesn't name.

Each rule has a test.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -48,6 +48,10 @@
 	Higher, Class, Team float64
 	// Share is the team's part of the slots while all waiting teams wait on.
 	Share float64
+	// Least is how many slots the class gets in any case once a job of it has
+	// waited for LeastAfter, whatever more urgent work there is.
+	Least      float64
+	LeastAfter time.Duration
 }
 
 // Request is the job as far as admission goes.
@@ -81,7 +85,13 @@
 	share := max(b.Share, 1e-3)
 	first := (b.Higher + min(b.Class, b.Team/share)) / slots
 	last := (b.Higher + min(b.Class+r.Work, (b.Team+r.Work)/share)) / slots
-	return seconds(first), seconds(last) + r.Longest
+	wait, finish = seconds(first), seconds(last)+r.Longest
+	if b.Least <= 0 {
+		return wait, finish
+	}
+	aged := b.LeastAfter + seconds(min(b.Class, b.Team/share)/b.Least)
+	agedFinish := aged + seconds(r.Work/b.Least) + r.Longest
+	return min(wait, aged), min(finish, agedFinish)
 }
 
 // Decide says whether the job is taken.
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -105,11 +105,17 @@
 	return f
 }
 
-// SetWeight sets the share of a team; it acts on the waiting jobs at once.
-func (q *Queue[T]) SetWeight(team string, weight int) {
-	f := q.flow(team)
-	f.weight = float64(max(1, weight))
-	q.fix(f)
+// SetWeights sets the shares of all teams, one for a team that isn't named. It
+// acts on the waiting jobs at once.
+func (q *Queue[T]) SetWeights(weights map[string]int) {
+	for name := range weights {
+		q.flow(name)
+	}
+	for name, f := range q.flows {
+		f.weight = float64(max(1, weights[name]))
+		q.fix(f)
+		q.tidy(f)
+	}
 }
 
 func (q *Queue[T]) fix(f *flow[T]) {
--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -199,6 +199,9 @@
 	if probe {
 		t.probing = false
 	}
+	if now.Before(t.until) && !probe {
+		return // one of several refusals of the same moment
+	}
 	t.refusals = min(t.refusals+1, 16)
 	gap := min(refuseGap<<(t.refusals-1), refuseGapMax)
 	if again := now.Add(gap); again.After(t.until) {
@@ -206,6 +209,19 @@
 	}
 }
 
+// Stopped takes in a task that nobody waited for any longer. It is no failure,
+// but one that had already run for longer than expected shows a slow target:
+// otherwise a target that never answers before the deadline would look as if
+// nothing were known of it.
+func (f *Fleet) Stopped(now time.Time, t *Target, ran, expected time.Duration, probe bool) {
+	if probe {
+		t.probing = false
+	}
+	if ran > expected {
+		f.measure(now, t, ran, expected, probe)
+	}
+}
+
 // elsewhere is the share of other targets that fail too: with this kind of
 // task, or with whatever they ran last.
 func (f *Fleet) elsewhere(t *Target, id job.TargetID, kind estimate.Kind) float64 {
@@ -245,8 +261,8 @@
 // Probed marks that a probe was started.
 func (t *Target) Probed() { t.probing = true }
 
-// Abandoned marks that a probe ended without a verdict on the target.
-func (t *Target) Abandoned() { t.probing = false }
+// Quarantined reports whether a target is held back for its failures.
+func (t *Target) Quarantined() bool { return t.held }
 
 const (
 	// initialSpread is the variance of log run times that is assumed before
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -303,9 +303,6 @@
 	if c.taken >= c.spare {
 		cost += s.costs.Message
 	}
-	if c.taken == 0 && c.load.Entry != s.self {
-		cost += s.costs.Message / 2
-	}
 	if c.remote {
 		cost += s.costs.Crossing
 	}
--- a/internal/policy/split/split_test.go
+++ b/internal/policy/split/split_test.go
@@ -68,6 +68,8 @@
 		{"all free slots used before anybody queues", []job.HolderLoad{load("e1", "z1", 80, 30, 50*ms), load("e2", "z1", 80, 30, 50*ms)}, 60, map[job.EntryID]int{"e1": 30, "e2": 30}},
 		{"a small wait does not cross zones", []job.HolderLoad{load("e1", "z1", 80, 0, 10*ms), load("f1", "z2", 80, 80, 0)}, 1, map[job.EntryID]int{"e1": 1}},
 		{"a long wait crosses zones", []job.HolderLoad{load("e1", "z1", 80, 0, 200*ms), load("f1", "z2", 80, 80, 0)}, 10, map[job.EntryID]int{"f1": 10}},
+		{"the last quarter of own slots is left for later jobs", []job.HolderLoad{load("e1", "z1", 80, 30, 0), load("e2", "z1", 80, 80, 0)}, 20, map[job.EntryID]int{"e1": 10, "e2": 10}},
+		{"a little less wait in another zone is no reason", []job.HolderLoad{load("e1", "z1", 80, 0, 14*ms), load("f1", "z2", 80, 0, 13*ms)}, 1, map[job.EntryID]int{"e1": 1}},
 		{"no target in the zone", []job.HolderLoad{load("f1", "z2", 80, 80, 0)}, 3, map[job.EntryID]int{"f1": 3}},
 	}
 	for _, c := range cases {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -64,15 +64,23 @@
 		if p.fleet.Slowness(&tg.health) <= 1 || p.opts.NoHealth {
 			p.book.Learn(now, kind, r.Ran)
 		}
-	case b.cancelled:
-		if t.probe {
-			tg.health.Abandoned()
-		}
+	case b.cancelled || stopped(r.Reason):
+		p.fleet.Stopped(now, &tg.health, r.Ran, p.expect(now, b, t), t.probe)
 	default:
 		p.fleet.Failed(now, &tg.health, tg.ID, kind, t.probe)
 	}
 }
 
+// stopped reports whether a task ended because nobody waited for it any more,
+// which says nothing against its target.
+func stopped(r job.Reason) bool {
+	switch r {
+	case job.DeadlinePassed, job.CallerGone, job.CancelledByCall, job.SiblingFailed, job.OwnerLost, job.Draining:
+		return true
+	}
+	return false
+}
+
 // Requeue puts a task back that its target provably did not start. It keeps
 // its place and goes elsewhere. It reports false where the submission was
 // cancelled or has ended meanwhile, or where too many targets have refused the
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -145,7 +145,7 @@
 	p.book.Started(now, t.kind(b))
 	tg.running++
 	tg.used = addSize(tg.used, t.size)
-	if tg.kept == b {
+	if tg.kept == b || p.kept == b && b.queued() == 0 {
 		p.unkeep()
 	}
 	if probe {
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -23,6 +23,9 @@
 		}
 		return Verdict{Accepted: true}
 	}
+	if len(m.Tasks) == 0 {
+		return Verdict{Reason: job.Malformed, Detail: "the batch has no task"}
+	}
 	if p.ranked.Len() == 0 {
 		return Verdict{Reason: job.NoTarget, Detail: "no target of pool " + p.name + " is held here", RetryAfter: noTargetRetry}
 	}
@@ -115,7 +118,15 @@
 		return Verdict{Accepted: true}
 	}
 	detail := fmt.Sprintf("expected wait %v, expected end after %v", v.Wait.Round(time.Millisecond), v.Finish.Round(time.Millisecond))
-	return Verdict{Reason: v.Reason, Detail: detail, RetryAfter: v.RetryAfter}
+	return Verdict{Reason: v.Reason, Detail: detail, RetryAfter: p.spread(v.RetryAfter)}
+}
+
+// retrySpread is by how much a told wait is drawn out at most, so that callers
+// refused in the same moment don't come back in the same moment.
+const retrySpread = 0.25
+
+func (p *Pool) spread(d time.Duration) time.Duration {
+	return d + time.Duration(retrySpread*p.rand.Float64()*float64(d))
 }
 
 // drainTime is how long the pool takes to start so many tasks.
@@ -140,6 +151,9 @@
 	for u := int(b.class) + 1; u < classes; u++ {
 		out.Slots -= p.classes[u].running
 	}
+	if b.class != job.UrgencyUrgent {
+		out.Least, out.LeastAfter = agedShare*p.slots, agedAfter[b.class]
+	}
 	cap := p.maxLong(now)
 	if b.long {
 		out.Slots = min(out.Slots, cap)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -140,11 +142,11 @@
 // answers act on the queued work at once.
 func (p *Pool) Configure(now time.Time, f *config.File) {
 	p.file = f
-	for i := range f.Teams {
-		p.setWeight(f.Teams[i].Name, f.Teams[i].Weight)
-	}
-	for _, t := range p.targets {
-		t.Target = p.withDefaults(t.Target)
+	p.setWeights(f)
+	clear(p.noRoom)
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		t := p.targets[id]
+		t.Target = p.withDefaults(t.announced)
 		p.rerank(now, t)
 	}
 	for _, b := range p.batches {
@@ -152,13 +154,17 @@
 	}
 }
 
-func (p *Pool) setWeight(team string, weight int) {
+func (p *Pool) setWeights(f *config.File) {
 	if p.opts.NoFairness {
 		return
 	}
+	weights := map[string]int{}
+	for i := range f.Teams {
+		weights[f.Teams[i].Name] = f.Teams[i].Weight
+	}
 	for u := range p.classes {
 		for _, q := range p.classes[u].lanes {
-			q.SetWeight(team, weight)
+			q.SetWeights(weights)
 		}
 	}
 }
--- /dev/null
+++ b/internal/scheduler/rules_test.go
@@ -0,0 +1,220 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// Urgent work floods the pool for a while. Batch work must go on, if slowly:
+// otherwise a proxy that was promised is never made.
+func TestBatchIsNotStarved(t *testing.T) {
+	play := func(o Options) (batch figures) {
+		s := newSim(o, 4, 8, nil)
+		s.run(mix(
+			load{group: "alert", team: "a", service: "alert", until: 30 * time.Second, tasksPerSecond: 4 * 32 / meanUsual, tasks: 4, run: usual},
+			load{group: "proxy", team: "a", service: "proxy", until: 25 * time.Second, tasksPerSecond: 0.04 * 32 / meanUsual, tasks: 1, run: usual},
+		))
+		urgent := s.figures("alert", 0, time.Minute)
+		t.Logf("alert: %v", urgent)
+		batch = s.figures("proxy", 0, 15*time.Second)
+		for i := range s.answers {
+			if a := &s.answers[i]; a.arrival.group == "proxy" {
+				qt.Assert(t, a.after < 15*time.Second, qt.IsTrue, qt.Commentf("waited %v", a.after))
+			}
+		}
+		t.Logf("proxy: %v", batch)
+		return batch
+	}
+	f := play(Options{})
+	qt.Assert(t, f.complete, qt.Equals, f.sent)
+}
+
+// A target refuses a task without starting it. The task keeps its place, goes
+// to another target, and the caller is told after a bounded number of tries.
+func TestRequeue(t *testing.T) {
+	p := smallPool(3, 1)
+	qt.Assert(t, p.Offer(epoch, batchOf("a", "thumb", 1)).Accepted, qt.IsTrue)
+	seen := map[job.TargetID]bool{}
+	now := epoch
+	tries := 0
+	for {
+		d := p.Next(now)
+		if len(d.Starts) == 0 {
+			qt.Assert(t, d.Wake.After(now), qt.IsTrue)
+			now = d.Wake
+			continue
+		}
+		tries++
+		s := d.Starts[0]
+		if tries <= 3 {
+			qt.Assert(t, seen[s.Target], qt.IsFalse)
+			seen[s.Target] = true
+		}
+		if !p.Requeue(now, s.Key) {
+			break
+		}
+	}
+	qt.Assert(t, tries, qt.Equals, maxAttempts)
+	qt.Assert(t, p.batches, qt.HasLen, 0)
+}
+
+// A target refuses a task while the others are busy. Sent there again, the task
+// would go round in circles until it has used up its tries.
+func TestRefusedTaskWaitsForAnotherTarget(t *testing.T) {
+	p := smallPool(2, 1)
+	p.Offer(epoch, batchOf("a", "thumb", 1))
+	p.Offer(epoch, batchOf("b", "thumb", 1))
+	starts := p.Next(epoch).Starts
+	qt.Assert(t, starts, qt.HasLen, 2)
+	qt.Assert(t, p.Requeue(at(1), starts[0].Key), qt.IsTrue)
+	qt.Assert(t, p.Next(at(500)).Starts, qt.HasLen, 0)
+	p.Finished(at(600), starts[1].Key, ranFor(time.Second))
+	again := p.Next(at(600)).Starts
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Assert(t, again[0].Target, qt.Equals, starts[1].Target)
+}
+
+// A submission is cancelled while its task is on the way to a target, which
+// then refuses it. Putting it back would run work that nobody waits for.
+func TestRequeueAfterCancel(t *testing.T) {
+	p := smallPool(2, 1)
+	p.Offer(epoch, batchOf("a", "thumb", 1))
+	s := p.Next(epoch).Starts[0]
+	p.Cancel(epoch, owner, "a")
+	qt.Assert(t, p.Requeue(at(1), s.Key), qt.IsFalse)
+	qt.Assert(t, p.Next(at(2)).Starts, qt.HasLen, 0)
+}
+
+// A large task waits while small ones fill each gap before it is big enough.
+// Without a target that is emptied for it, it waits until the small ones end.
+func TestLargeTaskIsNotPassedForEver(t *testing.T) {
+	s := newSim(Options{}, 4, 8, nil)
+	stop := 20 * time.Second
+	big := batchOf("big", "thumb", 1)
+	big.Tasks[0].MemoryMB = 63000
+	arrivals := load{group: "small", team: "a", service: "thumb", until: stop, tasksPerSecond: 1.2 * 32 / meanUsual, tasks: 1, run: usual}.arrivals(3)
+	started := time.Time{}
+	s.after(5*time.Second, func() {
+		s.jobs["big"] = &running{arrival: &arrival{group: "big", team: "b", runs: []time.Duration{ms}}, left: 1, began: s.now}
+		qt.Assert(t, s.pool.Offer(s.now, big).Accepted, qt.IsTrue)
+	})
+	s.onStart = func(x Start) {
+		if x.Submission == "big" {
+			started = s.now
+		}
+	}
+	s.memory = 2000
+	s.run(arrivals)
+	waited := started.Sub(epoch) - 5*time.Second
+	t.Logf("waited %v", waited)
+	qt.Assert(t, waited < 3*time.Second, qt.IsTrue)
+}
+
+// A new file gives a waiting team more weight and makes a service urgent. Both
+// must act on the work that waits, not only on what comes later.
+func TestConfigurationActsOnQueuedWork(t *testing.T) {
+	p := smallPool(1, 1, Options{NoAdmission: true})
+	for _, id := range []string{"a", "b"} {
+		m := batchOf(id, map[string]string{"a": "thumb", "b": "proxy"}[id], 4)
+		m.Team = id
+		qt.Assert(t, p.Offer(epoch, m).Accepted, qt.IsTrue)
+	}
+	first := p.Next(epoch).Starts[0]
+	qt.Assert(t, first.Submission, qt.Equals, job.ID("a"))
+	f := testFile()
+	f.Services[1].Urgency = job.UrgencyUrgent
+	p.Configure(at(1), f)
+	p.Finished(at(2), first.Key, ranFor(time.Millisecond))
+	qt.Assert(t, p.Next(at(2)).Starts[0].Submission, qt.Equals, job.ID("b"))
+	qt.Assert(t, p.Load(at(2)).Queued, qt.Equals, [3]int{0, 3, 3})
+}
+
+// Two teams wait for the same slots with weights 3 and 1.
+func TestWeights(t *testing.T) {
+	p := smallPool(2, 8, Options{NoAdmission: true})
+	f := testFile()
+	f.Teams = []config.Team{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}}
+	p.Configure(epoch, f)
+	for _, team := range []string{"b", "a"} {
+		m := batchOf(team, "proxy", 100)
+		m.Team = team
+		p.Offer(epoch, m)
+	}
+	count := map[string]int{}
+	for _, s := range p.Next(epoch).Starts {
+		count[s.Team]++
+	}
+	qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 12, "b": 4})
+}
+
+// A job of four tasks on idle targets in four racks: a rack that fails should
+// take one of its tasks, not all.
+func TestRackSpread(t *testing.T) {
+	p := smallPool(32, 8)
+	p.Offer(epoch, batchOf("a", "thumb", 4))
+	racks := map[string]int{}
+	for _, s := range p.Next(epoch).Starts {
+		racks[p.targets[s.Target].Rack]++
+	}
+	qt.Assert(t, racks, qt.HasLen, 4)
+}
+
+// A holder takes a target over while it still runs tasks of the one before. It
+// must count them, or the target gets more than its slots.
+func TestTakenOverTargetCountsWhatRuns(t *testing.T) {
+	p := New("render", 1)
+	p.Configure(epoch, testFile())
+	w := job.Target{ID: "w", Slots: 8, Connections: 64, Running: 6}
+	p.SetTarget(epoch, w)
+	p.Offer(epoch, batchOf("a", "thumb", 8))
+	qt.Assert(t, p.Next(epoch).Starts, qt.HasLen, 2)
+	w.Running = 3 // two of them ours
+	p.SetTarget(at(500), w)
+	qt.Assert(t, p.Next(at(500)).Starts, qt.HasLen, 5)
+}
+
+// The tasks on one target are stopped because siblings failed elsewhere. That
+// is no fault of the target, even when it happens to each of them.
+func TestStoppedTasksDontCountAgainstTargets(t *testing.T) {
+	p := smallPool(2, 8)
+	for i := range 50 {
+		id := fmt.Sprint("j", i)
+		p.Offer(at(i), batchOf(id, "thumb", 16))
+		for _, s := range p.Next(at(i)).Starts {
+			r := ranFor(200 * time.Millisecond)
+			if s.Target == "w00" {
+				r = Result{Ran: time.Millisecond, Status: job.TaskErred, Reason: job.SiblingFailed}
+			}
+			p.Finished(at(i), s.Key, r)
+		}
+	}
+	for _, ts := range p.Stats(at(60)).Targets {
+		qt.Assert(t, ts.State, qt.Equals, "ready")
+	}
+	qt.Assert(t, p.free, qt.Equals, 16)
+}
+
+// A kind whose tasks run longer than the deadline is refused at once, but one
+// job in a while is tried: the measure may be old.
+func TestRefusedKindIsTriedAgain(t *testing.T) {
+	p := smallPool(2, 8)
+	offer := func(ms int) Verdict {
+		m := batchOf(fmt.Sprint("j", ms), "thumb", 1)
+		m.Tasks[0].Kind = "k"
+		m.Remaining = 500 * time.Millisecond
+		return p.Offer(at(ms), m)
+	}
+	for i := range 5 {
+		qt.Assert(t, offer(i).Accepted, qt.IsTrue)
+		s := p.Next(at(i)).Starts[0]
+		p.Finished(at(i), s.Key, ranFor(time.Second))
+	}
+	qt.Assert(t, offer(1000).Reason, qt.Equals, job.DeadlineTooNear)
+	qt.Assert(t, offer(6000).Accepted, qt.IsTrue)
+}
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -23,8 +23,9 @@
 // task has ended.
 type target struct {
 	job.Target
-	health  health.Target
-	running int
+	announced job.Target // as it came, before defaults
+	health    health.Target
+	running   int
 	// foreign counts tasks that run there and were started by an earlier
 	// holder, as far as the target said.
 	foreign int
@@ -107,11 +108,13 @@
 		t.leaving = false
 		p.ranked.Push(t)
 	}
+	t.announced = announced
 	t.Target = p.withDefaults(announced)
 	// The target's own count lags, so it may only lower what was taken for
 	// foreign: it also counts our tasks.
 	t.foreign = min(t.foreign, max(0, announced.Running-t.running))
 	p.roomsStale = true
+	clear(p.noRoom)
 	p.rerank(now, t)
 }
 
@@ -140,7 +143,9 @@
 		return
 	}
 	t.leaving = true
-	t.kept = nil
+	if t.kept != nil {
+		p.unkeep()
+	}
 	p.ranked.Remove(t)
 	p.probes.Remove(t)
 	p.roomsStale = true
@@ -201,7 +206,7 @@
 // target's in proportion, and the free ones among the sound targets.
 func (p *Pool) account(t *target) {
 	slots, free := 0.0, 0
-	if !t.leaving && t.tier != held {
+	if !t.leaving && !t.health.Quarantined() {
 		slots = float64(t.limit()) / p.fleet.Slowness(&t.health)
 	}
 	if !t.leaving && t.tier < slow {
