Let a stop wait for reports that are on their way; test random runs

A random run showed (under the race detector) that Drain could return while a report was still being delivered: the last task of a batch that had been reported by another goroutine emptied the gate first. A process that exits then leaves an owner without the word that its tasks never started. The report now has a count of its own.

--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -27,6 +27,15 @@
 	return true
 }
 
+// hold counts once more for a batch that is inside. Its report goes out without
+// a lock, and its last task may end elsewhere at the same moment: without a
+// count of its own, a stop could end the process before the report is sent.
+func (g *gate) hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside++
+}
+
 func (g *gate) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -63,6 +72,6 @@
 	case <-ctx.Done():
 		h.gate.mu.Lock()
 		defer h.gate.mu.Unlock()
-		return errors.Annotatef(ctx.Err(), "%d batches still run", h.gate.inside)
+		return errors.Annotatef(ctx.Err(), "%d batches and reports are still out", h.gate.inside)
 	}
 }
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -195,7 +195,11 @@
 	b.reported = true
 	outcomes := b.outcomes
 	b.outcomes = nil
-	e.then(func() { b.report(outcomes) })
+	p.holder.gate.hold()
+	e.then(func() {
+		b.report(outcomes)
+		p.holder.gate.leave()
+	})
 }
 
 // giveBack takes the queued tasks of a batch out of the queue, unstarted.
--- /dev/null
+++ b/internal/holder/random_test.go
@@ -0,0 +1,143 @@
+package holder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+)
+
+// auditor watches a random run for what must always hold.
+type auditor struct {
+	mu       sync.Mutex
+	rand     *rand.Rand
+	may      map[string]bool // started without proof of the contrary
+	doubled  []string
+	reported map[job.ID][]job.TaskOutcome
+	twice    []job.ID
+}
+
+// answer ends tasks at random and notes starts that the target did not refuse.
+func (a *auditor) answer(_ job.TargetID, t target.Task) target.Result {
+	a.mu.Lock()
+	kind, wait := a.rand.IntN(20), time.Duration(a.rand.IntN(100))*time.Millisecond
+	name := target.TaskName(t.Submission, t.Index)
+	if kind > 2 {
+		if a.may[name] {
+			a.doubled = append(a.doubled, name)
+		}
+		a.may[name] = true
+	}
+	a.mu.Unlock()
+	switch kind {
+	case 0, 1:
+		return refused()
+	case 2:
+		return target.Result{Status: job.TaskNotStarted, Reason: job.TargetLost, Refusal: target.Unreachable}
+	case 3:
+		time.Sleep(wait)
+		return erred()
+	}
+	time.Sleep(wait)
+	return target.Result{Status: job.TaskDone, Payload: []byte("1")}
+}
+
+func (a *auditor) report(id job.ID, o []job.TaskOutcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, again := a.reported[id]; again {
+		a.twice = append(a.twice, id)
+	}
+	a.reported[id] = o
+}
+
+// wrong lists the tasks that were reported against what happened.
+func (a *auditor) wrong(sizes map[job.ID]int) (out []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, n := range sizes {
+		seen := map[int]bool{}
+		for _, o := range a.reported[id] {
+			name := target.TaskName(id, o.Index)
+			if seen[o.Index] {
+				out = append(out, name+" twice in a report")
+			}
+			seen[o.Index] = true
+			if o.Status == job.TaskNotStarted && a.may[name] {
+				out = append(out, name+" not started, but it was")
+			}
+			if o.Status == job.TaskDone && !a.may[name] {
+				out = append(out, name+" done, but never started")
+			}
+		}
+		if len(seen) != n {
+			out = append(out, fmt.Sprintf("%s: %d of %d tasks reported", id, len(seen), n))
+		}
+	}
+	return out
+}
+
+// Everything at once: targets refuse, fail, leave, come back and move; jobs
+// are cancelled, pass their deadline and lose their owner. Whatever the order,
+// a task starts at most once, "not started" is true, each batch is reported
+// once and whole, and no target gets more than its slots.
+func TestRandomRuns(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			a := &auditor{rand: rand.New(rand.NewPCG(seed, 2)), may: map[string]bool{}, reported: map[job.ID][]job.TaskOutcome{}}
+			f := newFleet()
+			f.answer = a.answer
+			h := newHolder(f, "1", "2", "3")
+			sizes := map[job.ID]int{}
+			for step := range 150 {
+				randomStep(r, h, a, sizes, step)
+				time.Sleep(time.Duration(r.IntN(10)) * time.Millisecond)
+			}
+			h.SetTarget(announced("1"))
+			qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+			about := qt.Commentf("seed %d", seed)
+			qt.Assert(t, a.doubled, qt.HasLen, 0, about)
+			qt.Assert(t, a.twice, qt.HasLen, 0, about)
+			qt.Assert(t, a.wrong(sizes), qt.HasLen, 0, about)
+			for id, n := range f.most {
+				qt.Assert(t, n <= 8, qt.IsTrue, qt.Commentf("seed %d: %s ran %d", seed, id, n))
+			}
+			qt.Assert(t, h.Pools()[0].Running, qt.Equals, 0, about)
+		})
+	}
+}
+
+func randomStep(r *rand.Rand, h *Holder, a *auditor, sizes map[job.ID]int, step int) {
+	id := job.TargetID(fmt.Sprint(1 + r.IntN(3)))
+	switch r.IntN(8) {
+	case 0:
+		h.RemoveTarget(id)
+	case 1:
+		h.SetTarget(announced(id))
+	case 2:
+		moved := announced(id)
+		moved.Address += "x"
+		h.SetTarget(moved)
+	case 3:
+		h.Cancel(owner, job.ID(fmt.Sprint(r.IntN(step+1))))
+	case 4:
+		if r.IntN(10) == 0 {
+			h.Drop(owner)
+		}
+	default:
+		b := batchOf(job.ID(fmt.Sprint(step)), 1+r.IntN(20))
+		if r.IntN(3) == 0 {
+			b.Remaining = time.Duration(1+r.IntN(200)) * time.Millisecond
+		}
+		sizes[b.Submission] = len(b.Tasks)
+		h.Offer(b, func(o []job.TaskOutcome) { a.report(b.Submission, o) })
+	}
+}
