Close never-used connections when the stand-in stops; tighten holder tests

The transport dials ahead, and the server's shutdown waits five seconds for a connection on which nothing came. Three conditions that could be switched off unseen (refusal after a cancellation, another life of an owner, a target that changes its pool) now turn a test red.

--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -233,6 +233,7 @@
 	}{
 		{"cancel", func(h *Holder) { h.Cancel(owner, "j") }, tally{"erred cancelled_by_caller": 8, "not started cancelled_by_caller": 12}, 8},
 		{"drop", func(h *Holder) { h.Drop(owner) }, tally{"done": 8, "not started owner_lost": 12}, 0},
+		{"drop of another life", func(h *Holder) { h.Drop(job.Owner{Entry: "e1", Incarnation: 2, Zone: "a"}) }, tally{"done": 20}, 0},
 		{"cancel of another life's job", func(h *Holder) { h.Cancel(job.Owner{Entry: "e1", Incarnation: 2}, "j") }, tally{"done": 20}, 0},
 	}
 	for _, c := range cases {
@@ -407,6 +408,8 @@
 		other := moved
 		other.Pool = "q"
 		h.SetTarget(other)
+		qt.Assert(t, h.Loads()[0].Targets, qt.Equals, 0)
+		qt.Assert(t, h.Loads()[1].Targets, qt.Equals, 1)
 		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
 		qt.Assert(t, r.tally(), qt.DeepEquals, tally{"done": 6})
 	})
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -37,7 +37,10 @@
 	}
 	a.mu.Unlock()
 	switch kind {
-	case 0, 1:
+	case 0:
+		time.Sleep(wait)
+		return refused()
+	case 1:
 		return refused()
 	case 2:
 		return target.Result{Status: job.TaskNotStarted, Reason: job.TargetLost, Refusal: target.Unreachable}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -77,6 +77,7 @@
 	refused   uint64
 	failed    uint64
 	stopped   uint64
+	unused    map[net.Conn]struct{}
 	conns     int
 	mostConns int
 	workDone  sync.WaitGroup
@@ -98,6 +99,7 @@
 		listener: l,
 		ledger:   opts.Ledger,
 		running:  make(map[taskKey]context.CancelFunc),
+		unused:   make(map[net.Conn]struct{}),
 	}
 	t.server = &http.Server{
 		Handler:           t.handler(),
@@ -156,6 +158,7 @@
 	t.leave()
 	t.withdraw()
 	t.workDone.Wait()
+	t.closeUnused()
 	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	return errors.Annotatef(t.server.Shutdown(stop), "stand-in %s", t.opts.ID)
@@ -170,11 +173,26 @@
 	t.leaving = true
 }
 
-func (t *Target) countConnection(_ net.Conn, s http.ConnState) {
+// closeUnused closes connections on which nothing was ever sent. The client's
+// transport opens some in advance, and the server's shutdown would wait for
+// them for five seconds.
+func (t *Target) closeUnused() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for c := range t.unused {
+		_ = c.Close()
+	}
+}
+
+func (t *Target) countConnection(c net.Conn, s http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s != http.StateNew {
+		delete(t.unused, c)
+	}
 	switch s {
 	case http.StateNew:
+		t.unused[c] = struct{}{}
 		t.conns++
 		t.mostConns = max(t.mostConns, t.conns)
 	case http.StateClosed, http.StateHijacked:
