Take an avoided target again when no other is left for the task

A random run of the holder never ended: a task that one target had refused waited for another one, which then left, and the list of avoided targets was compared with the pool's size only when a task was put back. The same befalls a task too large for all targets but the one that was busy once. The list is now looked at whenever an avoided target comes up.

The test is red without the change in both cases ("the task never started").

Retry is Requeue with the failure told, so that a repeatable request goes to another target and its failing one is judged.

--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -78,12 +78,18 @@
 // cancelled or has ended meanwhile, or where too many targets have refused the
 // task: it then stays unstarted and is the caller's to report.
 func (p *Pool) Requeue(now time.Time, k Key) bool {
+	return p.Retry(now, k, Result{Status: job.TaskNotStarted})
+}
+
+// Retry puts a task back that failed as r says and may be sent again. Its
+// target is judged by the failure; otherwise it is as with Requeue.
+func (p *Pool) Retry(now time.Time, k Key, r Result) bool {
 	b, t := p.release(now, k)
 	if t == nil {
 		return false
 	}
 	tg := t.target
-	p.fleet.Refused(now, &tg.health, t.probe)
+	p.learn(now, b, t, r)
 	p.rerank(now, tg)
 	p.dropIfIdle(tg)
 	t.target = nil
@@ -98,11 +104,6 @@
 
 func (p *Pool) putBack(b *batch, t *task, refusedBy *target) {
 	t.avoid = append(t.avoid, refusedBy)
-	if len(t.avoid) >= p.ranked.Len() {
-		// Every target has refused it once: the gaps that health sets decide
-		// when they are asked again.
-		t.avoid = nil
-	}
 	p.unqueue(b)
 	t.state = taskQueued
 	b.giveBack(t)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/vanillagrade/vanillagrade/internal/job"
+import (
+	"slices"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
 
 const (
 	// placeChoices is how many of the least occupied targets with room are
@@ -38,11 +42,21 @@
 	if tg.kept != nil && tg.kept != b {
 		return false
 	}
-	for _, avoided := range t.avoid {
-		if avoided == tg {
+	return !slices.Contains(t.avoid, tg) || p.refusedByAll(t)
+}
+
+// refusedByAll reports whether no target is left that could ever hold the task
+// and has not refused it; then all are asked again, and the gaps that health
+// sets decide when. It is looked at whenever an avoided target comes up, since
+// targets leave: a task that waits for one that left would wait for ever.
+func (p *Pool) refusedByAll(t *task) bool {
+	for i := range p.ranked.Len() {
+		tg := p.ranked.At(i)
+		if t.size.Fits(tg.Room()) && !slices.Contains(t.avoid, tg) {
 			return false
 		}
 	}
+	t.avoid = nil
 	return true
 }
 
