Leave refusals, occupancy and the retry budget to the scheduler's policies

The holder had its own bound of attempts, its own retry budget and its own account of slots that an earlier holder fills; each now stands once, in the scheduler and in policy/retry.

Over loopback connections: slots and connections are kept under 1,200 tasks with failures and cancellations, a killed target costs only the jobs that ran on it, and a target that announces four times its slots fails no job.

--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -26,8 +26,8 @@
 	// open counts the tasks without an outcome.
 	open    int
 	running map[int]*link
-	// attempts counts how often a task was sent, from its second sending on.
-	attempts map[int]int
+	// retries counts how often a repeatable request was sent again.
+	retries int
 	// fatal is why the rest of the batch ends, once the job can't become
 	// complete any more.
 	fatal    job.Reason
@@ -64,15 +64,6 @@
 // ended reports whether no task is left, also none whose result is discarded.
 func (b *batch) ended() bool { return b.reported && len(b.running) == 0 }
 
-// again counts one more attempt of a task and reports how many there were.
-func (b *batch) again(index int) int {
-	if b.attempts == nil {
-		b.attempts = make(map[int]int)
-	}
-	b.attempts[index]++
-	return b.attempts[index]
-}
-
 // mayGoElsewhere reports whether the owner may still complete the job by
 // offering the task to another holder.
 func mayGoElsewhere(o job.TaskOutcome) bool {
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -16,8 +16,6 @@
 	// removed is set when this entry does not hold the target any more, or
 	// holds it at another address.
 	removed bool
-	// foreign is how many of the target's tasks an earlier holder started.
-	foreign int
 	// stopping are the tasks that the target is still to be asked to stop.
 	stopping []stopRequest
 	asking   bool
@@ -38,12 +36,12 @@
 			l = nil
 		}
 		if l == nil {
-			l = &link{conn: p.holder.opts.Connect(t), foreign: t.Running}
+			l = &link{conn: p.holder.opts.Connect(t)}
 			p.links[t.ID] = l
 		}
 		l.target = t
 		l.removed = false
-		p.sched.SetTarget(now, l.usable())
+		p.sched.SetTarget(now, t)
 	})
 }
 
@@ -66,18 +64,6 @@
 	return 0
 }
 
-// usable returns the target with the slots that this holder may fill. A target
-// that was taken over still runs what its earlier holder started, which this
-// one learns only from the target's own count. The count lags, so it is taken
-// as falling only; one slot is always left, whose refusal proves that nothing
-// started.
-func (l *link) usable() job.Target {
-	t := l.target
-	l.foreign = min(l.foreign, max(0, t.Running-l.running))
-	t.Slots = max(1, t.Slots-l.foreign)
-	return t
-}
-
 func (p *pool) removeTarget(id job.TargetID) {
 	p.change(func(now time.Time, e *effects) {
 		l := p.links[id]
--- /dev/null
+++ b/internal/holder/loopback_test.go
@@ -0,0 +1,183 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/standin"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+)
+
+// standins runs n stand-in targets that share a ledger, and a holder of them.
+func standins(tb testing.TB, n int, opts standin.Options) (*Holder, []*standin.Target) {
+	tb.Helper()
+	if opts.Ledger == nil {
+		opts.Ledger = standin.NewLedger()
+	}
+	// Without admission, so that all of a test's load reaches the targets.
+	h := New(Options{Self: owner, Config: config.Fixed{File: file}, Client: target.NewClient(target.ClientOptions{}), Scheduler: scheduler.Options{NoAdmission: true}})
+	tb.Cleanup(h.Close)
+	var all []*standin.Target
+	for i := range n {
+		opts.ID = job.TargetID(fmt.Sprint("t", i))
+		s, err := standin.New(opts)
+		qt.Assert(tb, err, qt.IsNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = s.Run(ctx) }()
+		tb.Cleanup(func() { cancel(); <-ended })
+		h.SetTarget(announcement(s, opts))
+		all = append(all, s)
+	}
+	return h, all
+}
+
+func announcement(s *standin.Target, opts standin.Options) job.Target {
+	return job.Target{ID: opts.ID, Pool: "p", Address: s.Addr(), Zone: "a", Slots: opts.Slots, Connections: opts.Connections}
+}
+
+func payloads(b *job.Batch, text string) *job.Batch {
+	for i := range b.Tasks {
+		b.Tasks[i].Payload = []byte(text)
+	}
+	return b
+}
+
+// Many jobs at once over real connections, some of them failing and some
+// cancelled in mid-flight. Whatever happens, no target may run more tasks or
+// hold more connections than it announced, and no task may start twice.
+func TestLimitsAndSingleStartsOverLoopback(t *testing.T) {
+	ledger := standin.NewLedger()
+	h, targets := standins(t, 3, standin.Options{Slots: 4, Connections: 6, Ledger: ledger})
+	var all sync.WaitGroup
+	sums := make([]reports, 30)
+	for i := range sums {
+		all.Add(1)
+		text := `{"sleep_ms":2,"size":2000}`
+		if i%5 == 1 {
+			text = `{"sleep_ms":1,"fail":true}`
+		}
+		id := job.ID(fmt.Sprint("j/", i))
+		h.Offer(payloads(batchOf(id, 40), text), func(o []job.TaskOutcome) {
+			sums[i].take(o)
+			all.Done()
+		})
+		if i%5 == 2 {
+			h.Cancel(owner, id)
+		}
+	}
+	all.Wait()
+	qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	for i := range sums {
+		sum := sums[i].tally()
+		if i%5 != 1 && i%5 != 2 {
+			qt.Check(t, sum, qt.DeepEquals, tally{"done": 40})
+			for _, o := range sums[i].all[0] {
+				want := target.TaskName(job.ID(fmt.Sprint("j/", i)), o.Index)
+				qt.Check(t, strings.Contains(string(o.Payload), `"task":"`+want+`"`), qt.IsTrue, qt.Commentf("%s: %.80s", want, o.Payload))
+			}
+		}
+	}
+	for _, s := range targets {
+		c := s.Counters()
+		qt.Check(t, c.MaxConcurrent <= 4, qt.IsTrue, qt.Commentf("%+v", c))
+		qt.Check(t, c.MaxConnections <= 6, qt.IsTrue, qt.Commentf("%+v", c))
+	}
+	qt.Check(t, ledger.DoubledStarts(), qt.Equals, uint64(0))
+	qt.Check(t, ledger.Starts() >= 18*40, qt.IsTrue)
+}
+
+// A target's VM dies with tasks running on it. Their jobs fail, since the
+// tasks may have run; all other tasks go to the targets that are left.
+func TestDeadTargetCostsOnlyWhatRanOnIt(t *testing.T) {
+	entered := make(chan job.ID, 100)
+	release := make(chan struct{})
+	work := func(_ context.Context, id job.ID, _ int, _ []byte) ([]byte, error) {
+		entered <- id
+		<-release
+		return []byte("1"), nil
+	}
+	ledger := standin.NewLedger()
+	h, targets := standins(t, 2, standin.Options{Slots: 4, Work: work, Ledger: ledger})
+	sums := make([]reports, 20)
+	for i := range sums {
+		h.Offer(batchOf(job.ID(fmt.Sprint(i)), 1), sums[i].take)
+	}
+	for range 8 {
+		<-entered
+	}
+	qt.Assert(t, targets[0].Kill(), qt.IsNil)
+	go func() {
+		for range entered { // what starts later only needs to be let through
+		}
+	}()
+	close(release)
+	qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	total := tally{}
+	for i := range sums {
+		for k, n := range sums[i].tally() {
+			total[k] += n
+		}
+	}
+	qt.Check(t, total, qt.DeepEquals, tally{"done": 16, "erred target_lost": 4})
+	qt.Check(t, ledger.DoubledStarts(), qt.Equals, uint64(0))
+	qt.Check(t, ledger.Starts(), qt.Equals, uint64(20))
+}
+
+// A target announces more slots than it has. It refuses what is too much, and
+// says that it did not start it: no job may fail for that.
+func TestTargetThatOverstatesItsSlots(t *testing.T) {
+	ledger := standin.NewLedger()
+	h, targets := standins(t, 2, standin.Options{Slots: 4, Ledger: ledger})
+	boast := announcement(targets[0], standin.Options{ID: "t0", Slots: 16, Connections: 64})
+	h.SetTarget(boast)
+	var r reports
+	h.Offer(payloads(batchOf("j", 60), `{"sleep_ms":5}`), r.take)
+	qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	qt.Check(t, r.tally(), qt.DeepEquals, tally{"done": 60})
+	qt.Check(t, ledger.DoubledStarts(), qt.Equals, uint64(0))
+	qt.Check(t, targets[0].MaxConcurrent() <= 4, qt.IsTrue)
+}
+
+// BenchmarkStarts measures how many tasks without work one holder starts a
+// second, over loopback connections, targets included.
+func BenchmarkStarts(b *testing.B) {
+	for _, size := range []int{1, 100} {
+		b.Run(fmt.Sprint("tasks=", size), func(b *testing.B) {
+			h, _ := standins(b, 8, standin.Options{Slots: 8})
+			window := make(chan struct{}, 256/size+1)
+			jobs := (b.N + size - 1) / size
+			b.ResetTimer()
+			for i := range jobs {
+				window <- struct{}{}
+				h.Offer(batchOf(job.ID(fmt.Sprint(i)), size), func([]job.TaskOutcome) { <-window })
+			}
+			qt.Assert(b, h.Drain(b.Context()), qt.IsNil)
+			b.ReportMetric(float64(h.Stats().Done)/b.Elapsed().Seconds(), "tasks/s")
+		})
+	}
+}
+
+// BenchmarkDispatch measures the holder alone: targets that answer at once,
+// without a network.
+func BenchmarkDispatch(b *testing.B) {
+	f := newFleet()
+	f.answer = func(job.TargetID, target.Task) target.Result {
+		return target.Result{Status: job.TaskDone, Payload: []byte("1")}
+	}
+	h := newHolder(f, "1", "2", "3", "4", "5", "6", "7", "8")
+	window := make(chan struct{}, 256)
+	for i := range b.N {
+		window <- struct{}{}
+		h.Offer(batchOf(job.ID(fmt.Sprint(i)), 1), func([]job.TaskOutcome) { <-window })
+	}
+	qt.Assert(b, h.Drain(b.Context()), qt.IsNil)
+}
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/retry"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -20,7 +21,7 @@
 	sched   *scheduler.Pool
 	batches map[batchKey]*batch
 	links   map[job.TargetID]*link
-	budget  retryBudget
+	budgets map[string]*retry.Budget
 	wake    *time.Timer
 }
 
@@ -40,7 +41,7 @@
 		sched:   scheduler.NewWith(name, h.opts.Seed, h.opts.Scheduler),
 		batches: make(map[batchKey]*batch),
 		links:   make(map[job.TargetID]*link),
-		budget:  newRetryBudget(),
+		budgets: make(map[string]*retry.Budget),
 		file:    f,
 	}
 	p.sched.Configure(time.Now(), f)
@@ -106,7 +107,9 @@
 	}
 	b.running[s.Index] = l
 	l.running++
-	p.budget.started()
+	if b.offered.Single && b.service.Repeatable && b.retries == 0 {
+		p.budget(b.service.Name).Request(now)
+	}
 	e.launches = append(e.launches, launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
 }
 
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/retry"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
-// maxAttempts bounds how often one task is sent, counting only sendings that
-// provably started nothing. A lost rack takes eight targets at once, and the
-// scheduler holds a refusing target back, so one task rarely meets more than
-// these. If every target refuses, the owner should look elsewhere.
-const maxAttempts = 9
+// maxRetries bounds how often one repeatable request is sent again. With a
+// tenth of the targets failing, two retries leave one request in a thousand
+// without an answer.
+const maxRetries = 2
 
 // launch is one decided start.
 type launch struct {
@@ -51,29 +51,61 @@
 	p.sched.Finished(now, l.start.Key, resultOf(res))
 	if b.reported {
 		p.holder.stats.discarded.Add(1)
-	} else if !p.retry(now, l, res) {
+	} else {
 		p.count(res)
 		b.settle(outcomeOf(l, res))
 	}
 	p.conclude(now, b, e)
 }
 
-// sendAgain puts a task back that its target provably did not start.
+// sendAgain queues a task again that its target provably did not start, or
+// that may be repeated. The scheduler bounds the attempts.
 func (p *pool) sendAgain(now time.Time, l launch, res target.Result) bool {
-	if res.Status != job.TaskNotStarted || res.Refusal == target.Abandoned || l.batch.reported {
+	if l.batch.reported || res.Status == job.TaskDone || p.holder.ctx.Err() != nil {
 		return false
 	}
-	if l.batch.again(l.start.Index) >= maxAttempts {
+	if res.Status == job.TaskErred && !p.mayRepeat(now, l, res) {
 		return false
 	}
-	if !p.sched.Requeue(now, l.start.Key) {
+	if !p.sched.Retry(now, l.start.Key, resultOf(res)) {
 		return false
 	}
-	p.holder.stats.requeued.Add(1)
-	p.record(timeline.Event{Kind: timeline.TaskRetried, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: "not started: " + res.Detail})
+	counter := &p.holder.stats.requeued
+	if res.Status == job.TaskErred {
+		counter = &p.holder.stats.retried
+	}
+	counter.Add(1)
+	p.record(timeline.Event{Kind: timeline.TaskRetried, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail})
 	return true
 }
 
+// mayRepeat reports whether a task that may have run may run once more. A task
+// of a job and a request that is not repeatable never does.
+func (p *pool) mayRepeat(now time.Time, l launch, res target.Result) bool {
+	b := l.batch
+	if !b.offered.Single || !b.service.Repeatable || b.retries >= maxRetries {
+		return false
+	}
+	var remaining time.Duration
+	if !l.start.Deadline.IsZero() {
+		remaining = max(l.start.Deadline.Sub(now), 1)
+	}
+	budget := p.budget(b.service.Name)
+	if !budget.Allow(now, remaining, res.Ran) {
+		return false
+	}
+	b.retries++
+	return true
+}
+
+// budget returns the retry budget of a service.
+func (p *pool) budget(service string) *retry.Budget {
+	if p.budgets[service] == nil {
+		p.budgets[service] = &retry.Budget{}
+	}
+	return p.budgets[service]
+}
+
 func resultOf(res target.Result) scheduler.Result {
 	return scheduler.Result{
 		Ran:           res.Ran,
