Test planned stop, dying and leaving targets through real sockets

Each runs a fleet on loopback and judges by what callers receive: whole answers, true refusals, no doubled start in the targets' shared ledger.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/standin"
+)
+
+const testFile = `number: 1
+services:
+  - {name: thumbs, pool: desk, urgency: interactive, repeatable: true, deadline: 30s}
+  - {name: alerts, pool: desk, urgency: urgent, repeatable: false, deadline: 30s}
+`
+
+const testPool = "desk"
+
+// startTest starts a fleet and waits until its entries know all slots.
+func startTest(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	if o.Config == nil {
+		file, err := config.Parse("test", []byte(testFile))
+		qt.Assert(t, err, qt.IsNil)
+		o.Config = config.Fixed{File: file}
+	}
+	o.Pool = testPool
+	f, err := Start(o)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	slots := o.Target.Slots
+	if slots == 0 {
+		slots = config.DefaultSlots
+	}
+	qt.Assert(t, f.WaitReady(ctx, len(o.Zones)*o.TargetsPerZone*slots), qt.IsNil)
+	return f
+}
+
+// reply is what a caller received.
+type reply struct {
+	status int
+	api.CompleteAnswer
+	api.OtherAnswer
+}
+
+// send posts a job; a nil reply with an error that is a refused dial says that
+// nothing was sent.
+func send(client *http.Client, address, body string) (*reply, error) {
+	response, err := client.Post("http://"+address+"/v1/jobs", "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	r := &reply{status: response.StatusCode}
+	if r.status == http.StatusOK {
+		return r, json.Unmarshal(answer, &r.CompleteAnswer)
+	}
+	return r, json.Unmarshal(answer, &r.OtherAnswer)
+}
+
+// jobBody is a job of n tasks that each sleep for some milliseconds.
+func jobBody(id, service string, n, sleepMS int) string {
+	tasks := ""
+	for i := range n {
+		if i > 0 {
+			tasks += ","
+		}
+		tasks += fmt.Sprintf(`{"payload":{"sleep_ms":%d}}`, sleepMS)
+	}
+	return fmt.Sprintf(`{"id":%q,"service":%q,"attempt":1,"tasks":[%s]}`, id, service, tasks)
+}
+
+// whole reports whether a complete answer holds its own result for each task.
+func whole(r *reply, id string, n int) bool {
+	if len(r.Results) != n {
+		return false
+	}
+	for i, result := range r.Results {
+		var echo struct {
+			Task string `json:"task"`
+		}
+		if json.Unmarshal(result.Payload, &echo) != nil || echo.Task != fmt.Sprintf("%s/%d", id, i) {
+			return false
+		}
+	}
+	return true
+}
+
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// An operator stops an entry while callers wait for their jobs and others keep
+// sending. Each caller must get its whole answer, or a refusal that says "not
+// run", or find the port closed; nobody's request is cut in the middle.
+func TestPlannedStopUnderLoadCutsNothing(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 1, TargetsPerZone: 4})
+	address := f.CallerAddresses("")[0]
+	var mu sync.Mutex
+	completed, refused := 0, 0
+	first := make(chan struct{})
+	var once sync.Once
+	var wg sync.WaitGroup
+	for c := range 8 {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("stop-%d-%d", c, i)
+				r, err := send(client, address, jobBody(id, "thumbs", 3, 20))
+				if err != nil {
+					qt.Check(t, neverSent(err), qt.IsTrue, qt.Commentf("%v", err))
+					return
+				}
+				mu.Lock()
+				if r.status == http.StatusOK {
+					completed++
+					qt.Check(t, whole(r, id, 3), qt.IsTrue)
+				} else {
+					refused++
+					qt.Check(t, r.Run, qt.Equals, "not run")
+				}
+				mu.Unlock()
+				once.Do(func() { close(first) })
+				if r.status != http.StatusOK {
+					return
+				}
+			}
+		})
+	}
+	<-first
+	qt.Assert(t, f.Stop(), qt.IsNil)
+	wg.Wait()
+	qt.Assert(t, completed > 0, qt.IsTrue)
+	qt.Assert(t, f.Ledger.DoubledStarts(), qt.Equals, uint64(0))
+}
+
+// A target's VM loses power while it runs tasks. Jobs with a task on it fail
+// with "may have run", since the task may have had its effect; jobs elsewhere
+// are whole, and no task is started a second time.
+func TestTargetDiesWithTasksOnIt(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 1, TargetsPerZone: 3})
+	address := f.CallerAddresses("")[0]
+	const jobs = 12
+	replies := make([]*reply, jobs)
+	var wg sync.WaitGroup
+	for i := range jobs {
+		wg.Go(func() {
+			var err error
+			replies[i], err = send(http.DefaultClient, address, jobBody(fmt.Sprintf("die-%d", i), "alerts", 2, 300))
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	for f.Ledger.Starts() < jobs {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, f.targets[0].Kill(), qt.IsNil)
+	wg.Wait()
+	failed := 0
+	for i, r := range replies {
+		if r.status == http.StatusOK {
+			qt.Check(t, whole(r, fmt.Sprintf("die-%d", i), 2), qt.IsTrue)
+			continue
+		}
+		failed++
+		qt.Check(t, r.Reason, qt.Equals, job.TargetLost)
+		qt.Check(t, r.Run, qt.Equals, "may have run")
+	}
+	qt.Assert(t, failed > 0, qt.IsTrue)
+	qt.Assert(t, f.Ledger.DoubledStarts(), qt.Equals, uint64(0))
+	_ = f.Stop()
+}
+
+// An operator takes a target out of service while it works. What runs on it
+// ends with its result; nothing new is started on it once it has withdrawn.
+func TestLeavingTargetFinishesAndGetsNothingNew(t *testing.T) {
+	ledgers := map[int]*standin.Ledger{}
+	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 1, TargetsPerZone: 2, Change: func(i int, o *standin.Options) {
+		ledgers[i] = standin.NewLedger()
+		o.Ledger = ledgers[i]
+	}})
+	address := f.CallerAddresses("")[0]
+	done := make(chan *reply)
+	go func() {
+		r, err := send(http.DefaultClient, address, jobBody("leave", "alerts", 8, 300))
+		qt.Check(t, err, qt.IsNil)
+		done <- r
+	}()
+	for ledgers[0].Starts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leaving := f.targets[0]
+	leaving.stop()
+	r := <-done
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	<-leaving.done
+	before := ledgers[0].Starts()
+	for i := range 4 {
+		r, err := send(http.DefaultClient, address, jobBody(fmt.Sprintf("after-%d", i), "alerts", 4, 1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, ledgers[0].Starts(), qt.Equals, before)
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
