Carry messages between entries over WebSocket and CBOR

Cause: the entries had only the in-memory network of the tests.

Change: one link a pair, dialled by the entry with the smaller name, with a handshake in which both sides prove the shared secret by an HMAC over both hellos. A frame counts as handed from the moment the writer takes it: calls whose frame was not taken end in ErrNotSent, all others in ErrNoAnswer. A planned stop waits for the closing handshake: closing at once reset the connection and lost what the peer had not read.

Ruled out: WebSocket pings (heartbeats show life already), compression (bodies are payloads of unknown kind and a write is short), a link each way (twice the connections for the same order of messages).

--- /dev/null
+++ b/internal/peer/links.go
@@ -0,0 +1,355 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// Path is where an entry takes links on its peer listener.
+const Path = "/v1/peer"
+
+const (
+	dialTimeout = 2 * time.Second
+	// The pause between dials starts short, since most broken links are
+	// restarts, and grows to one that costs nothing while a peer is away for
+	// days. Jitter keeps the entries of a zone from dialling a returning one
+	// all at the same moment.
+	minPause = 50 * time.Millisecond
+	maxPause = time.Second
+	// closeTimeout is how long a planned stop waits for queued frames to leave.
+	closeTimeout = 500 * time.Millisecond
+	// maxHandshakes bounds the connections that have not proved themselves, so
+	// that strangers can't hold many goroutines and buffers.
+	maxHandshakes     = 64
+	readHeaderTimeout = 2 * time.Second
+	maxHeaderBytes    = 8 << 10
+)
+
+// Clock is the hybrid logical clock whose reading each frame carries.
+type Clock interface {
+	Now() uint64
+	Observe(uint64)
+}
+
+// Peer is one other entry as the process settings name it.
+type Peer struct {
+	Entry   job.EntryID
+	Zone    job.Zone
+	Address string
+}
+
+// Options are the settings of the links.
+type Options struct {
+	Self  job.Owner
+	Peers []Peer
+	// Secret is shared by all entries. Without it only loopback addresses may
+	// be linked.
+	Secret []byte
+	Clock  Clock
+	Log    *slog.Logger
+	// OnLink, when set, is told that the link to an entry came up or went
+	// down. It must not block.
+	OnLink func(to job.EntryID, up bool)
+}
+
+// Links is the Mesh over WebSocket and CBOR: of each pair of entries the one
+// with the smaller name dials.
+type Links struct {
+	opts    Options
+	log     *slog.Logger
+	stats   counters
+	remotes map[job.EntryID]*remote
+	client  *http.Client
+	// unproven counts the connections in their handshake.
+	unproven atomic.Int64
+
+	mu       sync.RWMutex
+	handlers map[Kind]Handler
+	ordered  map[Kind]bool
+	closed   bool
+}
+
+// remote is one configured peer and its link, if there is one.
+type remote struct {
+	Peer
+	// change is held while one link replaces another, so that the requests of
+	// the old one are read to their end before those of the new one.
+	change sync.Mutex
+	mu     sync.RWMutex
+	link   *link
+}
+
+var _ Mesh = (*Links)(nil)
+
+// New returns links that are not up yet: set the handlers, mount Handler, then
+// call Run.
+func New(opts Options) *Links {
+	l := &Links{
+		opts: opts, log: opts.Log, stats: counters{kinds: map[Kind]*KindStats{}},
+		remotes: map[job.EntryID]*remote{}, handlers: map[Kind]Handler{}, ordered: map[Kind]bool{},
+	}
+	if l.log == nil {
+		l.log = slog.New(slog.DiscardHandler)
+	}
+	for _, p := range opts.Peers {
+		if p.Entry != opts.Self.Entry {
+			l.remotes[p.Entry] = &remote{Peer: p}
+		}
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	l.client = &http.Client{Transport: &http.Transport{
+		DialContext:           dialer.DialContext,
+		ResponseHeaderTimeout: dialTimeout,
+		DisableKeepAlives:     true,
+	}}
+	return l
+}
+
+// Self returns this entry's own life.
+func (l *Links) Self() job.Owner { return l.opts.Self }
+
+// Stats returns the counts by kind, in the order of the kinds.
+func (l *Links) Stats() []KindStats { return l.stats.list() }
+
+// Up reports whether the link to an entry stands, as far as this side knows.
+func (l *Links) Up(to job.EntryID) bool { return l.current(to) != nil }
+
+// Handle sets the handler of a kind.
+func (l *Links) Handle(kind Kind, h Handler) { l.set(kind, h, false) }
+
+// HandleInOrder sets a handler that gets the messages of one peer in order.
+func (l *Links) HandleInOrder(kind Kind, h Handler) { l.set(kind, h, true) }
+
+func (l *Links) set(kind Kind, h Handler, ordered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[kind], l.ordered[kind] = h, ordered
+}
+
+func (l *Links) handler(kind Kind) (Handler, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.handlers[kind], l.ordered[kind]
+}
+
+func (l *Links) now() uint64 {
+	if l.opts.Clock == nil {
+		return 0
+	}
+	return l.opts.Clock.Now()
+}
+
+func (l *Links) observe(stamp uint64) {
+	if l.opts.Clock != nil && stamp != 0 {
+		l.opts.Clock.Observe(stamp)
+	}
+}
+
+// Call sends a request and waits for its answer. With the link down it fails
+// at once.
+func (l *Links) Call(ctx context.Context, to job.EntryID, kind Kind, req, resp any) error {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return errors.Annotatef(ErrNotSent, "encoding: %v", err)
+	}
+	k := l.current(to)
+	if k == nil {
+		return errors.Annotatef(ErrNotSent, "no link to %s", to)
+	}
+	answer, err := k.call(ctx, kind, body)
+	if err != nil || resp == nil {
+		return err
+	}
+	if err := cbor.Unmarshal(answer, resp); err != nil {
+		return errors.Annotatef(ErrNoAnswer, "decoding the answer of %s: %v", to, err)
+	}
+	return nil
+}
+
+// Send sends a message that expects no answer; it never waits for the network.
+func (l *Links) Send(to job.EntryID, kind Kind, msg any) error {
+	body, err := cbor.Marshal(msg)
+	if err != nil {
+		return errors.Annotatef(ErrNotSent, "encoding: %v", err)
+	}
+	k := l.current(to)
+	if k == nil {
+		return errors.Annotatef(ErrNotSent, "no link to %s", to)
+	}
+	_, err = k.enqueue(&frame{Kind: kind, Body: body}, nil)
+	return err
+}
+
+func (l *Links) current(to job.EntryID) *link {
+	r := l.remotes[to]
+	if r == nil {
+		return nil
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.link
+}
+
+// Run dials the peers with a larger name and keeps the links up until ctx
+// ends; then it closes them all after what is queued has left.
+func (l *Links) Run(ctx context.Context) error {
+	if err := l.checkLoopback(); err != nil {
+		return errors.Trace(err)
+	}
+	var wg sync.WaitGroup
+	for _, r := range l.remotes {
+		if l.opts.Self.Entry < r.Entry {
+			wg.Go(func() { l.keepDialling(ctx, r) })
+		}
+	}
+	<-ctx.Done()
+	l.close()
+	wg.Wait()
+	return nil
+}
+
+func (l *Links) checkLoopback() error {
+	if len(l.opts.Secret) > 0 {
+		return nil
+	}
+	for _, r := range l.remotes {
+		if !isLoopback(r.Address) {
+			return errors.NotValidf("peer %s at %s without a peer secret (only loopback addresses may do without)", r.Entry, r.Address)
+		}
+	}
+	return nil
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+func (l *Links) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for id := range l.remotes {
+		if k := l.current(id); k != nil {
+			wg.Go(func() { k.closeGracefully(ctx) })
+		}
+	}
+	wg.Wait()
+}
+
+func (l *Links) isClosed() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.closed
+}
+
+func (l *Links) keepDialling(ctx context.Context, r *remote) {
+	pause := minPause
+	for ctx.Err() == nil {
+		start := time.Now()
+		err := l.dial(ctx, r)
+		if time.Since(start) > maxPause {
+			pause = minPause
+		}
+		if pause == minPause && ctx.Err() == nil {
+			l.log.Warn("peer link not up", "peer", r.Entry, "address", r.Address, "cause", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// dial opens one link and serves it until it breaks.
+func (l *Links) dial(ctx context.Context, r *remote) error {
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialing, "ws://"+r.Address+Path, &websocket.DialOptions{HTTPClient: l.client})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	theirs, err := dialHandshake(ctx, conn, l.opts.Self, r.Entry, l.opts.Secret, r.check)
+	if err != nil {
+		_ = conn.CloseNow()
+		return errors.Trace(err)
+	}
+	return l.serve(r, newLink(l, theirs, conn))
+}
+
+func (r *remote) check(o job.Owner) error {
+	if o.Entry != r.Entry || o.Zone != r.Zone {
+		return errors.Annotatef(ErrHandshake, "it says that it is %s in zone %s, settings say %s in %s", o.Entry, o.Zone, r.Entry, r.Zone)
+	}
+	return nil
+}
+
+// serve makes k the link to r and serves it until it breaks. A link of an
+// earlier life of the peer never replaces one of a later life.
+func (l *Links) serve(r *remote, k *link) error {
+	r.change.Lock()
+	if old := l.current(r.Entry); old != nil {
+		if old.remote.Incarnation > k.remote.Incarnation {
+			r.change.Unlock()
+			_ = k.conn.CloseNow()
+			return errors.Annotate(ErrHandshake, "an earlier life of the peer")
+		}
+		old.breakOff()
+		<-old.finished
+	}
+	r.set(k)
+	r.change.Unlock()
+	if l.isClosed() {
+		k.breakOff()
+	}
+	l.log.Info("peer link up", "peer", r.Entry, "zone", r.Zone, "incarnation", k.remote.Incarnation)
+	l.tell(r.Entry, true)
+	err := k.run()
+	if r.clear(k) {
+		l.tell(r.Entry, false)
+	}
+	return err
+}
+
+func (l *Links) tell(to job.EntryID, up bool) {
+	if l.opts.OnLink != nil {
+		l.opts.OnLink(to, up)
+	}
+}
+
+func (r *remote) set(k *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.link = k
+}
+
+// clear takes k out and reports whether no later link has replaced it.
+func (r *remote) clear(k *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.link != k {
+		return false
+	}
+	r.link = nil
+	return true
+}
