Wire links, register, time line and status into the entry

Configurations now go through the entries' own agreement: the demo's fleet of three availability zones applies its first file to three voters and waits until it is in force on all six entries. /debug/vars, status and time line are served on the operators' address; a drain there ends the process as SIGTERM does.

Tasks still stay with the entry that got the job; hand-over comes next.

--- a/cmd/vanillagrade/demo.go
+++ b/cmd/vanillagrade/demo.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/fleet"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
@@ -23,6 +22,7 @@
 const (
 	demoTargetsPerZone = 4
 	demoSlots          = 8
+	demoZones          = 3
 	demoPool           = "frame-desk"
 	demoTime           = 30 * time.Second
 )
@@ -45,24 +45,20 @@
 }
 
 func (c *demoCmd) demo(ctx context.Context, stdout io.Writer) error {
-	file, err := config.Parse("demo", []byte(demoFile))
-	if err != nil {
-		return errors.Trace(err)
-	}
 	f, err := fleet.Start(fleet.Options{
-		Zones:          []job.Zone{"tomebamba"},
-		EntriesPerZone: 1,
+		Zones:          []job.Zone{"tomebamba", "yanuncay", "machangara"},
+		EntriesPerZone: 2,
 		TargetsPerZone: demoTargetsPerZone,
 		Pool:           demoPool,
-		Config:         config.Fixed{File: file},
+		File:           []byte(demoFile),
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err := f.WaitReady(ctx, demoTargetsPerZone*demoSlots); err != nil {
+	if err := f.WaitReady(ctx, demoZones*demoTargetsPerZone*demoSlots); err != nil {
 		return errors.Trace(err)
 	}
-	fmt.Fprintln(stdout, "fleet: 1 availability zone, 1 entry, 4 stand-in targets of 8 slots")
+	fmt.Fprintln(stdout, "fleet: 3 availability zones of 2 entries and 4 stand-in targets; the first file is in force everywhere")
 	if err := c.runJob(ctx, stdout, f); err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -35,6 +35,8 @@
 	Entry    *entryCmd    `arg:"subcommand:entry" help:"run an entry: the daemon on each entry VM"`
 	Target   *targetCmd   `arg:"subcommand:target" help:"run a stand-in target, for trials and tests"`
 	Check    *checkCmd    `arg:"subcommand:check" help:"check a declarative file offline"`
+	Apply    *applyCmd    `arg:"subcommand:apply" help:"apply a declarative file as a whole"`
+	Drain    *drainCmd    `arg:"subcommand:drain" help:"begin a planned stop of one entry"`
 	Submit   *submitCmd   `arg:"subcommand:submit" help:"send a job and print its answer"`
 	Demo     *demoCmd     `arg:"subcommand:demo" help:"run a whole fleet in this process and one job through it"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"print what entries say of themselves and of the fleet"`
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/register"
 )
 
 var _ api.Dispatcher = (*Entry)(nil)
@@ -40,3 +41,8 @@
 	}
 	return nil
 }
+
+// Apply has a declarative file accepted, as an operator's request does.
+func (e *Entry) Apply(ctx context.Context, changeID string, body []byte) (register.Accepted, error) {
+	return e.register.Apply(ctx, changeID, body)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,7 +18,9 @@
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
 	"github.com/vanillagrade/vanillagrade/internal/target"
@@ -37,7 +40,8 @@
 	Log       *slog.Logger
 	// Scheduler switches single decisions off, for measurements.
 	Scheduler scheduler.Options
-	// Config is the configuration in force.
+	// Config, when set, is in force in place of what the entries agree on; the
+	// load tool uses it.
 	Config config.View
 	// Incarnation numbers this life of the entry; zero takes the clock.
 	Incarnation job.Incarnation
@@ -51,6 +55,9 @@
 	clock  *timeline.Clock
 	ring   *timeline.Ring
 	config config.View
+	links  *peer.Links
+
+	register *register.Register
 
 	record  *pipeline.Record
 	check   *pipeline.Check
@@ -61,6 +68,10 @@
 	holders *holders
 	targets *targets
 	memory  *api.ByteBudget
+
+	// stopping is closed when an operator asks for a planned stop.
+	stopping chan struct{}
+	stopOnce sync.Once
 }
 
 // bodyMemory bounds the bytes of submissions that one entry holds. It is half
@@ -89,7 +100,8 @@
 		log:    o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
 		clock:  timeline.NewClock(time.Now),
 		memory: api.NewByteBudget(bodyMemory),
-		config: o.Config,
+
+		stopping: make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
 	if err := e.assemble(); err != nil {
@@ -119,8 +131,29 @@
 	return nil
 }
 
-// assemble joins the parts.
+// assemble joins the parts: first what entries share, then the path.
 func (e *Entry) assemble() error {
+	if err := e.assembleShared(); err != nil {
+		return errors.Trace(err)
+	}
+	e.assemblePath()
+	e.configure(nil, e.config.Current())
+	e.register.OnChange(e.configure)
+	return nil
+}
+
+// configure brings a file into force in every stage that keeps something of
+// it; the others read the view.
+func (e *Entry) configure(_, updated *config.File) {
+	if updated == nil {
+		return
+	}
+	e.admit.Configure(updated, e.quotaShare())
+	e.holder.Configure(updated)
+}
+
+// assemblePath joins the stages.
+func (e *Entry) assemblePath() {
 	e.holder = holder.New(holder.Options{
 		Self:      e.self,
 		Config:    e.config,
@@ -142,8 +175,6 @@
 		e.admit,
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
 	)
-	e.admit.Configure(e.config.Current(), 1)
-	return nil
 }
 
 // Run serves until ctx ends and then stops as planned: no request in progress
@@ -153,9 +184,14 @@
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
 	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
 	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
-	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, caller.Handler(), e.opts.Listeners.Caller) })
+	listen := e.opts.Listeners
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, caller.Handler(), listen.Caller) })
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.operator().Handler(), listen.Operator) })
+	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
+	e.add(&g, e.links.Run)
+	e.add(&g, e.register.Run)
 	e.add(&g, e.targets.expire)
-	stopped, stop := context.WithCancel(ctx)
+	stopped, stop := e.stopContext(ctx)
 	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
 	err := g.Run()
 	e.holder.Close()
--- /dev/null
+++ b/internal/entry/shared.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/register"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// assembleShared joins what entries share: links, configuration, time line.
+func (e *Entry) assembleShared() error {
+	s := &e.opts.Settings
+	var peers []peer.Peer
+	var names []job.EntryID
+	for _, p := range s.Others() {
+		peers = append(peers, peer.Peer{Entry: p.Entry, Zone: p.Zone, Address: p.Address})
+		names = append(names, p.Entry)
+	}
+	e.links = peer.New(peer.Options{Self: e.self, Peers: peers, Secret: s.PeerSecret, Clock: e.clock, Log: e.log})
+	store, err := e.openStore()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e.register = register.New(register.Options{
+		Mesh:    e.links,
+		Store:   store,
+		Voters:  s.Voters,
+		Entries: names,
+		Log:     e.log,
+		Events:  e.ring,
+	})
+	e.config = e.register
+	if e.opts.Config != nil {
+		e.config = e.opts.Config
+	}
+	timeline.Serve(e.links, e.ring)
+	return nil
+}
+
+// openStore opens the data folder; nil on a VM without a disk.
+func (e *Entry) openStore() (*storage.Store, error) {
+	if e.opts.Settings.DataDir == "" {
+		return nil, nil
+	}
+	store, err := storage.Open(e.opts.Settings.DataDir, storage.OS{})
+	return store, errors.Annotate(err, "--data")
+}
+
+// quotaShare is the part of each team's quota that this entry gives out: the
+// balancer spreads callers over all entries.
+func (e *Entry) quotaShare() float64 {
+	return 1
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,14 +41,21 @@
 	Change func(index int, o *standin.Options)
 	// Scheduler switches single decisions off, for measurements.
 	Scheduler scheduler.Options
-	// Config is the configuration in force.
+	// File is a declarative file that is applied at the start; the first
+	// entries of up to three zones vote on it.
+	File []byte
+	// Config, when set, is in force in place of File, without agreement.
 	Config config.View
-	Log    *slog.Logger
+	// Dir is where voters keep their data; by default a temporary folder that
+	// Stop removes.
+	Dir string
+	Log *slog.Logger
 }
 
 // Fleet is a running fleet.
 type Fleet struct {
 	opts    Options
+	temp    bool
 	Ledger  *standin.Ledger
 	entries []*member
 	targets []*standTarget
@@ -90,19 +100,70 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	f := &Fleet{opts: o, Ledger: standin.NewLedger()}
+	if err := f.makeDir(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	if err := f.startEntries(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if o.File != nil {
+		if err := f.applyFirst(); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	if err := f.startTargets(); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return f, nil
 }
 
+// makeDir makes the folder of the voters' data.
+func (f *Fleet) makeDir() error {
+	if f.opts.Dir != "" {
+		return nil
+	}
+	dir, err := os.MkdirTemp("", "vanillagrade-fleet-")
+	f.opts.Dir = dir
+	f.temp = true
+	return errors.Trace(err)
+}
+
+// firstApply bounds the first agreement: three synced writes and a few tries
+// while the links come up.
+const firstApply = 20 * time.Second
+
+// applyFirst applies the first file and waits until it is in force everywhere.
+func (f *Fleet) applyFirst() error {
+	ctx, cancel := context.WithTimeout(context.Background(), firstApply)
+	defer cancel()
+	if _, err := f.entries[0].entry.Apply(ctx, "first", f.opts.File); err != nil {
+		return errors.Annotate(err, "applying the first file")
+	}
+	for _, m := range f.entries {
+		if err := wait(ctx, func() bool { return m.entry.Ready() == nil }); err != nil {
+			return errors.Annotatef(err, "entry %s has no configuration", m.name)
+		}
+	}
+	return nil
+}
+
+// wait polls until done or until ctx ends.
+func wait(ctx context.Context, done func() bool) error {
+	const poll = 10 * time.Millisecond
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-time.After(poll):
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) startEntries() error {
 	for _, zone := range f.opts.Zones {
 		for i := range f.opts.EntriesPerZone {
-			m := &member{name: job.EntryID(fmt.Sprintf("%s-%d", zone, i+1)), zone: zone}
+			m := &member{name: entryName(zone, i), zone: zone}
 			if err := m.open(); err != nil {
 				return errors.Trace(err)
 			}
@@ -155,9 +216,29 @@
 	for _, p := range f.entries {
 		s.Peers = append(s.Peers, settings.Peer{Entry: p.name, Zone: p.zone, Address: p.listen.Peer.Addr().String()})
 	}
+	s.Voters = f.voters()
+	if slices.Contains(s.Voters, m.name) {
+		s.DataDir = filepath.Join(f.opts.Dir, string(m.name))
+	}
 	return s
 }
 
+// maxVoters is how many entries vote: three bear the loss of one.
+const maxVoters = 3
+
+// voters returns the first entry of each of an odd number of zones.
+func (f *Fleet) voters() []job.EntryID {
+	var names []job.EntryID
+	for _, zone := range f.opts.Zones[:min(maxVoters, len(f.opts.Zones)-1+len(f.opts.Zones)%2)] {
+		names = append(names, entryName(zone, 0))
+	}
+	return names
+}
+
+func entryName(zone job.Zone, i int) job.EntryID {
+	return job.EntryID(fmt.Sprintf("%s-%d", zone, i+1))
+}
+
 func (f *Fleet) startTargets() error {
 	index := 0
 	for _, zone := range f.opts.Zones {
@@ -235,21 +316,15 @@
 // WaitReady waits until the entries know slots of the pool in all, or ctx
 // ends.
 func (f *Fleet) WaitReady(ctx context.Context, slots int) error {
-	const poll = 10 * time.Millisecond
-	for {
-		known := 0
+	known := 0
+	err := wait(ctx, func() bool {
+		known = 0
 		for _, m := range f.entries {
 			known += m.entry.Slots(f.opts.Pool)
 		}
-		if known >= slots {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Annotatef(ctx.Err(), "%d of %d slots are known", known, slots)
-		case <-time.After(poll):
-		}
-	}
+		return known >= slots
+	})
+	return errors.Annotatef(err, "%d of %d slots are known", known, slots)
 }
 
 // Stop stops all entries as planned, side by side, and then the targets.
@@ -266,6 +341,9 @@
 	for _, t := range f.targets {
 		<-t.done
 	}
+	if f.temp {
+		_ = os.RemoveAll(f.opts.Dir)
+	}
 	for _, m := range f.entries {
 		if m.err != nil {
 			return errors.Annotatef(m.err, "entry %s", m.name)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -32,11 +32,8 @@
 // startTest starts a fleet and waits until its entries know all slots.
 func startTest(t *testing.T, o Options) *Fleet {
 	t.Helper()
-	if o.Config == nil {
-		file, err := config.Parse("test", []byte(testFile))
-		qt.Assert(t, err, qt.IsNil)
-		o.Config = config.Fixed{File: file}
-	}
+	o.File = []byte(testFile)
+	o.Dir = t.TempDir()
 	o.Pool = testPool
 	f, err := Start(o)
 	qt.Assert(t, err, qt.IsNil)
@@ -52,9 +49,9 @@
 
 // reply is what a caller received.
 type reply struct {
-	status int
-	api.CompleteAnswer
-	api.OtherAnswer
+	status   int
+	complete api.CompleteAnswer
+	other    api.OtherAnswer
 }
 
 // send posts a job; a nil reply with an error that is a refused dial says that
@@ -71,9 +68,9 @@
 	}
 	r := &reply{status: response.StatusCode}
 	if r.status == http.StatusOK {
-		return r, json.Unmarshal(answer, &r.CompleteAnswer)
+		return r, json.Unmarshal(answer, &r.complete)
 	}
-	return r, json.Unmarshal(answer, &r.OtherAnswer)
+	return r, json.Unmarshal(answer, &r.other)
 }
 
 // jobBody is a job of n tasks that each sleep for some milliseconds.
@@ -90,10 +87,10 @@
 
 // whole reports whether a complete answer holds its own result for each task.
 func whole(r *reply, id string, n int) bool {
-	if len(r.Results) != n {
+	if len(r.complete.Results) != n {
 		return false
 	}
-	for i, result := range r.Results {
+	for i, result := range r.complete.Results {
 		var echo struct {
 			Task string `json:"task"`
 		}
@@ -136,7 +133,7 @@
 					qt.Check(t, whole(r, id, 3), qt.IsTrue)
 				} else {
 					refused++
-					qt.Check(t, r.Run, qt.Equals, "not run")
+					qt.Check(t, r.other.Run, qt.Equals, "not run")
 				}
 				mu.Unlock()
 				once.Do(func() { close(first) })
@@ -181,8 +178,8 @@
 			continue
 		}
 		failed++
-		qt.Check(t, r.Reason, qt.Equals, job.TargetLost)
-		qt.Check(t, r.Run, qt.Equals, "may have run")
+		qt.Check(t, r.other.Reason, qt.Equals, job.TargetLost)
+		qt.Check(t, r.other.Run, qt.Equals, "may have run")
 	}
 	qt.Assert(t, failed > 0, qt.IsTrue)
 	qt.Assert(t, f.Ledger.DoubledStarts(), qt.Equals, uint64(0))
