Refuse an address until its lapsed target is ended; give up silent targets

An address whose lease had run out, but had not been looked at yet, was taken over by another target without a word: the holder was never told that the first one was gone and would have given one process two targets' slots.

A task without an answer ended as "deadline passed" though it had none; it is a lost target. A target that comes back from another holder counts that one's tasks as foreign again.

--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -433,6 +433,12 @@
 		h.SetTarget(adopted)
 		synctest.Wait()
 		qt.Assert(t, f.given("1"), qt.Equals, 7)
+		h.RemoveTarget("1") // away to another holder and back, with 2 of its tasks
+		adopted.Running = 7 + 2
+		h.SetTarget(adopted)
+		h.Offer(batchOf("k", 5), func([]job.TaskOutcome) {})
+		synctest.Wait()
+		qt.Assert(t, f.given("1"), qt.Equals, 7)
 		adopted.Running = 7
 		h.SetTarget(adopted)
 		synctest.Wait()
--- a/internal/holder/loopback_test.go
+++ b/internal/holder/loopback_test.go
@@ -161,6 +161,8 @@
 				h.Offer(batchOf(job.ID(fmt.Sprint(i)), size), func([]job.TaskOutcome) { <-window })
 			}
 			qt.Assert(b, h.Drain(b.Context()), qt.IsNil)
+			qt.Assert(b, h.Stats().Failed, qt.Equals, uint64(0))
+			b.ReportMetric(float64(h.Stats().Requeued), "requeued")
 			b.ReportMetric(float64(h.Stats().Done)/b.Elapsed().Seconds(), "tasks/s")
 		})
 	}
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -28,7 +28,7 @@
 // effects are what a change of state asks for. They are carried out after the
 // lock is released, since a report may come back with another offer.
 type effects struct {
-	launches []launch
+	launches []*launch
 	after    []func()
 }
 
@@ -110,7 +110,7 @@
 	if b.offered.Single && b.service.Repeatable && b.retries == 0 {
 		p.budget(b.service.Name).Request(now)
 	}
-	e.launches = append(e.launches, launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
+	e.launches = append(e.launches, &launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
 }
 
 // wakeAt sets the one timer of the pool. Too early a wake-up only costs a look.
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -24,7 +24,7 @@
 }
 
 // run sends one task and takes its end. It is the only goroutine of the task.
-func (p *pool) run(l launch) {
+func (p *pool) run(l *launch) {
 	stats := &p.holder.stats
 	stats.starts.Add(1)
 	stats.sent.Add(uint64(len(l.start.Task.Payload)))
@@ -40,7 +40,7 @@
 	p.change(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
 }
 
-func (p *pool) finished(now time.Time, l launch, res target.Result, e *effects) {
+func (p *pool) finished(now time.Time, l *launch, res target.Result, e *effects) {
 	b := l.batch
 	delete(b.running, l.start.Index)
 	l.link.running--
@@ -60,7 +60,7 @@
 
 // sendAgain queues a task again that its target provably did not start, or
 // that may be repeated. The scheduler bounds the attempts.
-func (p *pool) sendAgain(now time.Time, l launch, res target.Result) bool {
+func (p *pool) sendAgain(now time.Time, l *launch, res target.Result) bool {
 	if l.batch.reported || res.Status == job.TaskDone || p.holder.ctx.Err() != nil {
 		return false
 	}
@@ -81,7 +81,7 @@
 
 // mayRepeat reports whether a task that may have run may run once more. A task
 // of a job and a request that is not repeatable never does.
-func (p *pool) mayRepeat(now time.Time, l launch, res target.Result) bool {
+func (p *pool) mayRepeat(now time.Time, l *launch, res target.Result) bool {
 	b := l.batch
 	if !b.offered.Single || !b.service.Repeatable || b.retries >= maxRetries {
 		return false
@@ -116,7 +116,7 @@
 	}
 }
 
-func outcomeOf(l launch, res target.Result) job.TaskOutcome {
+func outcomeOf(l *launch, res target.Result) job.TaskOutcome {
 	o := job.TaskOutcome{
 		Index:   l.start.Index,
 		Status:  res.Status,
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -105,6 +105,8 @@
 		p.ranked.Push(t)
 	}
 	if t.leaving {
+		// It comes back from another holder, whose tasks may still run there.
+		t.foreign = announced.Running
 		t.leaving = false
 		p.ranked.Push(t)
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -295,6 +295,28 @@
 	}
 }
 
+// A target takes a task and never answers. Its slot would be lost for ever,
+// and with it, in time, the whole target.
+func TestSilentTargetIsGivenUp(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	silent := func(net.Conn, *http.Request) bool { <-release; return false }
+	torn := func(c net.Conn, r *http.Request) bool {
+		return answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntrue")(c, r) && silent(c, r)
+	}
+	for name, s := range map[string]step{"no answer": silent, "half an answer": torn} {
+		t.Run(name, func(t *testing.T) {
+			raw := serveRaw(t, s)
+			l := NewClient(ClientOptions{MaxRun: 30 * time.Millisecond}).Link(raw.Addr().String(), 1)
+			res := l.Start(t.Context(), Task{Submission: "x", Payload: []byte("1")})
+			qt.Assert(t, res.Status, qt.Equals, job.TaskErred, qt.Commentf("%+v", res))
+			qt.Assert(t, res.Reason, qt.Equals, job.TargetLost)
+			most, total := raw.most()
+			qt.Assert(t, []int{most, total}, qt.DeepEquals, []int{1, 1})
+		})
+	}
+}
+
 // A target may let all entries together have only so many connections. One
 // more and it refuses the ones that carry work.
 func TestConnectionLimitIsKept(t *testing.T) {
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -110,8 +110,9 @@
 	if l := r.held[t.ID]; l != nil && l.former.address == t.Address && now.Before(l.former.until) {
 		return errors.AlreadyExistsf("target %s at %s: two targets announce one id, and it", t.ID, l.target.Address)
 	}
-	other, ok := r.byAddress[t.Address]
-	if ok && other != t.ID && now.Before(r.held[other].expires) {
+	// Also while the other's lease has run out but not been ended yet: taken
+	// over here, nobody would tell the holder that the other target is gone.
+	if other, ok := r.byAddress[t.Address]; ok && other != t.ID {
 		return errors.AlreadyExistsf("target %s at %s", other, t.Address)
 	}
 	return nil
@@ -119,9 +120,6 @@
 
 func (r *Registry) put(now time.Time, t job.Target, lasts time.Duration) {
 	delete(r.withdrawn, t.ID)
-	if other, ok := r.byAddress[t.Address]; ok && other != t.ID {
-		r.drop(other)
-	}
 	l := r.held[t.ID]
 	if l == nil {
 		l = &lease{}
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -123,6 +123,7 @@
 		{2.5, "t2", "10.0.0.1:80", "", "10.0.0.1:81"},
 		{4.5, "t1", "10.0.0.1:82", "", "10.0.0.1:82"},
 		{5, "t3", "10.0.0.1:81", "", "10.0.0.1:82"},
+		{7, "t4", "10.0.0.1:80", "target t2 at 10.0.0.1:80 already exists", "10.0.0.1:82"},
 	}
 	for _, s := range steps {
 		_, _, err := r.Announce(at(s.at), sample(s.id, s.address))
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -27,6 +27,9 @@
 	stopTimeout = 2 * time.Second
 )
 
+// errNoAnswer ends a task that took longer than the client waits.
+const errNoAnswer = errors.ConstError("no answer from the target within the longest run time")
+
 // Refusal says what kind of "not started" it was, since each is met
 // differently.
 type Refusal uint8
@@ -70,9 +73,9 @@
 // written, or on the target's own word.
 func (l *Link) Start(ctx context.Context, t Task) Result {
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, l.opts.MaxRun)
+	bounded, cancel := context.WithTimeoutCause(ctx, l.opts.MaxRun, errNoAnswer)
 	defer cancel()
-	res := l.try(ctx, t)
+	res := l.try(bounded, t)
 	res.Ran = time.Since(begun)
 	return res
 }
@@ -138,13 +141,13 @@
 func failed(ctx context.Context, err error, unsent bool) Result {
 	res := Result{Status: job.TaskErred, Reason: job.TargetLost, Detail: err.Error()}
 	switch {
-	case unsent && ctx.Err() != nil:
+	case unsent && ctx.Err() != nil && !errors.Is(context.Cause(ctx), errNoAnswer):
 		res.Status, res.Refusal = job.TaskNotStarted, Abandoned
 	case unsent:
 		res.Status, res.Refusal = job.TaskNotStarted, Unreachable
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		res.Reason = job.DeadlinePassed
+	if cause := context.Cause(ctx); cause != nil {
+		res.Detail = cause.Error()
 	}
 	return res
 }
