Let a stopping entry linger, so that no reused connection is cut

Cause: the listener closed its idle connections the moment the last job had ended, while callers were writing their next request into them: they saw EOF and could not tell whether their job had run. Ruled out: requests in progress, which were all answered. Change: while an entry stops, each answer closes its connection, and the listener closes one second after the stop began at the earliest; only a connection that was silent all that time is closed under a caller. What is left: a caller whose connection was silent for the whole second may still write into its end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,9 @@
 	// Config, when set, is in force in place of what the entries agree on; the
 	// load tool uses it.
 	Config config.View
+	// Linger is how long a stopping entry keeps answering after its work has
+	// ended; zero takes DefaultLinger.
+	Linger time.Duration
 	// Incarnation numbers this life of the entry; zero takes the clock.
 	Incarnation job.Incarnation
 }
@@ -78,6 +81,14 @@
 // of a small entry VM's 1 GiB; the payloads are held once, as they came.
 const bodyMemory = 512 << 20
 
+// DefaultLinger is how long a stopping entry keeps its listener and its
+// connections. A caller that reuses a connection writes its next request without
+// knowing that the entry closes it, and can't tell whether it was read. While
+// the entry lingers each answer closes its connection, so only connections
+// that were silent for all this time are closed under a caller. A second is
+// above the time between two requests of any busy connection.
+const DefaultLinger = time.Second
+
 // stopBound bounds how long a stop waits for callers that do not read their
 // answer after all work has ended.
 const stopBound = 10 * time.Second
@@ -87,6 +98,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Linger == 0 {
+		o.Linger = DefaultLinger
+	}
 	if o.Incarnation == 0 {
 		o.Incarnation = job.Incarnation(time.Now().UnixNano())
 	}
@@ -185,7 +199,7 @@
 	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
 	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
 	listen := e.opts.Listeners
-	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, caller.Handler(), listen.Caller) })
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.closing(caller.Handler()), listen.Caller) })
 	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.operator().Handler(), listen.Operator) })
 	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
 	e.add(&g, e.links.Run)
@@ -209,17 +223,45 @@
 	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
 }
 
+// closing makes each answer of a stopping entry close its connection.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: e.check.Draining}, r)
+	})
+}
+
+// closingWriter looks again when the answer is written, for requests that
+// began before the stop.
+type closingWriter struct {
+	http.ResponseWriter
+	draining func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(code int) {
+	if w.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // stopAsPlanned waits for ctx and then for all work in progress. The other
 // parts of the entry keep running until it returns.
 func (e *Entry) stopAsPlanned(ctx context.Context) error {
 	<-ctx.Done()
 	e.check.Drain()
+	linger := time.NewTimer(e.opts.Linger)
+	defer linger.Stop()
 	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
 	e.log.Info("entry drains", "submissions", e.join.Running())
 	e.waitForSubmissions()
 	if err := e.holder.Drain(context.Background()); err != nil {
 		return errors.Trace(err)
 	}
+	<-linger.C
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -196,6 +196,7 @@
 		Log:       f.opts.Log,
 		Scheduler: f.opts.Scheduler,
 		Config:    f.opts.Config,
+		Linger:    linger,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -223,6 +224,9 @@
 	return s
 }
 
+// linger is shorter than on real VMs: everything here is on one machine.
+const linger = 300 * time.Millisecond
+
 // maxVoters is how many entries vote: three bear the loss of one.
 const maxVoters = 3
 
