--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -433,18 +433,26 @@
 		h.SetTarget(adopted)
 		synctest.Wait()
 		qt.Assert(t, f.given("1"), qt.Equals, 7)
-		h.RemoveTarget("1") // away to another holder and back, with 2 of its tasks
-		adopted.Running = 7 + 2
-		h.SetTarget(adopted)
-		h.Offer(batchOf("k", 5), func([]job.TaskOutcome) {})
-		synctest.Wait()
-		qt.Assert(t, f.given("1"), qt.Equals, 7)
 		adopted.Running = 7
 		h.SetTarget(adopted)
 		synctest.Wait()
 		qt.Assert(t, f.given("1"), qt.Equals, 8)
 		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
 	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		h := newHolder(f, "1")
+		h.Offer(batchOf("j", 5), func([]job.TaskOutcome) {})
+		synctest.Wait()
+		h.RemoveTarget("1")
+		back := announced("1")
+		back.Running = 5 + 2 // two of them another holder's
+		h.SetTarget(back)
+		h.Offer(batchOf("k", 5), func([]job.TaskOutcome) {})
+		synctest.Wait()
+		qt.Assert(t, f.given("1"), qt.Equals, 6)
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	})
 }
 
 // A batch arrives twice. The second must not be answered "not started" for
