--- /dev/null
+++ b/internal/consensus/value_test.go
@@ -0,0 +1,105 @@
+package consensus
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+func configure(id string, number uint64, body string) *Command {
+	return &Command{Kind: Configure, Change: Change{ID: id, Number: number, Digest: DigestOf([]byte(body))}, Body: []byte(body)}
+}
+
+func TestDecide(t *testing.T) {
+	v := Value{Version: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	for _, c := range []*Command{configure("one", 1, "x"), configure("three", 3, "y")} {
+		v = v.Apply(c)
+	}
+	one, three := v.Recent[0], v.Recent[1]
+	swap := func(old job.EntryID, updated Voter) *Command { return &Command{Kind: Replace, Old: old, New: updated} }
+	cases := map[string]struct {
+		command *Command
+		outcome Outcome
+		propose bool
+	}{
+		"higher number":               {configure("four", 4, "z"), Outcome{}, true},
+		"sent again":                  {configure("three", 3, "y"), Outcome{Accepted, three}, false},
+		"sent again after another":    {configure("one", 1, "x"), Outcome{Accepted, one}, false},
+		"id of another file":          {configure("one", 9, "w"), Outcome{Reused, one}, false},
+		"same file under another id":  {configure("again", 3, "y"), Outcome{Accepted, three}, false},
+		"equal number, other file":    {configure("late", 3, "z"), Outcome{Conflicted, three}, false},
+		"old number that was used":    {configure("late", 1, "z"), Outcome{Conflicted, one}, false},
+		"old number that was skipped": {configure("late", 2, "z"), Outcome{Conflicted, three}, false},
+		"read":                        {&Command{Kind: Read}, Outcome{Accepted, three}, false},
+		"replace":                     {swap("c", Voter{"d", "d#0"}), Outcome{}, true},
+		"replace by a new disk":       {swap("c", Voter{"c", "c#1"}), Outcome{}, true},
+		"replace again":               {swap("x", Voter{"c", "c#0"}), Outcome{Accepted, three}, false},
+		"replace a non-voter":         {swap("x", Voter{"d", "d#0"}), Outcome{NotVoting, three}, false},
+		"replace by another voter":    {swap("c", Voter{"b", "b#1"}), Outcome{NotVoting, three}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			outcome, propose := v.Decide(c.command)
+			qt.Assert(t, outcome, qt.Equals, c.outcome)
+			qt.Assert(t, propose, qt.Equals, c.propose)
+		})
+	}
+}
+
+// A fleet runs for years. If a value grew with each change, restarts would get
+// slower and records larger until a write no longer finished in time.
+func TestValueDoesNotGrowWithChanges(t *testing.T) {
+	v := Value{Version: 1}
+	size := func() int {
+		b, err := cbor.Marshal(v)
+		qt.Assert(t, err, qt.IsNil)
+		return len(b)
+	}
+	sizes := map[int]int{}
+	for n := 1; n <= 20000; n++ {
+		before := v
+		v = v.Apply(configure(fmt.Sprintf("01JE%022d", n), uint64(n), "body"))
+		qt.Assert(t, before.Version+1, qt.Equals, v.Version)
+		if n%5000 == 0 || n == 10 {
+			sizes[n] = size()
+		}
+	}
+	t.Logf("bytes by changes: %v", sizes)
+	qt.Assert(t, len(v.Recent), qt.Equals, RecentLimit)
+	qt.Assert(t, sizes[20000] < 50<<10, qt.IsTrue)
+	qt.Assert(t, sizes[20000]-sizes[5000] < 2048, qt.IsTrue)
+}
+
+// A voter's disk stalls for minutes while a proposer sends its message again and
+// again. The held replies must not pile up, nor may any leave before the write.
+func TestStalledDiskHoldsEachReplyOnce(t *testing.T) {
+	value := Value{Version: 1, Lineage: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	s := Start(Record{Self: value.Voters[0], Chosen: value}, nil, 1)
+	prepare := Message{Kind: MsgPrepare, From: value.Voters[1], To: "a", Version: 2, Ballot: Ballot{Round: 1, Entry: "b", Life: 2}}
+	for range 100 {
+		var out Output
+		s, out = Step(s, Received{prepare})
+		qt.Assert(t, out.Messages, qt.HasLen, 0)
+	}
+	qt.Assert(t, s.Held, qt.HasLen, 1)
+	s, out := Step(s, Synced{Seq: s.Issued})
+	qt.Assert(t, out.Messages, qt.HasLen, 1)
+	qt.Assert(t, out.Messages[0].Kind, qt.Equals, MsgPromise)
+	_, out = Step(s, Received{prepare})
+	qt.Assert(t, out.Messages, qt.HasLen, 1, qt.Commentf("an answer that rests on nothing new goes at once"))
+}
+
+// Two fleets share a network by a wrong setting. A message of the other one must
+// not be taken for a vote or a value of this one.
+func TestOtherLineageIsIgnored(t *testing.T) {
+	value := Value{Version: 1, Lineage: 1, Voters: []Voter{{"a", "a#0"}}}
+	s := Start(Record{Self: value.Voters[0], Chosen: value}, nil, 1)
+	other := Value{Version: 9, Lineage: 2}
+	next, out := Step(s, Received{Message{Kind: MsgLearn, From: Voter{"b", "b#0"}, To: "a", Lineage: 2, Version: 9, Value: &other}})
+	qt.Assert(t, next.Chosen.Version, qt.Equals, uint64(1))
+	qt.Assert(t, out.Messages, qt.HasLen, 0)
+}
--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -249,3 +249,71 @@
 		}
 	}
 }
+
+// A voter dies when the others have voted for its operator's change but before
+// it could tell anybody that the change was chosen. The operator may have been
+// told yes, so the change must come into force without anybody's doing.
+func TestProposerDiesBeforeItTells(t *testing.T) {
+	scenario(t, 3, 1, func(t *testing.T, f *fleet) {
+		answer := make(chan error, 1)
+		go func() {
+			_, err := f.apply("v1", "two", fileOf(2, "two"))
+			answer <- err
+		}()
+		// Prepare, promise and accept take a millisecond each; the votes are
+		// on their way back.
+		time.Sleep(3500 * time.Microsecond)
+		f.cut(true, "v1")
+		fs := f.crash("v1", storagetest.KeepNone)
+		for _, e := range []job.EntryID{"v2", "v3", "l1"} {
+			number, _ := f.nodes[e].Summary()
+			qt.Assert(t, number, qt.Equals, uint64(1))
+		}
+		f.inForce(2, 5*time.Second, "v2", "v3", "l1")
+		err := <-answer
+		qt.Assert(t, err == nil || errors.Is(err, ErrUnknown), qt.IsTrue, qt.Commentf("%v", err))
+		f.cut(false, "v1")
+		f.start("v1", fs)
+		f.inForce(2, 4*time.Second, f.entries...)
+	})
+}
+
+// An entry without a disk restarts while no voter can be reached. It must get
+// the configuration from any entry that holds it, and say that it is stale.
+func TestLearnerStartsWithoutVoters(t *testing.T) {
+	scenario(t, 3, 2, func(t *testing.T, f *fleet) {
+		f.cut(true, "l1", "l2")
+		f.crash("l2", storagetest.KeepNone)
+		f.start("l2", nil)
+		f.inForce(1, 3*time.Second, "l1", "l2")
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, f.nodes["l2"].State().Stale, qt.IsTrue)
+		qt.Assert(t, f.nodes["l2"].State().Serving, qt.Matches, "configuration 1,.*; stale: .*")
+	})
+}
+
+// A voter's disk is so slow that the change is chosen long before it is written
+// there. Were it in force at once, a crash would bring the old file back.
+func TestNothingIsInForceBeforeItIsSynced(t *testing.T) {
+	scenario(t, 3, 0, func(t *testing.T, f *fleet) {
+		f.nodes["v3"].fs.Slow(20 * time.Second)
+		f.mustApply("v1", 2)
+		f.inForce(2, 10*time.Second, "v1", "v2")
+		f.inForce(1, 0, "v3")
+		m := f.start("v3", f.crash("v3", storagetest.KeepNone))
+		qt.Assert(t, m.Current().Number, qt.Equals, uint64(1))
+		f.inForce(2, 4*time.Second, "v3")
+	})
+}
+
+// A voter's disk is full for good. It can't vote, but callers of this entry must
+// not be served by old quotas until somebody comes to look at it.
+func TestFullDiskStillFollows(t *testing.T) {
+	scenario(t, 3, 0, func(t *testing.T, f *fleet) {
+		f.nodes["v3"].fs.Fill(true)
+		f.mustApply("v1", 2)
+		f.inForce(2, 5*time.Second, f.entries...)
+		f.mustApply("v2", 3)
+		f.inForce(3, 5*time.Second, f.entries...)
+	})
+}
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -67,14 +67,21 @@
 	if answer.Newer == nil {
 		return
 	}
-	if answer.Self.Identity != "" {
-		// An entry with a disk also needs the part that is not in force but
-		// that a vote rests on.
+	if r.diskWorks() && answer.Self.Identity != "" {
+		// The whole value follows in a message and comes into force when it is
+		// synced, so that a crash can't bring the old one back.
 		r.step(consensus.Lagging{Peer: from})
+		return
 	}
 	r.putAndTell(answer.Newer)
 }
 
+func (r *Register) diskWorks() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasDisk && r.problem == ""
+}
+
 // held returns the version in force.
 func (r *Register) held() uint64 {
 	if s := r.current.Load(); s != nil {
--- a/internal/storage/storagetest/fs.go
+++ b/internal/storage/storagetest/fs.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -52,6 +53,7 @@
 	crashed        bool
 	full           bool
 	syncs          int
+	syncTime       time.Duration
 }
 
 var _ storage.FS = (*FS)(nil)
@@ -81,6 +83,13 @@
 	f.full = full
 }
 
+// Slow makes every sync of a file take that long.
+func (f *FS) Slow(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.syncTime = d
+}
+
 // Ops returns how many operations there were that write or sync.
 func (f *FS) Ops() int {
 	f.mu.Lock()
@@ -315,6 +324,10 @@
 
 // Sync makes the content last.
 func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	wait := f.fs.syncTime
+	f.fs.mu.Unlock()
+	time.Sleep(wait)
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if err := f.fs.op(); err != nil {
