Tell a process that ended from one that is cut off

Cause: silence over a link looks the same for a dead process and for a cut, so every death had to be waited for.

Change: while a link is down, a refused connection is remembered; the side that waits to be dialled probes with a bare connection every 250 ms. A planned stop waits up to 3 s for its peers to read. In the in-memory network a node that left no longer answers calls that it had taken: it kept answering, which hid what an owner may say of a killed holder.

Seen red with the code switched off: the probe (the test hangs to its time-out), and two cases of the hand-over's tests without the change to the in-memory network.

--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -28,8 +29,12 @@
 	// all at the same moment.
 	minPause = 50 * time.Millisecond
 	maxPause = time.Second
-	// closeTimeout is how long a planned stop waits for queued frames to leave.
-	closeTimeout = 500 * time.Millisecond
+	// closeTimeout is how long a planned stop waits until its peers have read
+	// what is queued.
+	closeTimeout = 3 * time.Second
+	// probePeriod is how often an entry that waits to be dialled looks whether
+	// the peer's process runs at all.
+	probePeriod = 250 * time.Millisecond
 	// maxHandshakes bounds the connections that have not proved themselves, so
 	// that strangers can't hold many goroutines and buffers.
 	maxHandshakes     = 64
@@ -89,6 +94,8 @@
 	change sync.Mutex
 	mu     sync.RWMutex
 	link   *link
+	// refused is set while the peer's machine refuses connections.
+	refused atomic.Bool
 }
 
 var _ Mesh = (*Links)(nil)
@@ -126,6 +133,14 @@
 // Up reports whether the link to an entry stands, as far as this side knows.
 func (l *Links) Up(to job.EntryID) bool { return l.current(to) != nil }
 
+// Refused reports whether the machine of an entry refused the last connection:
+// it is up and no process listens there. Silence proves less, since a cut looks
+// the same.
+func (l *Links) Refused(to job.EntryID) bool {
+	r := l.remotes[to]
+	return r != nil && r.refused.Load()
+}
+
 // Handle sets the handler of a kind.
 func (l *Links) Handle(kind Kind, h Handler) { l.set(kind, h, false) }
 
@@ -212,6 +227,8 @@
 	for _, r := range l.remotes {
 		if l.opts.Self.Entry < r.Entry {
 			wg.Go(func() { l.keepDialling(ctx, r) })
+		} else {
+			wg.Go(func() { l.keepProbing(ctx, r) })
 		}
 	}
 	<-ctx.Done()
@@ -281,11 +298,34 @@
 	}
 }
 
+// keepProbing watches a peer that should dial this entry: while it does not, a
+// bare connection tells whether its process runs.
+func (l *Links) keepProbing(ctx context.Context, r *remote) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(probePeriod):
+		}
+		if l.current(r.Entry) != nil {
+			r.refused.Store(false)
+			continue
+		}
+		conn, err := dialer.DialContext(ctx, "tcp", r.Address)
+		r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+		if err == nil {
+			conn.Close()
+		}
+	}
+}
+
 // dial opens one link and serves it until it breaks.
 func (l *Links) dial(ctx context.Context, r *remote) error {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(dialing, "ws://"+r.Address+Path, &websocket.DialOptions{HTTPClient: l.client})
+	r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/peer/links_test.go
+++ b/internal/peer/links_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -308,6 +309,23 @@
 	qt.Assert(t, b.current("a").remote.Incarnation, qt.Equals, job.Incarnation(6))
 }
 
+// A process ends while its machine runs on. Both sides must learn that it is
+// down rather than cut off, so that its targets are served again at once.
+func TestRefusedConnectionsAreTold(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := ln.Addr().String()
+	for _, self := range []job.EntryID{"a", "c"} { // one dials b, one is dialled
+		l := New(Options{Self: owner(self, 1), Peers: []Peer{{Entry: "b", Zone: "z", Address: address}}})
+		qt.Assert(t, l.Refused("b"), qt.IsFalse)
+		ln.Close()
+		run(t, l)
+		for !l.Refused("b") {
+			runtime.Gosched()
+		}
+	}
+}
+
 // numbered is long enough that a queue of them is not written in an instant.
 type numbered struct {
 	N   int
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -108,6 +108,17 @@
 	return node, node != nil
 }
 
+// running reports whether the node has neither left nor been replaced: the
+// dead answer nothing.
+func (d *Node) running() bool {
+	select {
+	case <-d.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
 // Self returns the node's life.
 func (d *Node) Self() job.Owner { return d.self }
 
@@ -149,7 +160,7 @@
 	done := make(chan result, 1)
 	node.deliver(d.self, kind, body, d.net.Delay, func(value any, err error) {
 		back, ok := d.net.route(to, d.self.Entry, kind, true)
-		if !ok || back != d {
+		if !ok || back != d || !node.running() {
 			return
 		}
 		var b []byte
