Watch the other entries by heartbeats

Cause: nobody noticed an entry that died, was cut off or came back.

Change: heartbeats every 250 ms inside a zone and every second across, with the configuration's number and digest, the loads of the sender's targets and, once a second, whom it hears. A pure detector suspects before it declares dead, knows lives by incarnation, and declares dead only what nobody in reach hears: where only the way between two entries is broken, both stay in all views, so no target gets a second holder. Targets are placed by rendezvous hashing.

Ruled out: gossip (with seven entries direct heartbeats cost less and say more); death by the word of others (a broken way between two would kill one of them).

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,274 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+)
+
+// fleet is a network of entries in two zones: a, b and c in z, d in y.
+type fleet struct {
+	t       *testing.T
+	net     *peertest.Network
+	members map[job.EntryID]*Membership
+	stop    map[job.EntryID]context.CancelFunc
+}
+
+var zones = map[job.EntryID]job.Zone{"a": "z", "b": "z", "c": "z", "d": "y"}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, net: &peertest.Network{Delay: time.Millisecond}, members: map[job.EntryID]*Membership{},
+		stop: map[job.EntryID]context.CancelFunc{},
+	}
+	for _, id := range []job.EntryID{"a", "b", "c", "d"} {
+		f.start(id, 1)
+	}
+	f.pass(2 * time.Second)
+	return f
+}
+
+func (f *fleet) start(id job.EntryID, life job.Incarnation) {
+	var peers []Peer
+	for other, zone := range zones {
+		peers = append(peers, Peer{Entry: other, Zone: zone})
+	}
+	m := New(Options{
+		Mesh: f.net.Join(job.Owner{Entry: id, Incarnation: life, Zone: zones[id]}), Peers: peers,
+		Loads: func() []job.HolderLoad { return []job.HolderLoad{{Pool: "p", Slots: 8}} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.members[id], f.stop[id] = m, cancel
+	go func() { _ = m.Run(ctx) }()
+}
+
+func (f *fleet) kill(id job.EntryID) {
+	f.stop[id]()
+	f.net.Leave(id)
+}
+
+func (f *fleet) end() {
+	for id := range f.members {
+		f.stop[id]()
+		f.net.Leave(id)
+	}
+	f.pass(time.Second)
+}
+
+func (f *fleet) pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (f *fleet) state(by, of job.EntryID) string {
+	v := f.members[by].View()
+	m, _ := v.Get(of)
+	return m.State.String()
+}
+
+func (f *fleet) views(of job.EntryID, by ...job.EntryID) string {
+	s := ""
+	for _, b := range by {
+		s += f.state(b, of) + " "
+	}
+	return s
+}
+
+func run(t *testing.T, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		test(f)
+		f.end()
+	})
+}
+
+// An entry's VM dies without a word. The others must suspect it first, take it
+// out within seconds so that its targets are served again, and recognise its
+// next life as another one.
+func TestDeathAndReturn(t *testing.T) {
+	run(t, func(f *fleet) {
+		qt.Assert(t, f.views("b", "a", "c", "d"), qt.Equals, "alive alive alive ")
+		f.kill("b")
+		f.pass(1300 * time.Millisecond)
+		qt.Assert(t, f.views("b", "a", "c"), qt.Equals, "suspect suspect ")
+		qt.Assert(t, f.members["a"].Gone("b", 1), qt.IsFalse)
+		f.pass(2700 * time.Millisecond)
+		qt.Assert(t, f.views("b", "a", "c"), qt.Equals, "dead dead ")
+		f.pass(3 * time.Second)
+		qt.Assert(t, f.state("d", "b"), qt.Equals, "dead")
+		f.start("b", 2)
+		f.pass(1300 * time.Millisecond)
+		qt.Assert(t, f.views("b", "a", "c", "d"), qt.Equals, "alive alive alive ")
+		qt.Assert(t, f.members["a"].Gone("b", 1), qt.IsTrue)
+		qt.Assert(t, f.members["a"].Gone("b", 2), qt.IsFalse)
+	})
+}
+
+// The way between two entries breaks while both reach the third. Were one of
+// them declared dead by the other, its targets would get a second holder and
+// twice their slots would be filled; so both stay in everybody's view.
+func TestBrokenWayKillsNobody(t *testing.T) {
+	run(t, func(f *fleet) {
+		before := map[job.TargetID]job.EntryID{}
+		for i := range 50 {
+			id := job.TargetID(fmt.Sprint("t", i))
+			before[id] = f.members["c"].Holder(id)
+		}
+		f.net.CutBoth("a", "b", true)
+		f.pass(20 * time.Second)
+		qt.Assert(t, f.state("a", "b"), qt.Equals, "suspect")
+		qt.Assert(t, f.views("b", "c", "d"), qt.Equals, "alive alive ")
+		for id, holder := range before {
+			qt.Assert(t, f.members["a"].Holder(id), qt.Equals, holder)
+		}
+		f.net.CutBoth("a", "b", false)
+		f.pass(time.Second)
+		qt.Assert(t, f.state("a", "b"), qt.Equals, "alive")
+	})
+}
+
+// One entry is cut off from all others for long, as a VM with a broken switch
+// port. It must know that it is likely the one cut off, and be the same life as
+// before when the cut heals.
+func TestCutOffEntryKnowsItAndReturns(t *testing.T) {
+	run(t, func(f *fleet) {
+		for _, other := range []job.EntryID{"b", "c", "d"} {
+			f.net.CutBoth("a", other, true)
+		}
+		f.pass(time.Minute)
+		qt.Assert(t, f.members["a"].View().Isolated, qt.IsTrue)
+		qt.Assert(t, f.members["b"].View().Isolated, qt.IsFalse)
+		qt.Assert(t, f.views("a", "b", "c", "d"), qt.Equals, "dead dead dead ")
+		for _, other := range []job.EntryID{"b", "c", "d"} {
+			f.net.CutBoth("a", other, false)
+		}
+		f.pass(1300 * time.Millisecond)
+		qt.Assert(t, f.members["a"].View().Isolated, qt.IsFalse)
+		qt.Assert(t, f.views("a", "b", "c", "d"), qt.Equals, "alive alive alive ")
+		qt.Assert(t, f.members["b"].Gone("a", 1), qt.IsFalse)
+	})
+}
+
+// An entry is stopped as planned. From the first moment it may not be given
+// targets, yet while it finishes its work it is no dead owner; after its last
+// word nobody waits for it.
+func TestDrainThenLeave(t *testing.T) {
+	run(t, func(f *fleet) {
+		var views []State
+		f.members["b"].OnChange(func(m Members) { views = append(views, m.Self.State) })
+		f.members["b"].Drain()
+		f.pass(10 * time.Millisecond)
+		for i := range 50 {
+			qt.Assert(t, f.members["a"].Holder(job.TargetID(fmt.Sprint(i))), qt.Not(qt.Equals), job.EntryID("b"))
+		}
+		qt.Assert(t, len(f.members["a"].Loads()), qt.Equals, 3)
+		f.pass(10 * time.Second)
+		qt.Assert(t, f.state("a", "b"), qt.Equals, "draining")
+		qt.Assert(t, views, qt.Contains, Draining)
+		qt.Assert(t, f.members["a"].Gone("b", 1), qt.IsFalse)
+		f.members["b"].Leave(context.Background())
+		f.pass(10 * time.Millisecond)
+		qt.Assert(t, f.state("a", "b"), qt.Equals, "left")
+		qt.Assert(t, f.members["a"].Gone("b", 1), qt.IsTrue)
+	})
+}
+
+// Heartbeats of a process that has been replaced arrive late. They must not
+// bring its life back, and lost heartbeats alone must move nothing.
+func TestLateAndLostHeartbeats(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nobody := func(job.EntryID) bool { return false }
+	d := NewDetector(now, job.Owner{Entry: "a", Incarnation: 1, Zone: "z"}, []Peer{{"b", "z"}, {"c", "z"}})
+	life := func(n job.Incarnation) job.Owner { return job.Owner{Entry: "b", Incarnation: n, Zone: "z"} }
+	d.Hear(now, life(5), Alive, nil)
+	qt.Assert(t, d.Hear(now, life(4), Alive, nil), qt.HasLen, 0)
+	qt.Assert(t, d.Hear(now, job.Owner{Entry: "c", Zone: "z", Incarnation: 1}, Alive, []Heard{{Entry: "b", Incarnation: 4}}), qt.HasLen, 1)
+	for range 40 { // three of four heartbeats are lost
+		now = now.Add(InZone.SuspectAfter)
+		qt.Assert(t, d.Hear(now, life(5), Alive, nil), qt.HasLen, 0)
+		d.Hear(now, job.Owner{Entry: "c", Zone: "z", Incarnation: 1}, Alive, nil)
+		qt.Assert(t, d.Tick(now, nobody), qt.HasLen, 0)
+	}
+	now = now.Add(refusedAfter + 1)
+	changes := d.Tick(now, func(id job.EntryID) bool { return id == "b" })
+	qt.Assert(t, changes, qt.HasLen, 1)
+	qt.Assert(t, changes[0].After.State, qt.Equals, Dead)
+	d.Hear(now, life(5), Left, nil)
+	d.Hear(now, life(5), Alive, nil)
+	m, _ := d.Members(nobody).Get("b")
+	qt.Assert(t, m.State, qt.Equals, Left)
+}
+
+// When one entry of a zone is gone, only what it held may move: moving more
+// would close connections and idle slots all over the zone.
+func TestOneLossMovesOnlyItsOwn(t *testing.T) {
+	members := &Members{}
+	for _, id := range []job.EntryID{"a", "b", "c", "d", "e"} {
+		members.List = append(members.List, Member{Entry: id, Zone: "z", State: Alive})
+	}
+	held := map[job.EntryID]int{}
+	after := &Members{List: append([]Member{}, members.List...)}
+	after.List[1].State = Dead
+	for i := range 1000 {
+		id := job.TargetID(fmt.Sprint("target-", i))
+		holder := members.Holder("z", id)
+		held[holder]++
+		if holder != "b" {
+			qt.Assert(t, after.Holder("z", id), qt.Equals, holder)
+		}
+	}
+	for _, n := range held {
+		qt.Assert(t, n > 140 && n < 260, qt.IsTrue, qt.Commentf("%v", held))
+	}
+	qt.Assert(t, members.Holder("other zone", "t"), qt.Equals, job.EntryID(""))
+}
+
+// Control traffic is bounded by the users' figure of 6 KB a second for each
+// daemon. Seven entries in one zone is the dearest layout of today's fleets.
+func TestHeartbeatsStayInBudget(t *testing.T) {
+	const budget = 6000
+	entries, beats := 7, 4
+	m := New(Options{
+		Mesh:   (&peertest.Network{}).Join(job.Owner{Entry: "entry-tomebamba-1", Incarnation: 1 << 60, Zone: "tomebamba"}),
+		Config: fixedConfig{},
+		Loads: func() []job.HolderLoad {
+			l := job.HolderLoad{Pool: "frames", Targets: 50, Slots: 400, Free: 123}
+			for i := range l.Wait {
+				l.Queued[i], l.Wait[i] = 1000, 123456789
+			}
+			return []job.HolderLoad{l}
+		},
+	})
+	b := m.compose(time.Now())
+	for i := range entries - 1 {
+		b.Hears = append(b.Hears, Heard{Entry: job.EntryID(fmt.Sprint("entry-tomebamba-", i)), Incarnation: 1 << 60})
+	}
+	full := encodedSize(t, b)
+	b.Hears = nil
+	brief := encodedSize(t, b)
+	sent := (full + brief*(beats-1)) * (entries - 1)
+	t.Logf("heartbeats of %d and %d bytes, %d bytes a second sent", brief, full, sent)
+	qt.Assert(t, sent < budget, qt.IsTrue, qt.Commentf("%d bytes a second", sent))
+}
+
+type fixedConfig struct{}
+
+func (fixedConfig) Summary() (uint64, string)           { return 2900, "0123456789abcdef0123456789abcdef" }
+func (fixedConfig) Observe(job.EntryID, uint64, string) {}
+
+var _ peer.Mesh = (*peertest.Node)(nil)
+
+func encodedSize(t *testing.T, v any) int {
+	data, err := cbor.Marshal(v)
+	qt.Assert(t, err, qt.IsNil)
+	return len(data)
+}
