Hand batches to holders at other entries

Cause: an owner could use only the targets of its own entry.

Change: one call a holder a job whose answer is the outcomes. Offers are numbered, a holder runs a number once and keeps the report until it is acknowledged on a later offer, so an owner may ask again after a broken link. A restarted holder, or one that has forgotten the number, says so and the tasks count as perhaps run. A cancellation may overtake its batch. Announcements of targets go to the entry that takes itself for the holder.

Measured by TestBatchTakesTwoMessages: 2 messages a holder for a job of 1, 10 and 100 tasks.

--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,366 @@
+package handover
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+)
+
+// bench is a holder that counts how often each task starts and reports a batch
+// after a while.
+type bench struct {
+	takes time.Duration
+	// fails is a task that fails at once.
+	fails int
+
+	mu        sync.Mutex
+	starts    map[string]int
+	cancelled []job.ID
+	batches   []job.Batch
+}
+
+func (h *bench) Offer(b *job.Batch, report func([]job.TaskOutcome)) {
+	h.mu.Lock()
+	h.batches = append(h.batches, *b)
+	for i := range b.Tasks {
+		h.starts[fmt.Sprint(b.Submission, "/", b.Tasks[i].Index)]++
+	}
+	h.mu.Unlock()
+	go func() {
+		for i := range b.Tasks {
+			if b.Tasks[i].Index == h.fails {
+				report([]job.TaskOutcome{{Index: h.fails, Status: job.TaskErred, Reason: job.TaskFailed}})
+				return
+			}
+		}
+		time.Sleep(h.takes)
+		outcomes := whole(b, job.TaskDone, "", "")
+		for i := range outcomes {
+			outcomes[i].Payload = []byte(fmt.Sprint(outcomes[i].Index))
+		}
+		report(outcomes)
+	}()
+}
+
+func (h *bench) Cancel(_ job.Owner, id job.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancelled = append(h.cancelled, id)
+}
+
+// setting is an owner and a holder with a network between them.
+type setting struct {
+	t      *testing.T
+	net    *peertest.Network
+	holder *bench
+	server *Server
+	remote *Remote
+	gone   atomic.Bool
+}
+
+var (
+	ownerLife  = job.Owner{Entry: "owner", Incarnation: 1, Zone: "z"}
+	holderLife = job.Owner{Entry: "holder", Incarnation: 7, Zone: "z"}
+)
+
+func run(t *testing.T, test func(s *setting)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &setting{t: t, net: &peertest.Network{Delay: time.Millisecond}}
+		s.holder = &bench{takes: 300 * time.Millisecond, fails: -1, starts: map[string]int{}}
+		s.remote = NewRemote(RemoteOptions{
+			Mesh: s.net.Join(ownerLife),
+			Gone: func(job.EntryID, job.Incarnation) bool { return s.gone.Load() },
+		})
+		s.server = Serve(s.net.Join(holderLife), s.holder)
+		test(s)
+		time.Sleep(time.Minute)
+		s.net.Leave("owner")
+		s.net.Leave("holder")
+	})
+}
+
+func batch(id job.ID, tasks ...int) *job.Batch {
+	b := &job.Batch{Submission: id, Service: "svc", Remaining: 10 * time.Second}
+	for _, i := range tasks {
+		b.Tasks = append(b.Tasks, job.BatchTask{Index: i})
+	}
+	return b
+}
+
+func (s *setting) offer(ctx context.Context, b *job.Batch) <-chan []job.TaskOutcome {
+	got := make(chan []job.TaskOutcome, 2)
+	s.remote.Offer(ctx, "holder", holderLife.Incarnation, b, func(o []job.TaskOutcome) { got <- o })
+	return got
+}
+
+func (s *setting) cancelled(want ...job.ID) {
+	s.holder.mu.Lock()
+	defer s.holder.mu.Unlock()
+	qt.Assert(s.t, s.holder.cancelled, qt.DeepEquals, want)
+}
+
+func (s *setting) atMostOnce() {
+	s.holder.mu.Lock()
+	defer s.holder.mu.Unlock()
+	for task, n := range s.holder.starts {
+		qt.Assert(s.t, n, qt.Equals, 1, qt.Commentf("task %s", task))
+	}
+}
+
+func statuses(outcomes []job.TaskOutcome) string {
+	s := ""
+	for _, o := range outcomes {
+		s += fmt.Sprint(o.Index, ":", o.Status, o.Reason, " ")
+	}
+	return s
+}
+
+const (
+	twoDone       = "0:1 1:1 "
+	twoLost       = "0:2holder_lost 1:2holder_lost "
+	twoNotStarted = "0:3holder_lost 1:3holder_lost "
+)
+
+// Messages between entries are what one of the users counts: a batch must take
+// two, however many tasks it has, with no third for an acknowledgement.
+func TestBatchTakesTwoMessages(t *testing.T) {
+	for _, tasks := range []int{1, 10, 100} {
+		run(t, func(s *setting) {
+			indices := make([]int, tasks)
+			for i := range indices {
+				indices[i] = i
+			}
+			for range 3 {
+				before := s.net.Sent(peer.BatchOffer)
+				outcomes := <-s.offer(s.t.Context(), batch("a", indices...))
+				qt.Assert(t, len(outcomes), qt.Equals, tasks)
+				qt.Assert(t, s.net.Sent(peer.BatchOffer)-before, qt.Equals, 2)
+			}
+			last := 0
+			for i := range tasks {
+				last += len(fmt.Sprint(i))
+			}
+			qt.Assert(t, s.server.bytes, qt.Equals, last) // the earlier offers were acknowledged
+			qt.Assert(t, s.holder.batches[0].Owner, qt.Equals, ownerLife)
+		})
+	}
+}
+
+// The link breaks after the holder got a batch, before or while it reports. The
+// owner asks again when the link is back; the tasks must have started once and
+// the results must arrive.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	for _, lose := range []struct {
+		answer bool
+		times  int
+	}{{true, 1}, {true, 3}, {false, 1}, {false, 3}} {
+		run(t, func(s *setting) {
+			lost := 0
+			var mu sync.Mutex
+			s.net.Drop = func(_, _ job.EntryID, kind peer.Kind, answer bool) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if kind == peer.BatchOffer && answer == lose.answer && lost < lose.times {
+					lost++
+					return true
+				}
+				return false
+			}
+			outcomes := <-s.offer(s.t.Context(), batch("a", 0, 1))
+			qt.Assert(t, statuses(outcomes), qt.Equals, twoDone)
+			qt.Assert(t, lost, qt.Equals, lose.times)
+			s.atMostOnce()
+		})
+	}
+}
+
+// Many batches over a network that loses a third of all messages, by several
+// fixed seeds. Every task must start at most once and every batch be reported.
+func TestLossyNetworkNeverDoublesATask(t *testing.T) {
+	for seed := range uint64(5) {
+		run(t, func(s *setting) {
+			s.net.Drop = peertest.LoseAtRandom(seed, 0.33)
+			var all []<-chan []job.TaskOutcome
+			for i := range 40 {
+				all = append(all, s.offer(s.t.Context(), batch(job.ID(fmt.Sprint(i)), 0, 1)))
+			}
+			for _, got := range all {
+				qt.Assert(t, statuses(<-got), qt.Equals, twoDone)
+			}
+			s.atMostOnce()
+		})
+	}
+}
+
+// What an owner may say of tasks depends on how it lost the holder. "Not
+// started" where they may have run would bill a studio twice; "may have run"
+// where they can't have would fail jobs for nothing.
+func TestWhatIsSaidOfALostHolder(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(s *setting)
+		late func(s *setting)
+		want string
+	}{
+		{"never reached", func(s *setting) { s.net.CutBoth("owner", "holder", true) }, nil, twoNotStarted},
+		{"killed after it got them", nil, func(s *setting) { s.net.Leave("holder"); s.gone.Store(true) }, twoLost},
+		{"cut off for long", nil, func(s *setting) { s.net.CutBoth("owner", "holder", true) }, twoLost},
+		{"restarted meanwhile", nil, func(s *setting) {
+			next := holderLife
+			next.Incarnation++
+			Serve(s.net.Join(next), s.holder)
+		}, twoLost},
+		{"cut off and back", nil, func(s *setting) {
+			s.net.CutBoth("owner", "holder", true)
+			time.AfterFunc(2*time.Second, func() { s.net.CutBoth("owner", "holder", false) })
+		}, twoDone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(s *setting) {
+				if test.act != nil {
+					test.act(s)
+				}
+				got := s.offer(s.t.Context(), batch("a", 0, 1))
+				if test.late != nil {
+					time.Sleep(100 * time.Millisecond)
+					test.late(s)
+				}
+				qt.Assert(t, statuses(<-got), qt.Equals, test.want)
+				s.atMostOnce()
+			})
+		})
+	}
+}
+
+// One task of many fails. The caller must learn it at once and not after the
+// longest of the others, since its job can't be complete any more.
+func TestFailureIsReportedAtOnce(t *testing.T) {
+	run(t, func(s *setting) {
+		s.holder.fails, s.holder.takes = 1, 10*time.Second
+		start := time.Now()
+		outcomes := <-s.offer(s.t.Context(), batch("a", 0, 1, 2))
+		qt.Assert(t, statuses(outcomes), qt.Equals, "1:2task_failed ")
+		qt.Assert(t, time.Since(start) < 10*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// A cancellation overtakes the batch that it cancels, or the owner gives up, or
+// dies. The holder must not go on spending slots on the batch.
+func TestCancellations(t *testing.T) {
+	run(t, func(s *setting) {
+		number := s.remote.begin("a", "holder")
+		s.remote.Cancel("holder", "a")
+		time.Sleep(10 * time.Millisecond)
+		outcomes := s.remote.deliver(s.t.Context(), "holder", offer{Number: number, To: holderLife.Incarnation, Batch: *batch("a", 0)})
+		qt.Assert(t, statuses(outcomes), qt.Equals, "0:3cancelled_by_caller ")
+		qt.Assert(t, s.holder.batches, qt.HasLen, 0)
+
+		ctx, cancel := context.WithCancel(s.t.Context())
+		got := s.offer(ctx, batch("b", 0, 1))
+		time.Sleep(10 * time.Millisecond)
+		cancel()
+		qt.Assert(t, statuses(<-got), qt.Equals, twoLost)
+		time.Sleep(10 * time.Millisecond)
+		s.cancelled("a", "b")
+
+		s.offer(s.t.Context(), batch("c", 0, 1))
+		time.Sleep(10 * time.Millisecond)
+		s.server.OwnerGone("owner", ownerLife.Incarnation)
+		s.cancelled("a", "b", "b", "c")
+	})
+}
+
+// A holder forgets old reports to keep its memory bounded. When an owner that
+// was cut off for long asks for such a batch again, running it would be a
+// second start.
+func TestForgottenOfferIsNotRunAgain(t *testing.T) {
+	run(t, func(s *setting) {
+		o := offer{Number: 1, To: holderLife.Incarnation, Batch: *batch("a", 0, 1)}
+		qt.Assert(t, statuses(s.remote.deliver(s.t.Context(), "holder", o)), qt.Equals, twoDone)
+		time.Sleep(keepReported + time.Second)
+		later := offer{Number: 2, To: holderLife.Incarnation, Batch: *batch("b", 0, 1)}
+		qt.Assert(t, statuses(s.remote.deliver(s.t.Context(), "holder", later)), qt.Equals, twoDone)
+		qt.Assert(t, len(s.server.records), qt.Equals, 1)
+		qt.Assert(t, statuses(s.remote.deliver(s.t.Context(), "holder", o)), qt.Equals, twoLost)
+		s.atMostOnce()
+	})
+}
+
+// An owner dies after a holder finished its part. Whoever takes the submission
+// over must get the results that are still held.
+func TestFetchOfALostOwnersResults(t *testing.T) {
+	run(t, func(s *setting) {
+		s.net.Drop = func(_, _ job.EntryID, kind peer.Kind, answer bool) bool { return kind == peer.BatchOffer && answer }
+		s.offer(s.t.Context(), batch("a", 0, 1))
+		time.Sleep(time.Second)
+		taker := NewRemote(RemoteOptions{Mesh: s.net.Join(job.Owner{Entry: "taker", Incarnation: 1})})
+		defer s.net.Leave("taker")
+		held := taker.Fetch(s.t.Context(), []job.EntryID{"holder", "nobody"}, ownerLife, "a")
+		qt.Assert(t, statuses(held), qt.Equals, twoDone)
+		s.net.Drop = nil
+	})
+}
+
+// registry is the list of targets that one entry holds.
+type registry map[job.TargetID]int
+
+func (r registry) Announce(t job.Target) (time.Duration, error) {
+	if t.Slots < 0 {
+		return 0, errors.NotValidf("slots")
+	}
+	r[t.ID]++
+	return 4 * time.Second, nil
+}
+
+func (r registry) Withdraw(id job.TargetID) { delete(r, id) }
+
+// A target announces itself to any entry. It must end up at its one holder,
+// also while the entries' views of the zone differ for a moment, and be told
+// when nobody can hold it.
+func TestForwardTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &peertest.Network{}
+		view := map[job.EntryID]job.EntryID{"a": "b", "b": "c", "c": "c", "d": "", "e": "f", "f": "e"}
+		held := map[job.EntryID]registry{}
+		at := map[job.EntryID]*Targets{}
+		for id := range view {
+			held[id] = registry{}
+			at[id] = NewTargets(net.Join(job.Owner{Entry: id}), func(job.Zone, job.TargetID) job.EntryID { return view[id] }, held[id])
+		}
+		target := job.Target{ID: "t", Zone: "z"}
+		for _, by := range []job.EntryID{"a", "b", "c"} {
+			lease, err := at[by].ForwardTarget(t.Context(), target, false)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, lease, qt.Equals, 4*time.Second)
+		}
+		qt.Assert(t, held["c"]["t"], qt.Equals, 3)
+		qt.Assert(t, len(held["a"])+len(held["b"]), qt.Equals, 0)
+		_, err := at["a"].ForwardTarget(t.Context(), target, true)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, held["c"], qt.HasLen, 0)
+		for _, by := range []job.EntryID{"d", "e"} {
+			_, err := at[by].ForwardTarget(t.Context(), target, false)
+			qt.Assert(t, err, qt.ErrorIs, ErrNoHolder)
+		}
+		_, err = at["a"].ForwardTarget(t.Context(), job.Target{ID: "t", Slots: -1}, false)
+		qt.Assert(t, err, qt.ErrorIs, peer.ErrRejected)
+		net.Leave("b")
+		_, err = at["a"].ForwardTarget(t.Context(), target, false)
+		qt.Assert(t, err, qt.ErrorIs, peer.ErrNotSent)
+		for id := range view {
+			net.Leave(id)
+		}
+	})
+}
