Try targets again after a failed probe, and those behind one without a task

Two causes, both seen in a dump of the pool:

A target that had refused is tried with one task. Where that task failed, the probe was never ended: the target stayed held back, and was never tried again.

Only the target whose probe was due first was looked at. Where the waiting task avoided just that one, the next target's turn never came.

Each has a test that is red without its change.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -129,9 +129,9 @@
 
 // Done takes in a task that ran to its end.
 func (f *Fleet) Done(now time.Time, t *Target, id job.TargetID, kind estimate.Kind, ran, expected time.Duration, probe bool) {
+	t.ran(probe)
 	f.ring(kind).put(id, false)
 	f.note(t, succeeded)
-	t.refusals = 0
 	f.measure(now, t, ran, expected, probe)
 	p := f.elsewhere(t, id, kind)
 	if !t.held {
@@ -139,7 +139,6 @@
 		return
 	}
 	if probe {
-		t.probing = false
 		t.until = now
 		t.sum--
 		if t.sum <= released {
@@ -148,6 +147,16 @@
 	}
 }
 
+// ran notes that the target took a task, whatever became of it: it refuses no
+// longer, and a probe of it is over. A probe that is not ended in each case
+// would be the last task that the target ever gets.
+func (t *Target) ran(probe bool) {
+	t.refusals = 0
+	if probe {
+		t.probing = false
+	}
+}
+
 func (f *Fleet) release(t *Target) {
 	t.held = false
 	f.ready++
@@ -156,6 +165,7 @@
 
 // Failed takes in a task that may have run and gave no result.
 func (f *Fleet) Failed(now time.Time, t *Target, id job.TargetID, kind estimate.Kind, probe bool) {
+	t.ran(probe)
 	p := f.elsewhere(t, id, kind)
 	f.ring(kind).put(id, true)
 	f.note(t, failed)
@@ -188,7 +198,6 @@
 	if !probe {
 		return
 	}
-	t.probing = false
 	t.sum = limit
 	t.gap = min(2*t.gap, failGapMax)
 	t.until = now.Add(t.gap)
--- a/internal/scheduler/avoid_test.go
+++ b/internal/scheduler/avoid_test.go
@@ -51,3 +51,69 @@
 	}
 	t.Fatal("the task never started")
 }
+
+// Two targets refuse, one of them often, so that it is asked again later. A
+// task that avoids the first must be tried on the second when that is due:
+// held up by the first one's turn, it would wait for ever.
+func TestProbeOfOneTargetDoesNotHoldUpAnothers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New("p", 1)
+	p.Configure(now, &config.File{Number: 1})
+	offer := func(id job.ID) {
+		v := p.Offer(now, &job.Batch{Submission: id, Service: "p", Tasks: []job.BatchTask{{}}})
+		qt.Assert(t, v.Accepted, qt.IsTrue)
+	}
+	// next returns what starts next, however long that takes.
+	next := func() Start {
+		for range 100 {
+			d := p.Next(now)
+			if len(d.Starts) > 0 {
+				return d.Starts[0]
+			}
+			now = d.Wake
+		}
+		t.Fatal("the task never started")
+		return Start{}
+	}
+	p.SetTarget(now, job.Target{ID: "often", Slots: 1, Connections: 1})
+	offer("x")
+	for range 5 {
+		qt.Assert(t, p.Requeue(now, next().Key), qt.IsTrue)
+	}
+	p.Cancel(now, job.Owner{}, "x")
+	p.SetTarget(now, job.Target{ID: "once", Slots: 1, Connections: 1})
+	offer("a")
+	first := next()
+	qt.Assert(t, first.Target, qt.Equals, job.TargetID("once"))
+	qt.Assert(t, p.Requeue(now, first.Key), qt.IsTrue)
+	qt.Assert(t, next().Target, qt.Equals, job.TargetID("often"))
+}
+
+// A target refuses a task, and the one by which it is tried again fails. That
+// must not be the last task that it ever gets: it would stand idle, and work
+// wait, until the entry is restarted.
+func TestTargetIsTriedAgainAfterAFailedProbe(t *testing.T) {
+	for _, end := range []job.TaskStatus{job.TaskErred, job.TaskDone, job.TaskNotStarted} {
+		now := time.Unix(1000, 0)
+		p := New("p", 1)
+		p.Configure(now, &config.File{Number: 1})
+		p.SetTarget(now, job.Target{ID: "t1", Slots: 1, Connections: 1})
+		for _, id := range []job.ID{"a", "b", "c"} {
+			v := p.Offer(now, &job.Batch{Submission: id, Service: "p", Tasks: []job.BatchTask{{}}})
+			qt.Assert(t, v.Accepted, qt.IsTrue)
+		}
+		started := 0
+		for range 100 {
+			d := p.Next(now)
+			now = now.Add(time.Second)
+			for _, s := range d.Starts {
+				r := Result{Status: job.TaskNotStarted}
+				if started++; started > 1 {
+					r = Result{Status: end}
+				}
+				p.Finished(now, s.Key, r)
+			}
+		}
+		qt.Assert(t, started, qt.Equals, 3, qt.Commentf("after a probe that ended as %d", end))
+	}
+}
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -207,12 +207,7 @@
 		sooner(now.Add(longRecheck))
 	}
 	if p.probes.Len() > 0 {
-		due, _ := p.probes.Min().health.ProbeAt()
-		if !due.After(now) {
-			// No task was fit for the probe: it has to be one of those to come.
-			due = now.Add(longRecheck)
-		}
-		sooner(due)
+		sooner(p.nextProbe(now))
 	}
 	return at
 }
