Give back tasks that no target left here could hold; test torn sendings

When the only large target leaves, its waiting tasks had no target left and no deadline need ever end them. They go back to the owner, unstarted; switched off, the test never ends.

A target that dies while a task's body still arrives has begun it: the task may have run. The test is red when a partly written task counts as unsent.

--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -22,6 +23,8 @@
 	arrived time.Time
 	report  func([]job.TaskOutcome)
 
+	// sizes are the different sizes of its tasks.
+	sizes    []job.Size
 	outcomes []job.TaskOutcome
 	// open counts the tasks without an outcome.
 	open    int
@@ -42,12 +45,24 @@
 		service:  service,
 		arrived:  now,
 		report:   report,
+		sizes:    sizesOf(b.Tasks),
 		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
 		open:     len(b.Tasks),
 		running:  make(map[int]*link),
 	}
 }
 
+// sizesOf lists the different sizes. The tasks of a job have one or a few.
+func sizesOf(tasks []job.BatchTask) []job.Size {
+	var out []job.Size
+	for i := range tasks {
+		if s := tasks[i].Size(); !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // settle takes one task's outcome.
 func (b *batch) settle(o job.TaskOutcome) {
 	b.outcomes = append(b.outcomes, o)
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -1,9 +1,6 @@
 package holder
 
 import (
-	"context"
-	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,169 +13,6 @@
 	"github.com/vanillagrade/vanillagrade/internal/target"
 )
 
-var owner = job.Owner{Entry: "e1", Incarnation: 1, Zone: "a"}
-
-// taskTime is how long a fake target works on a task.
-const taskTime = 50 * time.Millisecond
-
-// fleet is a set of fake targets: it counts what they are given.
-type fleet struct {
-	mu      sync.Mutex
-	starts  map[string]int
-	running map[job.TargetID]int
-	most    map[job.TargetID]int
-	on      map[job.TargetID]int
-	stops   []string
-	closed  int
-	// answer decides how a task ends; nil is done after taskTime.
-	answer func(id job.TargetID, t target.Task) target.Result
-}
-
-type fakeTarget struct {
-	fleet *fleet
-	id    job.TargetID
-}
-
-func newFleet() *fleet {
-	return &fleet{starts: map[string]int{}, running: map[job.TargetID]int{}, most: map[job.TargetID]int{}, on: map[job.TargetID]int{}}
-}
-
-func (f *fleet) connect(t job.Target) Connection { return &fakeTarget{f, t.ID} }
-
-func (c *fakeTarget) Start(_ context.Context, t target.Task) target.Result {
-	f := c.fleet
-	f.mu.Lock()
-	f.starts[target.TaskName(t.Submission, t.Index)]++
-	f.on[c.id]++
-	f.running[c.id]++
-	f.most[c.id] = max(f.most[c.id], f.running[c.id])
-	answer := f.answer
-	f.mu.Unlock()
-	defer func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.running[c.id]--
-	}()
-	if answer != nil {
-		return answer(c.id, t)
-	}
-	return done()
-}
-
-func done() target.Result {
-	time.Sleep(taskTime)
-	return target.Result{Status: job.TaskDone, Payload: []byte("1"), Ran: taskTime}
-}
-
-func erred() target.Result {
-	return target.Result{Status: job.TaskErred, Reason: job.TargetLost}
-}
-
-func refused() target.Result {
-	return target.Result{Status: job.TaskNotStarted, Reason: job.TargetRefused, Refusal: target.Busy}
-}
-
-func (c *fakeTarget) Stop(_ context.Context, id job.ID, index int) error {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	c.fleet.stops = append(c.fleet.stops, target.TaskName(id, index))
-	return nil
-}
-
-func (c *fakeTarget) Close() {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	c.fleet.closed++
-}
-
-var file = &config.File{Number: 1, Services: []config.Service{
-	{Name: "thumbs", Pool: "p", Urgency: job.UrgencyInteractive},
-	{Name: "again", Pool: "p", Urgency: job.UrgencyInteractive, Repeatable: true},
-}}
-
-func newHolder(f *fleet, targets ...job.TargetID) *Holder {
-	h := New(Options{Self: owner, Config: config.Fixed{File: file}, Connect: f.connect})
-	for _, id := range targets {
-		h.SetTarget(announced(id))
-	}
-	return h
-}
-
-func announced(id job.TargetID) job.Target {
-	return job.Target{ID: id, Pool: "p", Address: "10.0.0.1:" + string(id), Zone: "a", Slots: 8, Connections: 64}
-}
-
-func batchOf(id job.ID, n int) *job.Batch {
-	b := &job.Batch{Owner: owner, Submission: id, Service: "thumbs"}
-	for i := range n {
-		b.Tasks = append(b.Tasks, job.BatchTask{Index: i})
-	}
-	return b
-}
-
-// reports collects what a batch was reported as.
-type reports struct {
-	mu  sync.Mutex
-	all [][]job.TaskOutcome
-}
-
-func (r *reports) take(o []job.TaskOutcome) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.all = append(r.all, o)
-}
-
-// tally sums a report up as "status reason×count".
-func (r *reports) tally() map[string]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.all) != 1 {
-		return map[string]int{fmt.Sprintf("%d reports", len(r.all)): 1}
-	}
-	names := map[job.TaskStatus]string{job.TaskDone: "done", job.TaskErred: "erred", job.TaskNotStarted: "not started"}
-	sum := map[string]int{}
-	for _, o := range r.all[0] {
-		key := names[o.Status]
-		if o.Reason != "" {
-			key += " " + string(o.Reason)
-		}
-		sum[key]++
-	}
-	return sum
-}
-
-type tally = map[string]int
-
-// given returns how many tasks a target was given.
-func (f *fleet) given(id job.TargetID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.on[id]
-}
-
-// stopped returns how many tasks were asked to stop, once all requests are out.
-func (f *fleet) stopped() int {
-	synctest.Wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.stops)
-}
-
-func (f *fleet) check(t *testing.T, starts int) {
-	t.Helper()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	total := 0
-	for task, n := range f.starts {
-		qt.Check(t, n, qt.Equals, 1, qt.Commentf(task))
-		total += n
-	}
-	qt.Check(t, total, qt.Equals, starts)
-	for id, n := range f.most {
-		qt.Check(t, n <= 8, qt.IsTrue, qt.Commentf("%s ran %d", id, n))
-	}
-}
-
 func TestBatchRunsWholeWithinTheSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
@@ -395,6 +229,30 @@
 	})
 }
 
+// The only target that could hold a large task leaves while the task waits.
+// On the small ones that are left it would wait for ever.
+func TestTaskThatFitsNowhereIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		h := newHolder(f, "1")
+		large := announced("2")
+		large.Processors, large.Slots = 8, 1
+		h.SetTarget(large)
+		big, small := batchOf("big", 2), batchOf("small", 2)
+		for i := range big.Tasks {
+			big.Tasks[i].Processors = 8
+		}
+		var first, second reports
+		h.Offer(big, first.take)
+		h.Offer(small, second.take)
+		synctest.Wait()
+		h.RemoveTarget("2")
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+		qt.Assert(t, first.tally(), qt.DeepEquals, tally{"done": 1, "not started no_target": 1})
+		qt.Assert(t, second.tally(), qt.DeepEquals, tally{"done": 2})
+	})
+}
+
 // A target comes back at another address, or in another pool, while its old
 // tasks still run, or it was held by another entry whose tasks still run on
 // it. Counted from nothing, its slots would be given out twice.
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -73,9 +73,7 @@
 		l.removed = true
 		p.sched.RemoveTarget(now, id)
 		p.release(l, e)
-		if len(p.sched.Targets()) == 0 {
-			p.giveBackAll(now, e)
-		}
+		p.giveBackStranded(now, e)
 	})
 }
 
@@ -91,18 +89,33 @@
 	}
 }
 
-// giveBackAll empties the queue of a pool whose last target left. The tasks
-// would otherwise wait here while another holder has free slots.
-func (p *pool) giveBackAll(now time.Time, e *effects) {
+// giveBackStranded gives the queued tasks back of jobs with a task that no
+// target left here could ever hold. They would otherwise wait for ever, also
+// while another holder has room.
+func (p *pool) giveBackStranded(now time.Time, e *effects) {
 	for _, b := range p.batches {
-		if b.reported {
+		if b.reported || p.holds(b) {
 			continue
 		}
-		p.giveBack(now, b, job.NoTarget, "the last target of pool "+p.name+" left this holder")
+		p.giveBack(now, b, job.NoTarget, "the last target for the task left this holder")
 		p.conclude(now, b, e)
 	}
 }
 
+// holds reports whether each task of the batch fits on a target that is left.
+func (p *pool) holds(b *batch) bool {
+	for _, s := range b.sizes {
+		fits := false
+		for _, l := range p.links {
+			fits = fits || !l.removed && s.Fits(l.target.Room())
+		}
+		if !fits {
+			return false
+		}
+	}
+	return true
+}
+
 // stop asks the target to stop a task. One goroutine a target asks for one
 // task at a time, so that a wave of cancellations takes one connection.
 func (l *link) stop(p *pool, submission job.ID, index int, e *effects) {
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -1,8 +1,8 @@
 package target
 
 import (
-	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,89 +18,6 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
-// rawTarget is a TCP server that reads requests, counts a start for each whole
-// one, and then does with the connection as its script says.
-type rawTarget struct {
-	net.Listener
-	mu     sync.Mutex
-	starts map[string]int
-	conns  int
-}
-
-// step answers one request on c; false closes the connection.
-type step func(c net.Conn, r *http.Request) bool
-
-func answer(text string) step {
-	return func(c net.Conn, _ *http.Request) bool {
-		_, err := io.WriteString(c, text)
-		return err == nil
-	}
-}
-
-func thenClose(text string) step {
-	return func(c net.Conn, r *http.Request) bool {
-		answer(text)(c, r)
-		return false
-	}
-}
-
-const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"
-
-// serveRaw runs the steps in turn on each connection; the last one repeats.
-func serveRaw(t *testing.T, steps ...step) *rawTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	raw := &rawTarget{Listener: l, starts: map[string]int{}}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			raw.mu.Lock()
-			raw.conns++
-			raw.mu.Unlock()
-			go raw.serve(c, steps)
-		}
-	}()
-	return raw
-}
-
-func (raw *rawTarget) serve(c net.Conn, steps []step) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	for i := 0; ; i++ {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		raw.mu.Lock()
-		raw.starts[req.URL.Path]++
-		raw.mu.Unlock()
-		if !steps[min(i, len(steps)-1)](c, req) {
-			return
-		}
-	}
-}
-
-func (raw *rawTarget) most() (most, total int) {
-	raw.mu.Lock()
-	defer raw.mu.Unlock()
-	for _, n := range raw.starts {
-		most = max(most, n)
-		total += n
-	}
-	return most, total
-}
-
-func link(raw *rawTarget) *Link {
-	return NewClient(ClientOptions{MaxAnswer: 64}).Link(raw.Addr().String(), 2)
-}
-
 // A target reads a whole task, starts it, and its connection breaks before,
 // within or after the answer, because its process dies or its server is badly
 // made. A dispatcher that sends again doubles a bill or an alarm; one that
@@ -157,6 +74,31 @@
 	}
 }
 
+// A target begins a task while its body still arrives, and dies. The task has
+// an effect already, though the dispatcher could not even send it whole.
+func TestClosedWhileTheTaskIsSent(t *testing.T) {
+	for _, take := range []int64{0, 1000, longBody / 2} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprint(take, " reused=", reused), func(t *testing.T) {
+				raw := serveRaw(t, answer(ok))
+				raw.mu.Lock()
+				raw.take = take
+				raw.mu.Unlock()
+				l := link(raw)
+				defer l.Close()
+				if reused {
+					qt.Assert(t, l.Start(t.Context(), Task{Submission: "warm"}).Status, qt.Equals, job.TaskDone)
+				}
+				res := l.Start(t.Context(), Task{Submission: "x", Payload: make([]byte, longBody)})
+				qt.Assert(t, res.Status, qt.Equals, job.TaskErred, qt.Commentf("%+v", res))
+				raw.mu.Lock()
+				defer raw.mu.Unlock()
+				qt.Assert(t, raw.starts["/v1/tasks/x/0"], qt.Equals, 1)
+			})
+		}
+	}
+}
+
 func TestWholeAnswers(t *testing.T) {
 	cases := []struct {
 		name, text, want string
@@ -365,3 +307,33 @@
 	qt.Assert(t, <-got, qt.Equals, "DELETE /v1/tasks/a%2Fb/7")
 	qt.Assert(t, DefaultIdleTimeout < 5*time.Second, qt.IsTrue)
 }
+
+// BenchmarkStart measures one start over a reused loopback connection, target
+// included, beside the same request through a plain http.Client.
+func BenchmarkStart(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "1")
+	}))
+	defer server.Close()
+	b.Run("link", func(b *testing.B) {
+		l := NewClient(ClientOptions{}).Link(server.Listener.Addr().String(), 8)
+		defer l.Close()
+		b.ReportAllocs()
+		for b.Loop() {
+			if res := l.Start(b.Context(), Task{Submission: "x", Payload: []byte("1")}); res.Status != job.TaskDone {
+				b.Fatalf("%+v", res)
+			}
+		}
+	})
+	b.Run("http.Client", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			resp, err := server.Client().Post(server.URL+"/v1/tasks/x/0", "application/json", strings.NewReader("1"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+	})
+}
