Count votes by disk, wait for a new voter, and write again after a full disk

Tests for three rules that switching the code off had shown to be unproved: a vote of an unknown disk under a known name does not count, a replacement waits until the new voter holds everything, and a write that failed is repeated without another change. The voters' beats are gone: with them switched off no test changed, since the probes bring the same.

--- a/internal/consensus/learner.go
+++ b/internal/consensus/learner.go
@@ -21,12 +21,6 @@
 	t.send(t.message(MsgFetch, m.From.Entry))
 }
 
-func (t *step) onStatus(m *Message) {
-	if m.Version > t.Chosen.Version {
-		t.send(t.message(MsgFetch, m.From.Entry))
-	}
-}
-
 func (t *step) onFetch(m *Message) {
 	if m.Version < t.Chosen.Version {
 		t.sendLearn(m.From)
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -19,8 +19,6 @@
 	MsgReject MessageKind = 5
 	// MsgChosen says under which ballot a version was chosen.
 	MsgChosen MessageKind = 6
-	// MsgStatus says how far the sender is.
-	MsgStatus MessageKind = 7
 	// MsgFetch asks for the latest chosen value.
 	MsgFetch MessageKind = 8
 	// MsgLearn carries it.
@@ -46,7 +44,7 @@
 }
 
 // Input is what happens to a node: one of Received, Synced, Submit, Abandon,
-// Retry, Beat, Finish and Lagging.
+// Retry, Finish and Lagging.
 type Input interface{ input() }
 
 // Received is the arrival of a message.
@@ -67,9 +65,6 @@
 // Retry sends again what got no answer, or starts a new attempt.
 type Retry struct{}
 
-// Beat tells the other voters how far this node is.
-type Beat struct{}
-
 // Finish completes a proposal that was accepted here and never heard of again:
 // it may have been chosen, and its operator told so, before its proposer died.
 type Finish struct{}
@@ -83,7 +78,6 @@
 func (Submit) input()   {}
 func (Abandon) input()  {}
 func (Retry) input()    {}
-func (Beat) input()     {}
 func (Finish) input()   {}
 
 // Write asks for the record to be synced. A later record replaces an earlier
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -30,8 +30,6 @@
 		t.abandon(in.Token)
 	case Retry:
 		t.retry()
-	case Beat:
-		t.beat()
 	case Lagging:
 		t.send(t.message(MsgFetch, in.Peer))
 	case Finish:
@@ -108,8 +106,6 @@
 		t.onReject(m)
 	case MsgChosen:
 		t.onChosen(m)
-	case MsgStatus:
-		t.onStatus(m)
 	case MsgFetch:
 		t.onFetch(m)
 	case MsgLearn:
@@ -131,11 +127,3 @@
 func (t *step) answer(token Token, o Outcome) {
 	t.out.Answers = append(t.out.Answers, Answer{Token: token, Outcome: o})
 }
-
-func (t *step) beat() {
-	for _, to := range t.peers() {
-		if to != t.Self.Entry {
-			t.send(t.message(MsgStatus, to))
-		}
-	}
-}
--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -103,3 +103,44 @@
 	qt.Assert(t, next.Chosen.Version, qt.Equals, uint64(1))
 	qt.Assert(t, out.Messages, qt.HasLen, 0)
 }
+
+// An entry lost its disk and comes back under its old name, with a release that
+// votes all the same. Its vote may contradict one that it has forgotten, so the
+// proposer must not count it.
+func TestVoteOfAnUnknownDiskIsNotCounted(t *testing.T) {
+	value := Value{Version: 1, Lineage: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	s := Start(Record{Self: value.Voters[0], Chosen: value}, nil, 1)
+	s, _ = Step(s, Submit{Token: 1, Command: *configure("x", 1, "x")})
+	vote := func(from Voter) Message {
+		return Message{Kind: MsgPromise, From: from, To: "a", Version: 2, Ballot: s.Attempt.Ballot}
+	}
+	s, _ = Step(s, Received{vote(Voter{"a", "a#0"})})
+	s, _ = Step(s, Received{vote(Voter{"b", "b#1"})})
+	qt.Assert(t, s.Attempt.Phase, qt.Equals, preparing)
+	s, _ = Step(s, Received{vote(Voter{"b", "b#0"})})
+	qt.Assert(t, s.Attempt.Phase, qt.Equals, accepting)
+}
+
+// An operator replaces a voter by an entry that can't be reached. Were it named
+// at once, the fleet would count on a copy that nobody has: the old voter must
+// stay until the new one holds everything.
+func TestReplacementWaitsUntilTheNewVoterHasCaughtUp(t *testing.T) {
+	value := Value{Version: 4, Lineage: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	s := Start(Record{Self: value.Voters[0], Chosen: value}, nil, 1)
+	spare := Voter{"d", "d#0"}
+	kinds := func(out Output) map[MessageKind]int {
+		n := map[MessageKind]int{}
+		for _, m := range out.Messages {
+			n[m.Kind]++
+		}
+		return n
+	}
+	s, out := Step(s, Submit{Token: 1, Command: Command{Kind: Replace, Old: "c", New: spare}})
+	qt.Assert(t, kinds(out), qt.DeepEquals, map[MessageKind]int{MsgLearn: 1})
+	s, out = Step(s, Retry{})
+	qt.Assert(t, kinds(out), qt.DeepEquals, map[MessageKind]int{MsgLearn: 1})
+	s, out = Step(s, Received{Message{Kind: MsgLearned, From: Voter{"d", "d#1"}, To: "a", Version: 4}})
+	qt.Assert(t, kinds(out)[MsgPrepare], qt.Equals, 0, qt.Commentf("another disk of that name"))
+	_, out = Step(s, Received{Message{Kind: MsgLearned, From: spare, To: "a", Version: 4}})
+	qt.Assert(t, kinds(out), qt.DeepEquals, map[MessageKind]int{MsgPrepare: 3})
+}
--- a/internal/explore/voters.go
+++ b/internal/explore/voters.go
@@ -325,7 +325,7 @@
 var kindNames = map[consensus.MessageKind]string{
 	consensus.MsgPrepare: "prepare", consensus.MsgPromise: "promise", consensus.MsgAccept: "accept",
 	consensus.MsgAccepted: "accepted", consensus.MsgReject: "reject", consensus.MsgChosen: "chosen",
-	consensus.MsgStatus: "status", consensus.MsgFetch: "fetch", consensus.MsgLearn: "learn", consensus.MsgLearned: "learned",
+	consensus.MsgFetch: "fetch", consensus.MsgLearn: "learn", consensus.MsgLearned: "learned",
 }
 
 // addMessages returns the set with more numbers in it.
--- /dev/null
+++ b/internal/register/bench_test.go
@@ -0,0 +1,143 @@
+package register
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
+)
+
+// The benchmarks run in real time: voters sync to the real disk of the machine,
+// and the network in memory delays each message as between availability zones.
+const zoneDelay = 1500 * time.Microsecond
+
+// realFleet starts voters on real disks and learners.
+func realFleet(b *testing.B, voters, learners int) *fleet {
+	f := &fleet{t: b, net: &peertest.Network{Delay: zoneDelay}, nodes: map[job.EntryID]*member{}}
+	for i := range voters {
+		f.voters = append(f.voters, job.EntryID(fmt.Sprintf("v%d", i+1)))
+	}
+	f.entries = slices.Clone(f.voters)
+	for i := range learners {
+		f.entries = append(f.entries, job.EntryID(fmt.Sprintf("l%d", i+1)))
+	}
+	for i, e := range f.entries {
+		opts := Options{Mesh: f.net.Join(job.Owner{Entry: e, Incarnation: 1}), Voters: f.voters, Entries: f.entries}
+		if i < voters {
+			store, err := storage.Open(b.TempDir(), storage.OS{})
+			qt.Assert(b, err, qt.IsNil)
+			opts.Store = store
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		m := &member{Register: New(opts), stop: cancel, done: make(chan struct{})}
+		f.nodes[e] = m
+		go func() {
+			defer close(m.done)
+			_ = m.Run(ctx)
+		}()
+	}
+	b.Cleanup(func() {
+		for e, m := range f.nodes {
+			f.net.Leave(e)
+			m.stop()
+			<-m.done
+		}
+	})
+	for i := 0; ; i++ {
+		if _, err := f.apply("v1", "first", fileOf(1, "a")); err == nil {
+			return f
+		}
+		qt.Assert(b, i < 10, qt.IsTrue)
+	}
+}
+
+// report prints the median and the 99th percentile of times.
+func report(b *testing.B, what string, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, what+"-p50-ms")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, what+"-p99-ms")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, voters := range []int{3, 5} {
+		b.Run(fmt.Sprintf("voters=%d", voters), func(b *testing.B) {
+			f := realFleet(b, voters, 7-voters)
+			var times []time.Duration
+			number := 1
+			cpu := processorTime()
+			for b.Loop() {
+				number++
+				start := time.Now()
+				f.mustApply("v1", number)
+				times = append(times, time.Since(start))
+			}
+			b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(len(times)*len(f.entries)), "cpu-µs/change/entry")
+			report(b, "apply", times)
+		})
+	}
+}
+
+// BenchmarkSpread measures from the call of Apply until the file is in force on
+// every entry.
+func BenchmarkSpread(b *testing.B) {
+	for _, entries := range []int{7, 300} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			f := realFleet(b, 3, entries-3)
+			var times []time.Duration
+			number := 1
+			for b.Loop() {
+				number++
+				start := time.Now()
+				f.mustApply("v1", number)
+				for _, e := range f.entries {
+					for n, _ := f.nodes[e].Summary(); n < uint64(number); n, _ = f.nodes[e].Summary() {
+						time.Sleep(200 * time.Microsecond)
+					}
+				}
+				times = append(times, time.Since(start))
+			}
+			report(b, "in-force", times)
+		})
+	}
+}
+
+// BenchmarkRecover measures from the start of a voter until it serves, by the
+// number of changes that it has seen.
+func BenchmarkRecover(b *testing.B) {
+	for _, changes := range []int{10, 500, 50000} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			store, err := storage.Open(b.TempDir(), storage.OS{})
+			qt.Assert(b, err, qt.IsNil)
+			v := consensus.Value{Version: 1, Lineage: 1, Voters: []consensus.Voter{{Entry: "v1", Identity: "x"}}}
+			for n := 1; n <= changes; n++ {
+				body := []byte(fileOf(n, "a"))
+				id := fmt.Sprintf("01JE%022d", n)
+				v = v.Apply(&consensus.Command{Kind: consensus.Configure, Body: body, Change: consensus.Change{ID: id, Number: uint64(n), Digest: consensus.DigestOf(body)}})
+			}
+			qt.Assert(b, saveRecord(store, consensus.Record{Self: v.Voters[0], Chosen: v}), qt.IsNil)
+			for b.Loop() {
+				net := &peertest.Network{}
+				r := New(Options{Mesh: net.Join(job.Owner{Entry: "v1"}), Store: store, Voters: []job.EntryID{"v1"}})
+				qt.Assert(b, r.Current().Number, qt.Equals, uint64(changes))
+			}
+			body, err := storage.OS{}.ReadFile(store.Dir() + "/register.record")
+			qt.Assert(b, err, qt.IsNil)
+			b.ReportMetric(float64(len(body)), "record-bytes")
+		})
+	}
+}
--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -315,5 +315,9 @@
 		f.inForce(2, 5*time.Second, f.entries...)
 		f.mustApply("v2", 3)
 		f.inForce(3, 5*time.Second, f.entries...)
+		f.nodes["v3"].fs.Fill(false)
+		time.Sleep(5 * time.Second)
+		m := f.start("v3", f.crash("v3", storagetest.KeepNone))
+		qt.Assert(t, m.Current().Number, qt.Equals, uint64(3), qt.Commentf("written once there was space, without another change"))
 	})
 }
--- a/internal/register/node.go
+++ b/internal/register/node.go
@@ -172,19 +172,18 @@
 	return r.node.Chosen.Version
 }
 
-// beatLoop tells the other voters how far this one is and completes proposals
-// whose proposer fell silent.
-func (r *Register) beatLoop(ctx context.Context) {
+// finishLoop forms the register and completes proposals whose proposer fell
+// silent.
+func (r *Register) finishLoop(ctx context.Context) {
 	r.step(consensus.Finish{})
-	for sleep(ctx, jitter(beatInterval)) {
-		r.step(consensus.Beat{})
+	for sleep(ctx, jitter(finishInterval)) {
 		if r.orphaned() {
 			r.step(consensus.Finish{})
 		}
 	}
 }
 
-// orphaned reports whether an accepted proposal has been waiting for two beats,
+// orphaned reports whether an accepted proposal has been waiting for two ticks,
 // or the register is not formed yet.
 func (r *Register) orphaned() bool {
 	r.mu.Lock()
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -34,8 +34,10 @@
 // how long a lost message or a cut goes unnoticed. Together they stay below half
 // of the 6 s within which a change must be in force.
 const (
-	beatInterval  = time.Second
 	probeInterval = 2 * time.Second
+	// finishInterval is how often a voter looks for a proposal that its
+	// proposer left behind.
+	finishInterval = time.Second
 	// firstInterval is the pace of pulls while there is no configuration.
 	firstInterval = 200 * time.Millisecond
 	// staleAfter is how long a majority may be silent before an entry calls
@@ -176,7 +178,7 @@
 	if r.hasDisk {
 		wg.Go(func() { r.writeLoop(ctx) })
 		wg.Go(func() { r.retryLoop(ctx) })
-		wg.Go(func() { r.beatLoop(ctx) })
+		wg.Go(func() { r.finishLoop(ctx) })
 	}
 	r.probeLoop(ctx)
 	return nil
