Let tests kill entries and cut availability zones of an in-process fleet

A closed socket is noticed at once, a network cut is not: wires between entries stop carrying bytes without telling anybody. Kill ends an entry without waiting for anything, as the loss of its VM does.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,8 @@
 	// stopping is closed when an operator asks for a planned stop.
 	stopping chan struct{}
 	stopOnce sync.Once
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // bodyMemory bounds the bytes of submissions that one entry holds. It is half
@@ -116,6 +118,7 @@
 		memory: api.NewByteBudget(bodyMemory),
 
 		stopping: make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
 	if err := e.assemble(); err != nil {
@@ -205,6 +208,7 @@
 	e.add(&g, e.links.Run)
 	e.add(&g, e.register.Run)
 	e.add(&g, e.targets.expire)
+	e.add(&g, e.waitForKill)
 	stopped, stop := e.stopContext(ctx)
 	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
 	err := g.Run()
@@ -213,6 +217,34 @@
 	return errors.Trace(err)
 }
 
+// errKilled ends a run without waiting for anything.
+const errKilled = errors.ConstError("killed")
+
+// Kill ends the entry as the loss of its VM would: nothing in progress is
+// waited for. Tests use it.
+func (e *Entry) Kill() {
+	e.killOnce.Do(func() { close(e.killed) })
+}
+
+func (e *Entry) waitForKill(ctx context.Context) error {
+	select {
+	case <-e.killed:
+		e.holder.Close()
+		return errKilled
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (e *Entry) isKilled() bool {
+	select {
+	case <-e.killed:
+		return true
+	default:
+		return false
+	}
+}
+
 // add runs f until the group ends.
 func (e *Entry) add(g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -220,7 +252,17 @@
 }
 
 func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
+	server := api.Server(h, e.log)
+	served := make(chan struct{})
+	defer close(served)
+	go func() {
+		select {
+		case <-e.killed:
+			_ = server.Close()
+		case <-served:
+		}
+	}()
+	return api.Serve(ctx, server, l, stopBound)
 }
 
 // closing makes each answer of a stopping entry close its connection.
@@ -252,6 +294,9 @@
 // parts of the entry keep running until it returns.
 func (e *Entry) stopAsPlanned(ctx context.Context) error {
 	<-ctx.Done()
+	if e.isKilled() {
+		return errKilled
+	}
 	e.check.Drain()
 	linger := time.NewTimer(e.opts.Linger)
 	defer linger.Stop()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,8 @@
 	File []byte
 	// Config, when set, is in force in place of File, without agreement.
 	Config config.View
+	// Wires puts a wire that can be cut between each two entries.
+	Wires bool
 	// Dir is where voters keep their data; by default a temporary folder that
 	// Stop removes.
 	Dir string
@@ -56,7 +58,9 @@
 type Fleet struct {
 	opts    Options
 	temp    bool
+	// Ledger sees the starts at all targets together.
 	Ledger  *standin.Ledger
+	wires   map[pair]*wire
 	entries []*member
 	targets []*standTarget
 }
@@ -67,6 +71,8 @@
 	zone   job.Zone
 	listen entry.Listeners
 	entry  *entry.Entry
+	// dead is set while no life of the entry runs.
+	dead bool
 	life
 }
 
@@ -75,6 +81,9 @@
 	life
 }
 
+// pair names the two ends of a wire, the dialling one first.
+type pair struct{ from, to job.EntryID }
+
 // life is something that runs until it is stopped.
 type life struct {
 	stop context.CancelFunc
@@ -170,6 +179,11 @@
 			f.entries = append(f.entries, m)
 		}
 	}
+	if f.opts.Wires {
+		if err := f.layWires(); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	for _, m := range f.entries {
 		if err := f.run(m); err != nil {
 			return errors.Trace(err)
@@ -178,6 +192,23 @@
 	return nil
 }
 
+func (f *Fleet) layWires() error {
+	f.wires = map[pair]*wire{}
+	for _, from := range f.entries {
+		for _, to := range f.entries {
+			if from == to {
+				continue
+			}
+			w, err := newWire(to.listen.Peer.Addr().String())
+			if err != nil {
+				return errors.Trace(err)
+			}
+			f.wires[pair{from.name, to.name}] = w
+		}
+	}
+	return nil
+}
+
 func (m *member) open() error {
 	for _, l := range []*net.Listener{&m.listen.Caller, &m.listen.Peer, &m.listen.Operator} {
 		opened, err := net.Listen("tcp", "127.0.0.1:0")
@@ -215,7 +246,11 @@
 		OperatorAddr: m.listen.Operator.Addr().String(),
 	}
 	for _, p := range f.entries {
-		s.Peers = append(s.Peers, settings.Peer{Entry: p.name, Zone: p.zone, Address: p.listen.Peer.Addr().String()})
+		address := p.listen.Peer.Addr().String()
+		if w := f.wires[pair{m.name, p.name}]; w != nil {
+			address = w.address()
+		}
+		s.Peers = append(s.Peers, settings.Peer{Entry: p.name, Zone: p.zone, Address: address})
 	}
 	s.Voters = f.voters()
 	if slices.Contains(s.Voters, m.name) {
@@ -324,7 +359,9 @@
 	err := wait(ctx, func() bool {
 		known = 0
 		for _, m := range f.entries {
-			known += m.entry.Slots(f.opts.Pool)
+			if !m.dead {
+				known += m.entry.Slots(f.opts.Pool)
+			}
 		}
 		return known >= slots
 	})
@@ -345,11 +382,14 @@
 	for _, t := range f.targets {
 		<-t.done
 	}
+	for _, w := range f.wires {
+		w.close()
+	}
 	if f.temp {
 		_ = os.RemoveAll(f.opts.Dir)
 	}
 	for _, m := range f.entries {
-		if m.err != nil {
+		if m.err != nil && !m.dead {
 			return errors.Annotatef(m.err, "entry %s", m.name)
 		}
 	}
