--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -72,9 +72,9 @@
 	// writing is set while taken frames are on their way into the socket.
 	writing bool
 	broken  bool
-	calls  map[uint64]*pending
-	wake   chan struct{}
-	nextID atomic.Uint64
+	calls   map[uint64]*pending
+	wake    chan struct{}
+	nextID  atomic.Uint64
 }
 
 func newLink(owner *Links, remote job.Owner, conn *websocket.Conn) *link {
