--- /dev/null
+++ b/internal/handover/remote.go
@@ -0,0 +1,227 @@
+package handover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+const (
+	// askAgainAfter is when an owner asks again for the outcomes of an offer
+	// whose link stands. A link that stands loses nothing, so this only guards
+	// against an answer that was lost inside a peer; it is longer than nearly
+	// all batches, so that it adds no messages in ordinary running.
+	askAgainAfter = 5 * time.Second
+	// The pause between tries while a link is down: links come back within
+	// tens of milliseconds after a restart.
+	minRetryPause = 20 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
+	// giveUpAfter bounds how long an owner keeps a caller waiting for a holder
+	// which it can't reach and nobody calls dead. It is longer than the time in
+	// which membership notices a death.
+	giveUpAfter = 10 * time.Second
+	// maxAcks bounds the acknowledgements that wait for the next offer.
+	maxAcks = 4096
+)
+
+// Gone reports whether that life of an entry has ended for certain enough to
+// stop waiting for it.
+type Gone func(entry job.EntryID, life job.Incarnation) bool
+
+// RemoteOptions are the settings of a Remote.
+type RemoteOptions struct {
+	Mesh   peer.Mesh
+	Gone   Gone
+	Events timeline.Sink
+}
+
+// Remote is the owner's side of the hand-over to holders at other entries.
+type Remote struct {
+	mesh   peer.Mesh
+	gone   Gone
+	events timeline.Sink
+
+	mu     sync.Mutex
+	next   uint64
+	flying map[job.ID]map[uint64]job.EntryID
+	acks   map[job.EntryID][]uint64
+}
+
+// NewRemote returns the owner's side.
+func NewRemote(o RemoteOptions) *Remote {
+	if o.Gone == nil {
+		o.Gone = func(job.EntryID, job.Incarnation) bool { return false }
+	}
+	if o.Events == nil {
+		o.Events = timeline.Discard{}
+	}
+	return &Remote{
+		mesh: o.Mesh, gone: o.Gone, events: o.Events,
+		flying: map[job.ID]map[uint64]job.EntryID{}, acks: map[job.EntryID][]uint64{},
+	}
+}
+
+// Offer hands a batch to that life of an entry and returns at once. reported
+// is called once, from another goroutine. When ctx ends before, the holder is
+// asked to cancel and the tasks are reported as TaskErred unless they provably
+// never left.
+func (r *Remote) Offer(ctx context.Context, to job.EntryID, life job.Incarnation, b *job.Batch, reported func([]job.TaskOutcome)) {
+	number := r.begin(b.Submission, to)
+	go func() {
+		outcomes := r.deliver(ctx, to, offer{Number: number, To: life, Batch: *b})
+		r.end(b.Submission, number)
+		reported(outcomes)
+	}()
+}
+
+func (r *Remote) begin(id job.ID, to job.EntryID) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	if r.flying[id] == nil {
+		r.flying[id] = map[uint64]job.EntryID{}
+	}
+	r.flying[id][r.next] = to
+	return r.next
+}
+
+func (r *Remote) end(id job.ID, number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.flying[id], number)
+	if len(r.flying[id]) == 0 {
+		delete(r.flying, id)
+	}
+}
+
+// Cancel asks an entry to drop what it holds of a submission of this owner.
+func (r *Remote) Cancel(to job.EntryID, id job.ID) {
+	r.mu.Lock()
+	var numbers []uint64
+	for n, entry := range r.flying[id] {
+		if entry == to {
+			numbers = append(numbers, n)
+		}
+	}
+	r.mu.Unlock()
+	// A cancellation that is lost costs work, never correctness; Offer sends it
+	// again when its context ends.
+	_ = r.mesh.Send(to, peer.BatchCancel, cancel{Submission: id, Offers: numbers})
+}
+
+func (r *Remote) takeAcks(to job.EntryID) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	acks := r.acks[to]
+	delete(r.acks, to)
+	return acks
+}
+
+func (r *Remote) ack(to job.EntryID, numbers ...uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.acks[to]) < maxAcks {
+		r.acks[to] = append(r.acks[to], numbers...)
+	}
+}
+
+// deliver sends an offer, again after each broken link, until its outcomes are
+// known or can't be learned any more.
+func (r *Remote) deliver(ctx context.Context, to job.EntryID, o offer) []job.TaskOutcome {
+	b := o.Batch
+	start := time.Now()
+	var unreachable time.Duration
+	sent := false // whether the holder may have got the offer
+	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
+		o.Batch = aged(b, time.Since(start))
+		o.Acked = r.takeAcks(to)
+		answer, err := r.ask(ctx, to, o)
+		if err == nil && answer.Verdict != verdictSuperseded {
+			r.ack(to, o.Number)
+			return settle(&b, answer)
+		}
+		if errors.Is(err, peer.ErrRejected) {
+			return whole(&b, job.TaskErred, job.Internal, err.Error())
+		}
+		r.ack(to, o.Acked...)
+		if errors.Is(err, peer.ErrNotSent) && !sent {
+			return whole(&b, job.TaskNotStarted, job.HolderLost, err.Error())
+		}
+		sent = true
+		if ctx.Err() != nil {
+			r.Cancel(to, b.Submission)
+			return whole(&b, job.TaskErred, job.HolderLost, "given up before the holder reported")
+		}
+		if errors.Is(err, peer.ErrNotSent) {
+			unreachable += pause
+		} else {
+			unreachable, pause = 0, minRetryPause
+		}
+		if r.gone(to, o.To) || unreachable > giveUpAfter {
+			return whole(&b, job.TaskErred, job.HolderLost, "the holder was lost after it got the tasks")
+		}
+		r.wait(ctx, pause)
+	}
+}
+
+func (r *Remote) ask(ctx context.Context, to job.EntryID, o offer) (report, error) {
+	ctx, cancel := context.WithTimeout(ctx, askAgainAfter)
+	defer cancel()
+	var answer report
+	err := r.mesh.Call(ctx, to, peer.BatchOffer, o, &answer)
+	return answer, err
+}
+
+// Fetch collects the results of a lost owner's submission that holders still
+// have. Entries that don't answer add nothing.
+func (r *Remote) Fetch(ctx context.Context, from []job.EntryID, owner job.Owner, id job.ID) []job.TaskOutcome {
+	answers := make([]fetched, len(from))
+	var wg sync.WaitGroup
+	for i, entry := range from {
+		wg.Go(func() {
+			_ = r.mesh.Call(ctx, entry, peer.BatchFetch, fetch{owner, id}, &answers[i])
+		})
+	}
+	wg.Wait()
+	var held []job.TaskOutcome
+	for i := range answers {
+		held = append(held, answers[i].Outcomes...)
+	}
+	return held
+}
+
+func (r *Remote) wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// aged returns the batch as it stands after some time at this owner.
+func aged(b job.Batch, by time.Duration) job.Batch {
+	b.Waited += by
+	if b.Remaining > 0 {
+		// Zero would mean no deadline; an expired one must stay one.
+		b.Remaining = max(b.Remaining-by, time.Nanosecond)
+	}
+	return b
+}
+
+// settle turns the holder's answer into outcomes of all tasks that it covers.
+func settle(b *job.Batch, answer report) []job.TaskOutcome {
+	switch answer.Verdict {
+	case verdictReported:
+		return answer.Outcomes
+	case verdictNotMine:
+		return whole(b, job.TaskErred, job.HolderLost, "the holder was restarted; its earlier life may have started the tasks")
+	}
+	return whole(b, job.TaskErred, job.HolderLost, "the holder has no record of the tasks any more")
+}
--- /dev/null
+++ b/internal/handover/serve.go
@@ -0,0 +1,265 @@
+package handover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+)
+
+const (
+	// keepReported is how long the record of a reported offer stays. An owner
+	// that lost the answer asks again within seconds of the link's return, and
+	// gives the holder up after giveUpAfter without it.
+	keepReported = 3 * giveUpAfter
+	// maxRecordBytes bounds the outcomes kept for owners that have not
+	// acknowledged them: about one of the largest jobs for each of a few owners.
+	maxRecordBytes = 64 << 20
+)
+
+// key names one offer.
+type key struct {
+	entry  job.EntryID
+	life   job.Incarnation
+	number uint64
+}
+
+// record is one offer that this holder has taken.
+type record struct {
+	key        key
+	owner      job.Owner
+	submission job.ID
+	tasks      int
+	// done is closed when outcomes are known.
+	done     chan struct{}
+	reported bool
+	outcomes []job.TaskOutcome
+	at       time.Time
+	bytes    int
+	// asked is replaced and closed when the owner asks again.
+	asked chan struct{}
+}
+
+// Server is the holder's side of the hand-over.
+type Server struct {
+	holder Holder
+	self   job.Owner
+
+	mu      sync.Mutex
+	records map[key]*record
+	// finished lists reported records, oldest first.
+	finished []*record
+	bytes    int
+	// forgotten is the highest number of each owner's life whose record was
+	// dropped: an unknown offer up to it may be one of those.
+	forgotten map[job.Owner]uint64
+	// cancelled holds offers whose cancellation came first, oldest first in
+	// cancels.
+	cancelled map[key]bool
+	cancels   []cancelledAt
+}
+
+// cancelledAt is a cancellation that waits for its offer.
+type cancelledAt struct {
+	key key
+	at  time.Time
+}
+
+// Serve lets other entries hand batches to holder.
+func Serve(mesh peer.Mesh, holder Holder) *Server {
+	s := &Server{
+		holder: holder, self: mesh.Self(), records: map[key]*record{},
+		forgotten: map[job.Owner]uint64{}, cancelled: map[key]bool{},
+	}
+	mesh.Handle(peer.BatchOffer, s.handleOffer)
+	mesh.HandleInOrder(peer.BatchCancel, s.handleCancel)
+	mesh.Handle(peer.BatchFetch, s.handleFetch)
+	return s
+}
+
+func (s *Server) handleOffer(ctx context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
+	var o offer
+	if err := cbor.Unmarshal(body, &o); err != nil {
+		return nil, errors.Annotate(err, "decoding an offer")
+	}
+	if o.To != s.self.Incarnation {
+		return report{Verdict: verdictNotMine}, nil
+	}
+	o.Batch.Owner = from
+	rec, early, isNew := s.admit(time.Now(), from, &o)
+	if rec == nil {
+		return early, nil
+	}
+	if isNew {
+		s.holder.Offer(&o.Batch, func(outcomes []job.TaskOutcome) { s.report(rec, outcomes) })
+	}
+	return s.await(ctx, rec)
+}
+
+// admit finds or makes the record of an offer. Without a record the answer is
+// early.
+func (s *Server) admit(now time.Time, from job.Owner, o *offer) (rec *record, early report, isNew bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, number := range o.Acked {
+		s.acknowledge(key{from.Entry, from.Incarnation, number})
+	}
+	s.expire(now)
+	k := key{from.Entry, from.Incarnation, o.Number}
+	if rec := s.records[k]; rec != nil {
+		return rec, report{}, false
+	}
+	if o.Number <= s.forgotten[from] {
+		return nil, report{Verdict: verdictForgotten}, false
+	}
+	if s.cancelled[k] {
+		return nil, report{Verdict: verdictReported, Outcomes: whole(&o.Batch, job.TaskNotStarted, job.CancelledByCall, "")}, false
+	}
+	rec = &record{
+		key: k, owner: from, submission: o.Batch.Submission, tasks: len(o.Batch.Tasks),
+		done: make(chan struct{}), asked: make(chan struct{}),
+	}
+	s.records[k] = rec
+	return rec, report{}, true
+}
+
+// await answers the latest asking for a record; an older one is sent away, so
+// that outcomes cross the link once.
+func (s *Server) await(ctx context.Context, rec *record) (any, error) {
+	s.mu.Lock()
+	close(rec.asked)
+	rec.asked = make(chan struct{})
+	again := rec.asked
+	s.mu.Unlock()
+	select {
+	case <-rec.done:
+		return s.answer(rec), nil
+	case <-again:
+		return report{Verdict: verdictSuperseded}, nil
+	case <-ctx.Done():
+		return nil, errors.Annotate(ctx.Err(), "the link to the owner broke")
+	}
+}
+
+func (s *Server) answer(rec *record) report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rec.outcomes == nil && rec.tasks > 0 {
+		return report{Verdict: verdictForgotten}
+	}
+	return report{Verdict: verdictReported, Outcomes: rec.outcomes}
+}
+
+// report takes the holder's outcomes.
+func (s *Server) report(rec *record, outcomes []job.TaskOutcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rec.reported {
+		return
+	}
+	rec.reported, rec.outcomes, rec.at = true, outcomes, time.Now()
+	for i := range outcomes {
+		rec.bytes += len(outcomes[i].Payload) + len(outcomes[i].Detail)
+	}
+	s.bytes += rec.bytes
+	s.finished = append(s.finished, rec)
+	close(rec.done)
+}
+
+// acknowledge drops the outcomes of a record that its owner has. The number
+// stays known: a copy of the offer that was sent over an earlier link could
+// still be on its way through this process.
+func (s *Server) acknowledge(k key) {
+	rec := s.records[k]
+	if rec == nil || !rec.reported {
+		return
+	}
+	s.bytes -= rec.bytes
+	rec.bytes, rec.outcomes = 0, nil
+}
+
+// expire forgets reported records that are old, and the oldest while their
+// outcomes take too much memory.
+func (s *Server) expire(now time.Time) {
+	n := 0
+	for _, rec := range s.finished {
+		old := now.Sub(rec.at) > keepReported
+		if !old && s.bytes <= maxRecordBytes {
+			break
+		}
+		s.bytes -= rec.bytes
+		rec.bytes = 0
+		delete(s.records, rec.key)
+		s.forgotten[rec.owner] = max(s.forgotten[rec.owner], rec.key.number)
+		n++
+	}
+	clear(s.finished[:n])
+	s.finished = s.finished[n:]
+	for len(s.cancels) > 0 && now.Sub(s.cancels[0].at) > keepReported {
+		delete(s.cancelled, s.cancels[0].key)
+		s.cancels = s.cancels[1:]
+	}
+}
+
+func (s *Server) handleCancel(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
+	var c cancel
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return nil, errors.Annotate(err, "decoding a cancellation")
+	}
+	s.mu.Lock()
+	for _, number := range c.Offers {
+		k := key{from.Entry, from.Incarnation, number}
+		if s.records[k] == nil && number > s.forgotten[from] {
+			s.cancelled[k] = true
+			s.cancels = append(s.cancels, cancelledAt{k, time.Now()})
+		}
+	}
+	s.mu.Unlock()
+	s.holder.Cancel(from, c.Submission)
+	return nil, nil
+}
+
+// OwnerGone drops the unstarted tasks of that and earlier lives of an entry:
+// nobody can receive their results any more, so they would only take slots
+// from others.
+func (s *Server) OwnerGone(entry job.EntryID, life job.Incarnation) {
+	s.mu.Lock()
+	var drop []*record
+	for _, rec := range s.records {
+		if rec.key.entry == entry && rec.key.life <= life && !rec.reported {
+			drop = append(drop, rec)
+		}
+	}
+	s.mu.Unlock()
+	for _, rec := range drop {
+		s.holder.Cancel(rec.owner, rec.submission)
+	}
+}
+
+// handleFetch answers an entry that takes a lost owner's submission over with
+// the results that are still held here.
+func (s *Server) handleFetch(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+	var f fetch
+	if err := cbor.Unmarshal(body, &f); err != nil {
+		return nil, errors.Annotate(err, "decoding a fetch")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var held []job.TaskOutcome
+	for _, rec := range s.records {
+		if rec.owner != f.Owner || rec.submission != f.Submission {
+			continue
+		}
+		for _, o := range rec.outcomes {
+			if o.Status == job.TaskDone {
+				held = append(held, o)
+			}
+		}
+	}
+	return fetched{Outcomes: held}, nil
+}
--- /dev/null
+++ b/internal/handover/targets.go
@@ -0,0 +1,112 @@
+package handover
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+)
+
+// ErrNoHolder says that no live entry of the target's zone can hold it.
+const ErrNoHolder = errors.ConstError("no live entry in the target's zone")
+
+// maxForwards bounds how often an announcement follows the views of others:
+// views differ for one heartbeat after a change, so the second entry knows.
+const maxForwards = 3
+
+// Registry is where the targets held by this entry are known.
+type Registry interface {
+	// Announce makes a target known, or renews it, and returns its lease.
+	Announce(t job.Target) (lease time.Duration, err error)
+	// Withdraw ends a target's lease: it gets no new work.
+	Withdraw(id job.TargetID)
+}
+
+// HolderOf names the entry that holds a target of a zone; empty for none.
+type HolderOf func(zone job.Zone, target job.TargetID) job.EntryID
+
+// forward is the request of peer.TargetForward.
+type forward struct {
+	Target  job.Target `cbor:"1,keyasint"`
+	Leaving bool       `cbor:"2,keyasint,omitempty"`
+}
+
+// forwarded is its answer. Holder is set when the asked entry takes another
+// one for the holder.
+type forwarded struct {
+	Lease  time.Duration `cbor:"1,keyasint,omitempty"`
+	Holder job.EntryID   `cbor:"2,keyasint,omitempty"`
+}
+
+// Targets passes the announcements that this entry receives to the holders.
+//
+// An entry takes a target in only while it takes itself for the holder, so
+// that two entries fill one target's slots at once only while their views of
+// the zone differ. A target whose zone has no live entry is refused rather than
+// held from another zone: across a cut both sides would hold it.
+type Targets struct {
+	mesh     peer.Mesh
+	holderOf HolderOf
+	registry Registry
+}
+
+// NewTargets returns the way of announcements and serves other entries' ones.
+func NewTargets(mesh peer.Mesh, holderOf HolderOf, registry Registry) *Targets {
+	t := &Targets{mesh: mesh, holderOf: holderOf, registry: registry}
+	mesh.Handle(peer.TargetForward, t.handle)
+	return t
+}
+
+// ForwardTarget makes a target known to its holder, or withdraws it, and
+// returns the lease that the holder gave.
+func (t *Targets) ForwardTarget(ctx context.Context, target job.Target, leaving bool) (time.Duration, error) {
+	to := t.holderOf(target.Zone, target.ID)
+	for range maxForwards {
+		switch to {
+		case "":
+			return 0, errors.Annotatef(ErrNoHolder, "target %s, zone %s", target.ID, target.Zone)
+		case t.mesh.Self().Entry:
+			return t.local(target, leaving)
+		}
+		var answer forwarded
+		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{target, leaving}, &answer); err != nil {
+			return 0, errors.Annotatef(err, "holder %s of target %s", to, target.ID)
+		}
+		if answer.Holder == "" {
+			return answer.Lease, nil
+		}
+		to = answer.Holder
+	}
+	return 0, errors.Annotatef(ErrNoHolder, "the entries of zone %s disagree for the moment on target %s", target.Zone, target.ID)
+}
+
+func (t *Targets) local(target job.Target, leaving bool) (time.Duration, error) {
+	if leaving {
+		t.registry.Withdraw(target.ID)
+		return 0, nil
+	}
+	lease, err := t.registry.Announce(target)
+	return lease, errors.Trace(err)
+}
+
+func (t *Targets) handle(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+	var f forward
+	if err := cbor.Unmarshal(body, &f); err != nil {
+		return nil, errors.Annotate(err, "decoding an announcement")
+	}
+	if holder := t.holderOf(f.Target.Zone, f.Target.ID); holder != t.mesh.Self().Entry {
+		if holder == "" {
+			return nil, errors.Trace(ErrNoHolder)
+		}
+		return forwarded{Holder: holder}, nil
+	}
+	lease, err := t.local(f.Target, f.Leaving)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return forwarded{Lease: lease}, nil
+}
