--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,280 @@
+// Package entry assembles one entry: the callers', peers' and operators'
+// listeners, the stages of the path, the holder of targets and what entries
+// share. It is wiring; the work stands in the packages that it joins.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/holder"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/register"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/settings"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// Listeners are sockets that are open already; nil ones are opened from the
+// settings. Tests and the demo open them first to learn their ports.
+type Listeners struct {
+	Caller, Peer, Operator net.Listener
+}
+
+// Options describes one entry.
+type Options struct {
+	Settings  settings.Entry
+	Listeners Listeners
+	Log       *slog.Logger
+	// Scheduler switches single decisions off, for measurements.
+	Scheduler scheduler.Options
+	// Config, when set, is in force in place of what the entries agree on; the
+	// load tool uses it.
+	Config config.View
+	// Linger is how long a stopping entry keeps answering after its work has
+	// ended; zero takes DefaultLinger.
+	Linger time.Duration
+	// Incarnation numbers this life of the entry; zero takes the clock.
+	Incarnation job.Incarnation
+}
+
+// Entry is one entry process.
+type Entry struct {
+	opts   Options
+	self   job.Owner
+	log    *slog.Logger
+	clock  *timeline.Clock
+	ring   *timeline.Ring
+	config config.View
+	links  *peer.Links
+
+	register *register.Register
+
+	record  *pipeline.Record
+	check   *pipeline.Check
+	join    *pipeline.Join
+	admit   *pipeline.Admit
+	chain   pipeline.Next
+	holder  *holder.Holder
+	holders *holders
+	targets *targets
+	memory  *api.ByteBudget
+
+	// stopping is closed when an operator asks for a planned stop.
+	stopping chan struct{}
+	stopOnce sync.Once
+}
+
+// bodyMemory bounds the bytes of submissions that one entry holds. It is half
+// of a small entry VM's 1 GiB; the payloads are held once, as they came.
+const bodyMemory = 512 << 20
+
+// DefaultLinger is how long a stopping entry keeps its listener and its
+// connections. A caller that reuses a connection writes its next request without
+// knowing that the entry closes it, and can't tell whether it was read. While
+// the entry lingers each answer closes its connection, so only connections
+// that were silent for all this time are closed under a caller. A second is
+// above the time between two requests of any busy connection.
+const DefaultLinger = time.Second
+
+// stopBound bounds how long a stop waits for callers that do not read their
+// answer after all work has ended.
+const stopBound = 10 * time.Second
+
+// New assembles an entry and opens its listeners.
+func New(o Options) (*Entry, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Linger == 0 {
+		o.Linger = DefaultLinger
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = job.Incarnation(time.Now().UnixNano())
+	}
+	if err := openListeners(&o); err != nil {
+		return nil, err
+	}
+	self := job.Owner{Entry: o.Settings.Name, Incarnation: o.Incarnation, Zone: o.Settings.Zone}
+	e := &Entry{
+		opts:   o,
+		self:   self,
+		log:    o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
+		clock:  timeline.NewClock(time.Now),
+		memory: api.NewByteBudget(bodyMemory),
+
+		stopping: make(chan struct{}),
+	}
+	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
+	if err := e.assemble(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return e, nil
+}
+
+func openListeners(o *Options) error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&o.Listeners.Caller, o.Settings.CallerAddr},
+		{&o.Listeners.Peer, o.Settings.PeerAddr},
+		{&o.Listeners.Operator, o.Settings.OperatorAddr},
+	} {
+		if *l.listener != nil {
+			continue
+		}
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*l.listener = opened
+	}
+	return nil
+}
+
+// assemble joins the parts: first what entries share, then the path.
+func (e *Entry) assemble() error {
+	if err := e.assembleShared(); err != nil {
+		return errors.Trace(err)
+	}
+	e.assemblePath()
+	e.configure(nil, e.config.Current())
+	e.register.OnChange(e.configure)
+	return nil
+}
+
+// configure brings a file into force in every stage that keeps something of
+// it; the others read the view.
+func (e *Entry) configure(_, updated *config.File) {
+	if updated == nil {
+		return
+	}
+	e.admit.Configure(updated, e.quotaShare())
+	e.holder.Configure(updated)
+}
+
+// assemblePath joins the stages.
+func (e *Entry) assemblePath() {
+	e.holder = holder.New(holder.Options{
+		Self:      e.self,
+		Config:    e.config,
+		Client:    target.NewClient(target.ClientOptions{}),
+		Events:    e.ring,
+		Log:       e.log,
+		Scheduler: e.opts.Scheduler,
+	})
+	e.holders = newHolders(e.self, e.holder, nil)
+	e.targets = newTargets(e.self.Zone, e.config, e.holder, e.ring)
+	e.record = &pipeline.Record{Events: e.ring}
+	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
+	e.join = &pipeline.Join{Events: e.ring}
+	e.admit = pipeline.NewAdmit(e.ring)
+	e.chain = pipeline.Chain(
+		e.record,
+		e.check,
+		e.join,
+		e.admit,
+		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
+	)
+}
+
+// Run serves until ctx ends and then stops as planned: no request in progress
+// is cut.
+func (e *Entry) Run(ctx context.Context) error {
+	var g run.Group
+	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
+	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
+	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
+	listen := e.opts.Listeners
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.closing(caller.Handler()), listen.Caller) })
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.operator().Handler(), listen.Operator) })
+	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
+	e.add(&g, e.links.Run)
+	e.add(&g, e.register.Run)
+	e.add(&g, e.targets.expire)
+	stopped, stop := e.stopContext(ctx)
+	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
+	err := g.Run()
+	e.holder.Close()
+	e.log.Info("entry stopped")
+	return errors.Trace(err)
+}
+
+// add runs f until the group ends.
+func (e *Entry) add(g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
+	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
+}
+
+// closing makes each answer of a stopping entry close its connection.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: e.check.Draining}, r)
+	})
+}
+
+// closingWriter looks again when the answer is written, for requests that
+// began before the stop.
+type closingWriter struct {
+	http.ResponseWriter
+	draining func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(code int) {
+	if w.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// stopAsPlanned waits for ctx and then for all work in progress. The other
+// parts of the entry keep running until it returns.
+func (e *Entry) stopAsPlanned(ctx context.Context) error {
+	<-ctx.Done()
+	e.check.Drain()
+	linger := time.NewTimer(e.opts.Linger)
+	defer linger.Stop()
+	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
+	e.log.Info("entry drains", "submissions", e.join.Running())
+	e.waitForSubmissions()
+	if err := e.holder.Drain(context.Background()); err != nil {
+		return errors.Trace(err)
+	}
+	<-linger.C
+	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
+	return nil
+}
+
+// drainPoll is how often a stopping entry looks whether its last submission
+// has ended; it delays the stop, never an answer.
+const drainPoll = 20 * time.Millisecond
+
+func (e *Entry) waitForSubmissions() {
+	for e.join.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+}
+
+// Slots returns the slots of a pool that this entry holds.
+func (e *Entry) Slots(pool string) int { return e.holder.Load(pool).Slots }
--- /dev/null
+++ b/internal/holder/task.go
@@ -0,0 +1,142 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/retry"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// maxRetries bounds how often one repeatable request is sent again. With a
+// tenth of the targets failing, two retries leave one request in a thousand
+// without an answer.
+const maxRetries = 2
+
+// launch is one decided start.
+type launch struct {
+	start  scheduler.Start
+	batch  *batch
+	link   *link
+	queued time.Duration
+}
+
+// run sends one task and takes its end. It is the only goroutine of the task.
+func (p *pool) run(l launch) {
+	stats := &p.holder.stats
+	stats.starts.Add(1)
+	stats.sent.Add(uint64(len(l.start.Task.Payload)))
+	p.record(timeline.Event{Kind: timeline.TaskStarted, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Took: l.start.Waited})
+	res := l.link.conn.Start(p.holder.ctx, target.Task{
+		Submission: l.start.Submission,
+		Index:      l.start.Index,
+		Payload:    l.start.Task.Payload,
+		Single:     l.start.Single,
+	})
+	stats.received.Add(uint64(len(res.Payload)))
+	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
+	p.change(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
+}
+
+func (p *pool) finished(now time.Time, l launch, res target.Result, e *effects) {
+	b := l.batch
+	delete(b.running, l.start.Index)
+	l.link.running--
+	p.release(l.link, e)
+	if p.sendAgain(now, l, res) {
+		return
+	}
+	p.sched.Finished(now, l.start.Key, resultOf(res))
+	if b.reported {
+		p.holder.stats.discarded.Add(1)
+	} else {
+		p.count(res)
+		b.settle(outcomeOf(l, res))
+	}
+	p.conclude(now, b, e)
+}
+
+// sendAgain queues a task again that its target provably did not start, or
+// that may be repeated. The scheduler bounds the attempts.
+func (p *pool) sendAgain(now time.Time, l launch, res target.Result) bool {
+	if l.batch.reported || res.Status == job.TaskDone || p.holder.ctx.Err() != nil {
+		return false
+	}
+	if res.Status == job.TaskErred && !p.mayRepeat(now, l, res) {
+		return false
+	}
+	if !p.sched.Retry(now, l.start.Key, resultOf(res)) {
+		return false
+	}
+	counter := &p.holder.stats.requeued
+	if res.Status == job.TaskErred {
+		counter = &p.holder.stats.retried
+	}
+	counter.Add(1)
+	p.record(timeline.Event{Kind: timeline.TaskRetried, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail})
+	return true
+}
+
+// mayRepeat reports whether a task that may have run may run once more. A task
+// of a job and a request that is not repeatable never does.
+func (p *pool) mayRepeat(now time.Time, l launch, res target.Result) bool {
+	b := l.batch
+	if !b.offered.Single || !b.service.Repeatable || b.retries >= maxRetries {
+		return false
+	}
+	var remaining time.Duration
+	if !l.start.Deadline.IsZero() {
+		remaining = max(l.start.Deadline.Sub(now), 1)
+	}
+	budget := p.budget(b.service.Name)
+	if !budget.Allow(now, remaining, res.Ran) {
+		return false
+	}
+	b.retries++
+	return true
+}
+
+// budget returns the retry budget of a service.
+func (p *pool) budget(service string) *retry.Budget {
+	if p.budgets[service] == nil {
+		p.budgets[service] = &retry.Budget{}
+	}
+	return p.budgets[service]
+}
+
+func resultOf(res target.Result) scheduler.Result {
+	return scheduler.Result{
+		Ran:           res.Ran,
+		Status:        res.Status,
+		Reason:        res.Reason,
+		TargetRefused: res.Refusal == target.Busy || res.Refusal == target.Leaving,
+		Lost:          res.Reason == job.TargetLost,
+	}
+}
+
+func outcomeOf(l launch, res target.Result) job.TaskOutcome {
+	o := job.TaskOutcome{
+		Index:   l.start.Index,
+		Status:  res.Status,
+		Payload: res.Payload,
+		Reason:  res.Reason,
+		Detail:  res.Detail,
+		Target:  l.start.Target,
+		Queued:  l.queued,
+		Ran:     res.Ran,
+	}
+	if res.Status == job.TaskNotStarted && res.Refusal != target.Abandoned {
+		o.Reason = job.TargetRefused
+	}
+	return o
+}
+
+func (p *pool) count(res target.Result) {
+	if res.Status == job.TaskDone {
+		p.holder.stats.done.Add(1)
+		return
+	}
+	p.holder.stats.failed.Add(1)
+}
