Hand batches over between entries and act on membership

Owners place tasks on holders of their zone and of others by the loads that heartbeats carry; announcements go to the target's holder; targets whose holder changes are passed on; queued tasks of dead owners are given back.

Found by restarting four entries one after the other under load: - A job with tasks at two holders failed with no_target when one of them drained, before the new holder of its targets was known. Such tasks now wait up to one lease for a holder; a submission of which nothing was offered is still refused at once. - Callers that connect while a listener closes see a reset, which no server can prevent.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,8 +16,10 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/register"
@@ -61,6 +63,8 @@
 	links  *peer.Links
 
 	register *register.Register
+	members  *membership.Membership
+	lives    lives
 
 	record  *pipeline.Record
 	check   *pipeline.Check
@@ -156,6 +160,7 @@
 	e.assemblePath()
 	e.configure(nil, e.config.Current())
 	e.register.OnChange(e.configure)
+	e.members.OnChange(e.setView)
 	return nil
 }
 
@@ -179,8 +184,11 @@
 		Log:       e.log,
 		Scheduler: e.opts.Scheduler,
 	})
-	e.holders = newHolders(e.self, e.holder, nil)
-	e.targets = newTargets(e.self.Zone, e.config, e.holder, e.ring)
+	e.assembleMembership()
+	handover.Serve(e.links, e.holder)
+	remote := handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
+	e.holders = newHolders(e.self, e.holder, remote, e.members)
+	e.targets = newTargets(e)
 	e.record = &pipeline.Record{Events: e.ring}
 	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
 	e.join = &pipeline.Join{Events: e.ring}
@@ -207,6 +215,8 @@
 	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
 	e.add(&g, e.links.Run)
 	e.add(&g, e.register.Run)
+	e.add(&g, e.members.Run)
+	e.add(&g, e.holders.observe)
 	e.add(&g, e.targets.expire)
 	e.add(&g, e.waitForKill)
 	stopped, stop := e.stopContext(ctx)
@@ -298,6 +308,7 @@
 		return errKilled
 	}
 	e.check.Drain()
+	e.members.Drain()
 	linger := time.NewTimer(e.opts.Linger)
 	defer linger.Stop()
 	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
@@ -307,6 +318,7 @@
 		return errors.Trace(err)
 	}
 	<-linger.C
+	e.members.Leave(context.Background())
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
@@ -321,5 +333,6 @@
 	}
 }
 
-// Slots returns the slots of a pool that this entry holds.
-func (e *Entry) Slots(pool string) int { return e.holder.Load(pool).Slots }
+// Slots returns the slots of a pool that this entry can place tasks on, held
+// here or elsewhere.
+func (e *Entry) Slots(pool string) int { return e.holders.knownSlots(pool) }
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -1,29 +1,31 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/policy/split"
 )
 
-// remote hands batches to holders on other entries.
-type remote interface {
-	Offer(to job.EntryID, b *job.Batch, report func([]job.TaskOutcome))
-	Cancel(to job.EntryID, owner job.Owner, id job.ID)
-}
-
 // holders is the owner's way to its own holder and to those of other entries.
 type holders struct {
-	self   job.Owner
-	local  *holder.Holder
-	remote remote
+	self    job.Owner
+	local   *holder.Holder
+	remote  *handover.Remote
+	members *membership.Membership
 
 	mu       sync.Mutex
 	splitter *split.Splitter
+	// reported is when each entry's last reported load was taken, slots what it
+	// said of each pool.
+	reported map[job.EntryID]time.Time
+	slots    map[job.EntryID]map[string]int
 }
 
 var _ pipeline.Holders = (*holders)(nil)
@@ -31,29 +33,69 @@
 // splitSeed makes an entry's draws among equal holders the same in each run.
 const splitSeed = 1
 
-func newHolders(self job.Owner, local *holder.Holder, r remote) *holders {
+func newHolders(self job.Owner, local *holder.Holder, r *handover.Remote, m *membership.Membership) *holders {
 	return &holders{
 		self:     self,
 		local:    local,
 		remote:   r,
+		members:  m,
 		splitter: split.New(self.Entry, self.Zone, split.DefaultCosts(), splitSeed),
+		reported: map[job.EntryID]time.Time{},
+		slots:    map[job.EntryID]map[string]int{},
+	}
+}
+
+// observeEvery is how often the loads that heartbeats brought are handed to the
+// splitter: a tenth of a heartbeat, so that they are hardly older than it.
+const observeEvery = 25 * time.Millisecond
+
+// observe takes in the loads that other holders report, until ctx ends.
+func (h *holders) observe(ctx context.Context) error {
+	tick := time.NewTicker(observeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			h.takeIn(now, h.members.AgedLoads())
+		}
 	}
 }
 
-// observe takes in the loads that a holder reported.
-func (h *holders) observe(now time.Time, loads []job.HolderLoad) {
+// takeIn reports each load once: a second report of the same one would forget
+// what was sent to its holder since.
+func (h *holders) takeIn(now time.Time, loads []membership.Load) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	fresh := map[job.EntryID]time.Time{}
 	for _, l := range loads {
-		h.splitter.Report(now, l)
+		at := now.Add(-l.Age)
+		if l.Entry == h.self.Entry || at.Sub(h.reported[l.Entry]) < observeEvery {
+			continue
+		}
+		if _, again := fresh[l.Entry]; !again {
+			h.slots[l.Entry] = map[string]int{}
+		}
+		fresh[l.Entry] = at
+		h.slots[l.Entry][l.Pool] = l.Slots
+		h.splitter.Report(at, l.HolderLoad)
+	}
+	for entry, at := range fresh {
+		h.reported[entry] = at
 	}
 }
 
-// forget drops a holder that is dead or left.
-func (h *holders) forget(e job.EntryID) {
+// setView drops holders that take no new work.
+func (h *holders) setView(view membership.Members) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.splitter.Forget(e)
+	for _, m := range view.List {
+		if !m.Serving() {
+			h.splitter.Forget(m.Entry)
+			delete(h.slots, m.Entry)
+		}
+	}
 }
 
 // Place implements pipeline.Holders. This entry's own load is read at the
@@ -93,7 +135,13 @@
 		h.local.Offer(b, counted)
 		return
 	}
-	h.remote.Offer(to, b, counted)
+	member, _ := h.view().Get(to)
+	h.remote.Offer(context.Background(), to, member.Incarnation, b, counted)
+}
+
+func (h *holders) view() *membership.Members {
+	view := h.members.View()
+	return &view
 }
 
 // returned tells the splitter that a batch has ended.
@@ -121,5 +169,16 @@
 		h.local.Cancel(owner, id)
 		return
 	}
-	h.remote.Cancel(to, owner, id)
+	h.remote.Cancel(to, id)
+}
+
+// knownSlots returns the slots of a pool that this owner can place tasks on.
+func (h *holders) knownSlots(pool string) int {
+	own := h.local.Load(pool).Slots
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, pools := range h.slots {
+		own += pools[pool]
+	}
+	return own
 }
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
+	"github.com/vanillagrade/vanillagrade/internal/status"
+)
+
+// lives remembers the last life that was seen of each entry, so that the end
+// of one is noticed also when the next has begun already.
+type lives map[job.EntryID]job.Owner
+
+// assembleMembership joins the membership with what heartbeats carry.
+func (e *Entry) assembleMembership() {
+	var peers []membership.Peer
+	for _, p := range e.opts.Settings.Others() {
+		peers = append(peers, membership.Peer{Entry: p.Entry, Zone: p.Zone})
+	}
+	e.lives = lives{}
+	e.members = membership.New(membership.Options{
+		Mesh:   e.links,
+		Peers:  peers,
+		Log:    e.log,
+		Events: e.ring,
+		Config: e.register,
+		Loads:  e.holder.Loads,
+		Linked: e.links.Up,
+	})
+}
+
+// setView acts on a new view of the entries. Membership calls it from one
+// goroutine.
+func (e *Entry) setView(view membership.Members) {
+	e.holders.setView(view)
+	e.targets.setView(view)
+	e.dropTheDead(view)
+	if file := e.config.Current(); file != nil {
+		e.admit.Configure(file, e.quotaShare())
+	}
+}
+
+// dropTheDead gives back the queued tasks of owners whose life has ended:
+// nobody can receive their results, so they would only take slots from others.
+// What runs goes on, since whoever takes the submission over may fetch it.
+func (e *Entry) dropTheDead(view membership.Members) {
+	for _, m := range view.List {
+		last, known := e.lives[m.Entry]
+		if known && view.Gone(m.Entry, last.Incarnation) {
+			e.holder.Drop(last)
+			delete(e.lives, m.Entry)
+		}
+		if m.Live() && m.Incarnation != 0 && m.Entry != e.self.Entry {
+			e.lives[m.Entry] = m.Owner()
+		}
+	}
+}
+
+// quotaShare is the part of each team's quota that this entry gives out: the
+// balancer spreads callers over all entries that serve.
+func (e *Entry) quotaShare() float64 {
+	view := e.members.View()
+	serving := 0
+	for _, m := range view.List {
+		if m.Serving() {
+			serving++
+		}
+	}
+	return 1 / float64(max(1, serving))
+}
+
+// memberStates returns the entries for the status.
+func (e *Entry) memberStates() []status.Member {
+	view := e.members.View()
+	var out []status.Member
+	for _, m := range view.List {
+		out = append(out, status.Member{Entry: m.Entry, Zone: m.Zone, State: stateOf(m.State)})
+	}
+	return out
+}
+
+func stateOf(s membership.State) status.MemberState {
+	switch s {
+	case membership.Alive, membership.Draining:
+		return status.Alive
+	case membership.Suspect:
+		return status.Suspect
+	case membership.Left:
+		return status.Left
+	case membership.Dead:
+	}
+	return status.Dead
+}
--- a/internal/entry/shared.go
+++ b/internal/entry/shared.go
@@ -48,9 +48,3 @@
 	store, err := storage.Open(e.opts.Settings.DataDir, storage.OS{})
 	return store, errors.Annotate(err, "--data")
 }
-
-// quotaShare is the part of each team's quota that this entry gives out: the
-// balancer spreads callers over all entries.
-func (e *Entry) quotaShare() float64 {
-	return 1
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -352,20 +352,20 @@
 	return out
 }
 
-// WaitReady waits until the entries know slots of the pool in all, or ctx
-// ends.
+// WaitReady waits until every live entry knows that many slots of the pool, or
+// ctx ends.
 func (f *Fleet) WaitReady(ctx context.Context, slots int) error {
-	known := 0
+	var least int
 	err := wait(ctx, func() bool {
-		known = 0
+		least = slots
 		for _, m := range f.entries {
 			if !m.dead {
-				known += m.entry.Slots(f.opts.Pool)
+				least = min(least, m.entry.Slots(f.opts.Pool))
 			}
 		}
-		return known >= slots
+		return least >= slots
 	})
-	return errors.Annotatef(err, "%d of %d slots are known", known, slots)
+	return errors.Annotatef(err, "an entry knows %d of %d slots", least, slots)
 }
 
 // Stop stops all entries as planned, side by side, and then the targets.
--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -84,6 +84,10 @@
 // holder.
 func (c *Collector) CanReoffer() bool { return c.offers < maxOffers && c.failure == nil && !c.finished }
 
+// Waiting reports whether some tasks were offered before and no answer is
+// decided.
+func (c *Collector) Waiting() bool { return c.offers > 0 && !c.finished }
+
 // Offered counts one round of offers.
 func (c *Collector) Offered() { c.offers++ }
 
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -63,6 +63,8 @@
 	collector *Collector
 	holders   map[job.EntryID]bool
 	done      chan job.Answer
+	// unplacedSince is when tasks of the submission first had no holder.
+	unplacedSince time.Time
 }
 
 // Process implements Stage. It returns when the answer is decided; it never
@@ -125,11 +127,20 @@
 		return
 	}
 	parts, reason := fl.stage.Holders.Place(now, fl.flow, tasks)
+	if len(parts) == 0 && fl.mayWait(now, reason) {
+		time.AfterFunc(placeAgainAfter, func() { fl.offer(tasks) })
+		return
+	}
 	if len(parts) == 0 {
 		fl.unplaced(tasks, reason)
 		return
 	}
 	fl.mu.Lock()
+	fl.unplacedSince = time.Time{}
+	if fl.holders == nil {
+		fl.mu.Unlock()
+		return // the answer was given while the tasks waited for a holder
+	}
 	fl.collector.Offered()
 	for _, p := range parts {
 		fl.holders[p.Holder] = true
@@ -140,6 +151,31 @@
 	}
 }
 
+// When targets change hands, the former holder gives their queued tasks back
+// before anybody hears of the new holder. A job with tasks elsewhere would then
+// fail for want of a target although all of them are well. It waits instead:
+// placeAgainAfter is a fraction of a heartbeat, placeBound a target's default
+// lease, after which targets that were not announced again are gone.
+const (
+	placeAgainAfter = 50 * time.Millisecond
+	placeBound      = 4 * time.Second
+)
+
+// mayWait reports whether tasks that have no holder now may wait for one. A
+// submission of which nothing was offered yet does not: its caller can take it
+// to another entry at once, since it is proved not to have run.
+func (fl *flight) mayWait(now time.Time, reason job.Reason) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if reason != job.NoTarget || !fl.collector.Waiting() {
+		return false
+	}
+	if fl.unplacedSince.IsZero() {
+		fl.unplacedSince = now
+	}
+	return now.Sub(fl.unplacedSince) < placeBound
+}
+
 // unplaced ends tasks for which there is no holder at all.
 func (fl *flight) unplaced(tasks []int, reason job.Reason) {
 	detail := "no target of the service's pool is known"
