--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -26,6 +26,9 @@
 	// which it can't reach and nobody calls dead. It is longer than the time in
 	// which membership notices a death.
 	giveUpAfter = 10 * time.Second
+	// fetchTimeout is how long a caller that came back waits for the results of
+	// its lost owner: a few crossings and the sending of a large answer.
+	fetchTimeout = time.Second
 	// maxAcks bounds the acknowledgements that wait for the next offer.
 	maxAcks = 4096
 )
@@ -181,6 +184,8 @@
 // Fetch collects the results of a lost owner's submission that holders still
 // have. Entries that don't answer add nothing.
 func (r *Remote) Fetch(ctx context.Context, from []job.EntryID, owner job.Owner, id job.ID) []job.TaskOutcome {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	answers := make([]fetched, len(from))
 	var wg sync.WaitGroup
 	for i, entry := range from {
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -39,8 +39,10 @@
 	done     chan struct{}
 	reported bool
 	outcomes []job.TaskOutcome
-	at       time.Time
-	bytes    int
+	// reportedAt orders the finished records, at is when the owner last asked.
+	reportedAt time.Time
+	at         time.Time
+	bytes      int
 	// asked is replaced and closed when the owner asks again.
 	asked chan struct{}
 }
@@ -134,6 +136,7 @@
 	s.mu.Lock()
 	close(rec.asked)
 	rec.asked = make(chan struct{})
+	rec.at = time.Now()
 	again := rec.asked
 	s.mu.Unlock()
 	select {
@@ -162,7 +165,7 @@
 	if rec.reported {
 		return
 	}
-	rec.reported, rec.outcomes, rec.at = true, outcomes, time.Now()
+	rec.reported, rec.outcomes, rec.reportedAt = true, outcomes, time.Now()
 	for i := range outcomes {
 		rec.bytes += len(outcomes[i].Payload) + len(outcomes[i].Detail)
 	}
@@ -186,26 +189,34 @@
 // expire forgets reported records that are old, and the oldest while their
 // outcomes take too much memory.
 func (s *Server) expire(now time.Time) {
-	n := 0
-	for _, rec := range s.finished {
-		old := now.Sub(rec.at) > keepReported
+	for len(s.finished) > 0 {
+		first := s.finished[0]
+		old := now.Sub(first.reportedAt) > keepReported
 		if !old && s.bytes <= maxRecordBytes {
 			break
 		}
-		s.bytes -= rec.bytes
-		rec.bytes = 0
-		delete(s.records, rec.key)
-		s.forgotten[rec.owner] = max(s.forgotten[rec.owner], rec.key.number)
-		n++
+		s.finished[0] = nil
+		s.finished = s.finished[1:]
+		if now.Sub(first.at) <= keepReported && s.bytes <= maxRecordBytes {
+			first.reportedAt = first.at // its owner has asked again since
+			s.finished = append(s.finished, first)
+			continue
+		}
+		s.forget(first)
 	}
-	clear(s.finished[:n])
-	s.finished = s.finished[n:]
 	for len(s.cancels) > 0 && now.Sub(s.cancels[0].at) > keepReported {
 		delete(s.cancelled, s.cancels[0].key)
 		s.cancels = s.cancels[1:]
 	}
 }
 
+func (s *Server) forget(rec *record) {
+	s.bytes -= rec.bytes
+	rec.bytes, rec.outcomes = 0, nil
+	delete(s.records, rec.key)
+	s.forgotten[rec.owner] = max(s.forgotten[rec.owner], rec.key.number)
+}
+
 func (s *Server) handleCancel(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
 	var c cancel
 	if err := cbor.Unmarshal(body, &c); err != nil {
--- a/internal/handover/targets.go
+++ b/internal/handover/targets.go
@@ -66,6 +66,10 @@
 func (t *Targets) ForwardTarget(ctx context.Context, target job.Target, leaving bool) (time.Duration, error) {
 	to := t.holderOf(target.Zone, target.ID)
 	for range maxForwards {
+		if to == t.mesh.Self().Entry {
+			// Another entry's view sent the search back here.
+			to = t.holderOf(target.Zone, target.ID)
+		}
 		switch to {
 		case "":
 			return 0, errors.Annotatef(ErrNoHolder, "target %s, zone %s", target.ID, target.Zone)
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -26,33 +26,55 @@
 	Hears        []Heard          `cbor:"5,keyasint,omitempty"`
 }
 
+// hearsPeriod is how often heartbeats list whom the sender hears. The list is
+// the longest part of a heartbeat; vouchHold is longer than this.
+const hearsPeriod = time.Second
+
+// slack keeps a tick that comes a little early from skipping a heartbeat.
+const slack = 60 * time.Millisecond
+
+// due is one heartbeat to be sent.
+type due struct {
+	to    job.EntryID
+	hears bool
+}
+
 // beat sends the heartbeats that are due, or all of them.
 func (m *Membership) beat(now time.Time, all bool) {
-	due := m.due(now, all)
-	if len(due) == 0 {
+	list := m.due(now, all)
+	if len(list) == 0 {
 		return
 	}
-	b := m.compose(now)
-	for _, to := range due {
+	full := m.compose(now)
+	brief := full
+	brief.Hears = nil
+	for _, d := range list {
+		b := brief
+		if d.hears {
+			b = full
+		}
 		// A heartbeat that can't be sent is worth nothing later.
-		_ = m.opts.Mesh.Send(to, peer.Heartbeat, b)
+		_ = m.opts.Mesh.Send(d.to, peer.Heartbeat, b)
 	}
 }
 
-// due lists the entries whose heartbeat is due and notes that it is sent. A
-// quarter of a period of slack keeps a late tick from skipping one.
-func (m *Membership) due(now time.Time, all bool) []job.EntryID {
-	const slack = 4
+// due lists the heartbeats that are due and notes them as sent.
+func (m *Membership) due(now time.Time, all bool) []due {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var due []job.EntryID
+	var list []due
 	for _, p := range m.detector.peers {
-		if all || now.Sub(m.sent[p.Entry]) >= p.timings.Period-InZone.Period/slack {
-			m.sent[p.Entry] = now
-			due = append(due, p.Entry)
+		if !all && now.Sub(m.sent[p.Entry]) < p.timings.Period-slack {
+			continue
+		}
+		m.sent[p.Entry] = now
+		hears := all || now.Sub(m.told[p.Entry]) >= hearsPeriod-slack
+		if hears {
+			m.told[p.Entry] = now
 		}
+		list = append(list, due{p.Entry, hears})
 	}
-	return due
+	return list
 }
 
 func (m *Membership) compose(now time.Time) beat {
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -161,7 +161,7 @@
 			changes = d.set(p, now, Dead, p.Incarnation, "its machine refuses connections", changes)
 		case silent > p.timings.DeadAfter && now.Sub(p.vouched) > vouchHold:
 			changes = d.set(p, now, Dead, p.Incarnation, fmt.Sprintf("silent for %s and heard by nobody", silent), changes)
-		case silent > p.timings.SuspectAfter && p.State != Suspect:
+		case silent > p.timings.SuspectAfter && p.State == Alive:
 			changes = d.set(p, now, Suspect, p.Incarnation, fmt.Sprintf("silent for %s", silent), changes)
 		}
 	}
@@ -181,7 +181,7 @@
 	var hears []Heard
 	for _, p := range d.peers {
 		if p.met && p.State != Left && now.Sub(p.heard) <= p.timings.VouchWithin && linked(p.Entry) {
-			hears = append(hears, Heard{p.Entry, p.Incarnation})
+			hears = append(hears, Heard{Entry: p.Entry, Incarnation: p.Incarnation})
 		}
 	}
 	return hears
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -72,7 +72,9 @@
 	detector  *Detector
 	loads     map[job.EntryID]loads
 	callbacks []func(Members)
-	sent      map[job.EntryID]time.Time
+	// sent and told are when the last heartbeat and the last list of whom this
+	// entry hears went to each entry.
+	sent, told map[job.EntryID]time.Time
 }
 
 // loads is what one entry last said of its targets.
@@ -100,7 +102,7 @@
 	}
 	m := &Membership{
 		opts: o, changed: make(chan struct{}, 1), loads: map[job.EntryID]loads{},
-		sent:     map[job.EntryID]time.Time{},
+		sent: map[job.EntryID]time.Time{}, told: map[job.EntryID]time.Time{},
 		detector: NewDetector(time.Now(), o.Mesh.Self(), o.Peers),
 	}
 	m.view.Store(m.detector.Members(o.Refused))
