--- a/cmd/vanillagrade/stage_test.go
+++ b/cmd/vanillagrade/stage_test.go
@@ -40,6 +40,8 @@
 	running map[string]*process
 	ledger  *standin.Ledger
 	targets map[string]func()
+	// released is closed when held tasks may end.
+	released chan struct{}
 }
 
 type entryPorts struct{ caller, peer, operator string }
@@ -54,6 +56,7 @@
 	return &stage{
 		zones: map[string]string{}, ports: map[string]*entryPorts{}, wires: map[[2]string]*wire{},
 		running: map[string]*process{}, ledger: standin.NewLedger(), targets: map[string]func(){},
+		released: make(chan struct{}),
 	}
 }
 
@@ -63,8 +66,10 @@
 	"entry":     withStage((*stage).entry),
 	"crash":     withStage((*stage).crash),
 	"terminate": withStage((*stage).terminate),
+	"ended":     withStage((*stage).ended),
 	"target":    withStage((*stage).target),
 	"leave":     withStage((*stage).leave),
+	"release":   withStage((*stage).release),
 	"cut":       withStage((*stage).cut),
 	"heal":      withStage((*stage).heal),
 	"starts":    withStage((*stage).starts),
@@ -220,10 +225,20 @@
 	}
 }
 
-// target ID ZONE POOL SLOTS starts a stand-in that announces to its zone.
+// ended NAME... waits until entries end by themselves, each with 0.
+func (s *stage) ended(ts *testscript.TestScript, args []string) {
+	for _, name := range args {
+		p := s.running[name]
+		delete(s.running, name)
+		ts.Check(<-p.ended)
+	}
+}
+
+// target ID ZONE POOL SLOTS [held] starts a stand-in that announces to its
+// zone. A held one keeps its tasks running until release.
 func (s *stage) target(ts *testscript.TestScript, args []string) {
-	if len(args) != 4 {
-		ts.Fatalf("usage: target ID ZONE POOL SLOTS")
+	if len(args) < 4 {
+		ts.Fatalf("usage: target ID ZONE POOL SLOTS [held]")
 	}
 	slots, err := strconv.Atoi(args[3])
 	ts.Check(err)
@@ -233,10 +248,14 @@
 			entries = append(entries, s.ports[name].caller)
 		}
 	}
-	t, err := standin.New(standin.Options{
+	o := standin.Options{
 		ID: job.TargetID(args[0]), Zone: job.Zone(args[1]), Service: args[2], Slots: slots,
 		Entries: entries, Ledger: s.ledger, Processors: 8, MemoryMB: 8192,
-	})
+	}
+	if len(args) == 5 {
+		o.Work = s.heldWork
+	}
+	t, err := standin.New(o)
 	ts.Check(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -250,6 +269,18 @@
 	ts.Defer(stop)
 }
 
+func (s *stage) heldWork(ctx context.Context, _ job.ID, _ int, payload []byte) ([]byte, error) {
+	select {
+	case <-s.released:
+		return payload, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// release lets held tasks end.
+func (s *stage) release(_ *testscript.TestScript, _ []string) { close(s.released) }
+
 // leave ID... lets targets withdraw and end.
 func (s *stage) leave(ts *testscript.TestScript, args []string) {
 	for _, id := range args {
@@ -269,12 +300,12 @@
 	}
 }
 
-// until PATTERN COMMAND... repeats the command until what it prints matches.
+// until PATTERN exec vanillagrade ARGUMENT... repeats the command until what it prints matches.
 func (s *stage) until(ts *testscript.TestScript, args []string) {
 	pattern, err := regexp.Compile(args[0])
 	ts.Check(err)
 	s.await(ts, strings.Join(args, " "), func() bool {
-		cmd := exec.Command(lookPath(ts.Getenv("PATH")), args[2:]...)
+		cmd := exec.Command(lookPath(ts.Getenv("PATH")), args[3:]...)
 		cmd.Dir = ts.Getenv("WORK")
 		cmd.Env = append(os.Environ(), "VANILLAGRADE_ENTRY="+ts.Getenv("VANILLAGRADE_ENTRY"), "VANILLAGRADE_OPERATOR="+ts.Getenv("VANILLAGRADE_OPERATOR"))
 		out, _ := cmd.CombinedOutput()
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -151,6 +151,7 @@
 			return
 		}
 		if v := p.sched.Offer(now, offered); !v.Accepted {
+			p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: offered.Submission, Reason: v.Reason, Cause: v.Detail, Count: len(offered.Tasks), Peer: offered.Owner.Entry})
 			p.refuse(e, report, unstarted(offered.Tasks, v))
 			return
 		}
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -28,7 +28,7 @@
 	stats := &p.holder.stats
 	stats.starts.Add(1)
 	stats.sent.Add(uint64(len(l.start.Task.Payload)))
-	p.record(timeline.Event{Kind: timeline.TaskStarted, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Took: l.start.Waited})
+	p.record(timeline.Event{Kind: timeline.TaskStarted, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Took: l.start.Waited, Count: l.start.Running, Cause: startCause(&l.start)})
 	res := l.link.conn.Start(p.holder.ctx, target.Task{
 		Submission: l.start.Submission,
 		Index:      l.start.Index,
@@ -40,6 +40,15 @@
 	p.change(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
 }
 
+// startCause says why the scheduler chose the target. It is constant text: one
+// made up for each start would cost more than the event itself.
+func startCause(s *scheduler.Start) string {
+	if s.Probe {
+		return "a single task to see whether the suspected target works again"
+	}
+	return "least expected finish of the targets with room"
+}
+
 func (p *pool) finished(now time.Time, l *launch, res target.Result, e *effects) {
 	b := l.batch
 	delete(b.running, l.start.Index)
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -27,12 +27,22 @@
 		Kind:       timeline.SubmissionAnswered,
 		Submission: a.ID,
 		Reason:     a.Reason,
-		Cause:      string(a.Outcome) + ", " + a.Run.String(),
+		Cause:      summary(&a),
 		Took:       time.Since(f.Submission.Received),
 	})
 	return a
 }
 
+func summary(a *job.Answer) string {
+	switch {
+	case a.Outcome != job.Complete:
+		return string(a.Outcome) + ", " + a.Run.String() + ": " + a.Detail
+	case a.Late:
+		return "complete, late"
+	}
+	return "complete"
+}
+
 func (r *Record) count(a *job.Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -154,7 +154,7 @@
 	p.rerank(now, tg)
 	s := Start{
 		Key: b.keyOf(t), Target: tg.ID, Task: t.BatchTask, Team: b.meta.Team, Service: b.meta.Service,
-		Single: b.meta.Single, Waited: now.Sub(b.arrived), Probe: probe,
+		Single: b.meta.Single, Waited: now.Sub(b.arrived), Probe: probe, Running: tg.running,
 	}
 	if !b.flagLate {
 		s.Deadline = b.deadline
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -40,6 +40,8 @@
 	Waited time.Duration
 	// Probe marks the single task given to a target that is being tried again.
 	Probe bool
+	// Running is how many tasks run on the target, this one included.
+	Running int
 }
 
 // Dropped is a task that leaves the queue without having been started.
--- a/internal/timeline/explain.go
+++ b/internal/timeline/explain.go
@@ -151,13 +151,9 @@
 	return s
 }
 
-// keyOf sums starts and ends by target, and waiting tasks by their cause.
+// keyOf sums by target and cause.
 func keyOf(ev *Event) sumKey {
-	k := sumKey{entry: ev.Entry, kind: ev.Kind, target: ev.Target}
-	if ev.Kind == TaskQueued {
-		k.cause = ev.Cause
-	}
-	return k
+	return sumKey{entry: ev.Entry, kind: ev.Kind, target: ev.Target, cause: ev.Cause}
 }
 
 func (s *taskSums) many() bool { return len(s.tasks) > storyTasks }
@@ -166,7 +162,7 @@
 func (s *taskSums) covers(ev *Event) bool {
 	switch ev.Kind {
 	case TaskQueued, TaskStarted, TaskEnded:
-		return ev.Reason == ""
+		return ev.Reason == "" && ev.HasTask()
 	}
 	return false
 }
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -103,10 +103,13 @@
 }
 
 // HasTask reports whether the Task field of the event means a task: index 0 is
-// a task too.
+// a task too. Tasks that are queued or dropped together are counted by one
+// event.
 func (ev *Event) HasTask() bool {
 	switch ev.Kind {
-	case TaskQueued, TaskStarted, TaskEnded, TaskRetried, TaskDropped:
+	case TaskQueued, TaskDropped:
+		return ev.Count == 0
+	case TaskStarted, TaskEnded, TaskRetried:
 		return true
 	}
 	return false
--- a/internal/timeline/merge_test.go
+++ b/internal/timeline/merge_test.go
@@ -114,6 +114,7 @@
 // which decided the answer, would drown in them.
 func TestStorySumsUpLargeJobs(t *testing.T) {
 	f := newFleet("a1")
+	f.record("a1", Event{Kind: TaskQueued, Submission: "big", Count: 1900})
 	for i := range 1900 {
 		f.record("a1", Event{Kind: TaskStarted, Submission: "big", Task: i, Target: "w1"})
 	}
@@ -122,9 +123,10 @@
 		f.record("a1", Event{Kind: TaskEnded, Submission: "big", Task: i, Target: "w1", Took: time.Duration(i) * time.Millisecond})
 	}
 	story := Explain(f.merged(), "big")
-	qt.Assert(t, story.Sentences, qt.HasLen, 3)
-	qt.Assert(t, story.Sentences[0].Text, qt.Equals, "1900 tasks start on target w1 over 1.899s")
-	qt.Assert(t, story.Sentences[1].Text, qt.Contains, "task 17 has no result from target w1, because a task failed at its target (task_failed): exit 3")
+	qt.Assert(t, story.Sentences, qt.HasLen, 4)
+	qt.Assert(t, story.Sentences[0].Text, qt.Equals, "1900 tasks are queued")
+	qt.Assert(t, story.Sentences[1].Text, qt.Equals, "1900 tasks start on target w1 over 1.899s")
+	qt.Assert(t, story.Sentences[2].Text, qt.Contains, "task 17 has no result from target w1, because a task failed at its target (task_failed): exit 3")
 }
 
 // Messages keep the order of cause and effect although the receiver's wall
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -82,6 +82,12 @@
 	if ev.HasTask() {
 		return taskSentence(ev)
 	}
+	switch ev.Kind {
+	case TaskQueued:
+		return fmt.Sprintf("%s queued%s", counted(ev.Count), why(ev))
+	case TaskDropped:
+		return fmt.Sprintf("%s dropped before any start%s", counted(ev.Count), why(ev))
+	}
 	return fleetSentence(ev)
 }
 
@@ -94,7 +100,7 @@
 		if ev.Took > 0 {
 			waited = fmt.Sprintf(" after a wait of %s", round(ev.Took))
 		}
-		return fmt.Sprintf("task %d starts on target %s%s%s", ev.Task, ev.Target, waited, why(ev))
+		return fmt.Sprintf("task %d starts on target %s%s%s%s", ev.Task, ev.Target, beside(ev.Count), waited, why(ev))
 	case TaskEnded:
 		if ev.Reason != "" {
 			return fmt.Sprintf("task %d has no result%s%s%s", ev.Task, onTarget(ev), after(ev), why(ev))
@@ -155,6 +161,25 @@
 	return fmt.Sprintf(" with %d tasks", n)
 }
 
+func counted(n int) string {
+	if n == 1 {
+		return "1 task is"
+	}
+	return fmt.Sprintf("%d tasks are", n)
+}
+
+// beside says how many other tasks ran on the target at a start; count takes
+// the started one in.
+func beside(count int) string {
+	switch {
+	case count <= 1:
+		return ""
+	case count == 2:
+		return " beside 1 other task"
+	}
+	return fmt.Sprintf(" beside %d other tasks", count-1)
+}
+
 func batch(ev *Event) string {
 	switch ev.Count {
 	case 0:
