Never call a request unstarted that was sent before

A repeatable request that failed on one target was queued again; when every other target then refused it, or its deadline passed in the queue, it was reported as never started, and its caller would have been told "not run". The table-free test is red without the change.

--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -63,8 +63,13 @@
 	return out
 }
 
-// settle takes one task's outcome.
+// settle takes one task's outcome. A request that was sent again may have run
+// the first time, whatever became of its last attempt: called unstarted then,
+// its caller would be told "not run".
 func (b *batch) settle(o job.TaskOutcome) {
+	if b.retries > 0 && o.Status == job.TaskNotStarted {
+		o.Status = job.TaskErred
+	}
 	b.outcomes = append(b.outcomes, o)
 	b.open--
 	if b.fatal != "" || o.Status == job.TaskDone || mayGoElsewhere(o) {
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -165,6 +165,29 @@
 	})
 }
 
+// A repeatable request fails on one target, and every other one refuses it. It
+// may have run on the first, so its caller must not be told "not run".
+func TestRefusedRetryMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.answer = func(job.TargetID, target.Task) target.Result {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.starts["j/0"] == 1 {
+				return erred()
+			}
+			return refused()
+		}
+		h := newHolder(f, "1", "2")
+		b := batchOf("j", 1)
+		b.Service, b.Single = "again", true
+		var r reports
+		h.Offer(b, r.take)
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+		qt.Assert(t, r.tally(), qt.DeepEquals, tally{"erred target_refused": 1})
+	})
+}
+
 // A target dies after it was given work. A task of a job, or an alarm, must
 // not be sent again; a repeatable request is, but not without bound.
 func TestOnlyRepeatableSinglesAreSentAgain(t *testing.T) {
--- a/internal/holder/random_test.go
+++ b/internal/holder/random_test.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	rand     *rand.Rand
 	may      map[string]bool // started without proof of the contrary
+	failed   map[string]bool // gave no result when it was last started
 	doubled  []string
 	reported map[job.ID][]job.TaskOutcome
 	twice    []job.ID
@@ -30,10 +31,12 @@
 	kind, wait := a.rand.IntN(20), time.Duration(a.rand.IntN(100))*time.Millisecond
 	name := target.TaskName(t.Submission, t.Index)
 	if kind > 2 {
-		if a.may[name] {
+		repeatable := t.Single && a.failed[name]
+		if a.may[name] && !repeatable {
 			a.doubled = append(a.doubled, name)
 		}
 		a.may[name] = true
+		a.failed[name] = kind < 6
 	}
 	a.mu.Unlock()
 	switch kind {
@@ -44,7 +47,7 @@
 		return refused()
 	case 2:
 		return target.Result{Status: job.TaskNotStarted, Reason: job.TargetLost, Refusal: target.Unreachable}
-	case 3:
+	case 3, 4, 5:
 		time.Sleep(wait)
 		return erred()
 	}
@@ -95,10 +98,11 @@
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 1))
-			a := &auditor{rand: rand.New(rand.NewPCG(seed, 2)), may: map[string]bool{}, reported: map[job.ID][]job.TaskOutcome{}}
+			a := &auditor{rand: rand.New(rand.NewPCG(seed, 2)), may: map[string]bool{}, failed: map[string]bool{}, reported: map[job.ID][]job.TaskOutcome{}}
 			f := newFleet()
 			f.answer = a.answer
-			h := newHolder(f, "1", "2", "3")
+			h := newHolder(f, "1", "2")
+			h.SetTarget(large("3"))
 			sizes := map[job.ID]int{}
 			for step := range 150 {
 				randomStep(r, h, a, sizes, step)
@@ -118,15 +122,24 @@
 	}
 }
 
+// large gives target 3 more room than the others.
+func large(id job.TargetID) job.Target {
+	t := announced(id)
+	if id == "3" {
+		t.Processors = 16
+	}
+	return t
+}
+
 func randomStep(r *rand.Rand, h *Holder, a *auditor, sizes map[job.ID]int, step int) {
 	id := job.TargetID(fmt.Sprint(1 + r.IntN(3)))
 	switch r.IntN(8) {
 	case 0:
 		h.RemoveTarget(id)
 	case 1:
-		h.SetTarget(announced(id))
+		h.SetTarget(large(id))
 	case 2:
-		moved := announced(id)
+		moved := large(id)
 		moved.Address += "x"
 		h.SetTarget(moved)
 	case 3:
@@ -137,6 +150,13 @@
 		}
 	default:
 		b := batchOf(job.ID(fmt.Sprint(step)), 1+r.IntN(20))
+		if r.IntN(2) == 0 {
+			b = batchOf(b.Submission, 1)
+			b.Single, b.Service = true, "again"
+		}
+		if r.IntN(3) == 0 {
+			b.Tasks[0].Processors = 8 // fits on target 3 alone
+		}
 		if r.IntN(3) == 0 {
 			b.Remaining = time.Duration(1+r.IntN(200)) * time.Millisecond
 		}
