--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,8 +56,8 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	opts    Options
-	temp    bool
+	opts Options
+	temp bool
 	// Ledger sees the starts at all targets together.
 	Ledger  *standin.Ledger
 	wires   map[pair]*wire
