Offer the rest of a begun job elsewhere in place of failing it

Cause: a holder takes one batch of a submission at a time, and the owner offered tasks that one holder had refused to another which still had a batch of the same job; the refusal failed the whole job. Seen in the time line of a job of 54 tasks of examples/cuenca.yaml: offered to three holders, refused by one, offered again to the owner's own holder, failed after 0.7 ms with target_refused. Ruled out: targets themselves, which refused nothing; flapping holders. Change: placing, a pure module, names the holders that can't be offered tasks now; tasks of a job that runs elsewhere wait for one and are offered as committed, which admission does not refuse for load.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -336,3 +336,6 @@
 // Slots returns the slots of a pool that this entry can place tasks on, held
 // here or elsewhere.
 func (e *Entry) Slots(pool string) int { return e.holders.knownSlots(pool) }
+
+// Ring returns the events of this entry.
+func (e *Entry) Ring() *timeline.Ring { return e.ring }
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -100,7 +100,7 @@
 
 // Place implements pipeline.Holders. This entry's own load is read at the
 // moment of the decision, so it is never old.
-func (h *holders) Place(now time.Time, f *pipeline.Flow, tasks []int) ([]pipeline.Part, job.Reason) {
+func (h *holders) Place(now time.Time, f *pipeline.Flow, tasks []int, without []job.EntryID) ([]pipeline.Part, job.Reason) {
 	own := h.local.Load(f.Service.Pool)
 	batch := make([]job.BatchTask, len(tasks))
 	for i, task := range tasks {
@@ -109,7 +109,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.splitter.Report(now, own)
-	plan := h.splitter.Split(now, f.Service.Pool, f.Service.Urgency, batch)
+	plan := h.splitter.Split(now, f.Service.Pool, f.Service.Urgency, batch, without...)
 	parts := make([]pipeline.Part, len(plan.Parts))
 	for i, p := range plan.Parts {
 		parts[i] = pipeline.Part{Holder: p.Entry, Tasks: indices(p.Tasks)}
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 func (f *Fleet) member(name job.EntryID) *member {
@@ -59,3 +60,12 @@
 		}
 	}
 }
+
+// Events returns the events that the rings of all entries hold.
+func (f *Fleet) Events() []timeline.Event {
+	var pages []timeline.Page
+	for _, m := range f.entries {
+		pages = append(pages, m.entry.Ring().Read(timeline.Query{}))
+	}
+	return timeline.Merge(pages, nil).Events
+}
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -176,4 +176,7 @@
 	Remaining time.Duration `cbor:"6,keyasint,omitempty"`
 	Tasks     []BatchTask   `cbor:"7,keyasint"`
 	Single    bool          `cbor:"8,keyasint,omitempty"`
+	// Committed says that other tasks of the submission were accepted at other
+	// holders already: to refuse these for load would throw that work away.
+	Committed bool `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -7,12 +7,6 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
-// maxOffers bounds how often the unstarted tasks of one job are offered to
-// holders. Loads are at most one heartbeat old, so a second offer answers a
-// stale view and a third a holder that left meanwhile; more would only add
-// messages while every holder is full.
-const maxOffers = 3
-
 // Collector gathers the outcomes of one submission's tasks and decides what
 // its answer is. It is pure: outcomes and times in, a Verdict out; its owner
 // holds a lock.
@@ -25,7 +19,7 @@
 	outcomes   []job.TaskOutcome
 	done       int
 	started    int
-	offers     int
+	offered    bool
 	failure    *job.TaskOutcome
 	finished   bool
 }
@@ -80,19 +74,23 @@
 	return open
 }
 
-// CanReoffer reports whether unstarted tasks may still be offered to another
-// holder.
-func (c *Collector) CanReoffer() bool { return c.offers < maxOffers && c.failure == nil && !c.finished }
+// Finished reports whether the answer is decided.
+func (c *Collector) Finished() bool { return c.finished }
+
+// Done returns how many tasks have a result.
+func (c *Collector) Done() int { return c.done }
+
+// Offered notes that tasks were handed to a holder.
+func (c *Collector) Offered() { c.offered = true }
 
-// Waiting reports whether some tasks were offered before and no answer is
-// decided.
-func (c *Collector) Waiting() bool { return c.offers > 0 && !c.finished }
+// GiveUp takes the word that unstarted tasks go nowhere else.
+func (c *Collector) GiveUp(outcomes []job.TaskOutcome) Verdict { return c.add(outcomes, false) }
 
-// Offered counts one round of offers.
-func (c *Collector) Offered() { c.offers++ }
+// Add takes outcomes that a holder reported. Tasks that another holder may
+// start come back in the verdict.
+func (c *Collector) Add(outcomes []job.TaskOutcome) Verdict { return c.add(outcomes, true) }
 
-// Add takes outcomes that a holder reported.
-func (c *Collector) Add(outcomes []job.TaskOutcome) Verdict {
+func (c *Collector) add(outcomes []job.TaskOutcome, again bool) Verdict {
 	if c.finished {
 		return Verdict{}
 	}
@@ -105,7 +103,7 @@
 		case o.Status == job.TaskDone:
 			c.outcomes[o.Index] = o
 			c.done++
-		case o.Status == job.TaskNotStarted && mayGoElsewhere(o.Reason) && c.offers < maxOffers:
+		case o.Status == job.TaskNotStarted && again && mayGoElsewhere(o.Reason):
 			reoffer = append(reoffer, o.Index)
 		default:
 			c.fail(o)
@@ -184,7 +182,7 @@
 	}
 	c.finished = true
 	a := job.Answer{ID: c.submission.ID, Outcome: outcome, Reason: reason, Detail: detail}
-	if c.offers == 0 && c.done == 0 && c.started == 0 {
+	if !c.offered && c.done == 0 && c.started == 0 {
 		a.Run = job.NotRun()
 	}
 	return Verdict{Finished: true, Answer: a}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -35,9 +35,9 @@
 
 // Holders is the owner's way to the holders of targets.
 type Holders interface {
-	// Place splits tasks over holders. Without any part it gives the reason:
-	// NoTarget or Infeasible.
-	Place(now time.Time, f *Flow, tasks []int) ([]Part, job.Reason)
+	// Place splits tasks over holders other than those in without. Without any
+	// part it gives the reason: NoTarget or Infeasible.
+	Place(now time.Time, f *Flow, tasks []int, without []job.EntryID) ([]Part, job.Reason)
 	// Offer hands a batch over; report is called once with all outcomes or
 	// early with a failure, from any goroutine.
 	Offer(to job.EntryID, pool string, b *job.Batch, report func([]job.TaskOutcome))
@@ -58,13 +58,11 @@
 type flight struct {
 	stage *Run
 	flow  *Flow
+	done  chan job.Answer
 
 	mu        sync.Mutex
 	collector *Collector
-	holders   map[job.EntryID]bool
-	done      chan job.Answer
-	// unplacedSince is when tasks of the submission first had no holder.
-	unplacedSince time.Time
+	placing   placing
 }
 
 // Process implements Stage. It returns when the answer is decided; it never
@@ -73,9 +71,9 @@
 	fl := &flight{
 		stage:     r,
 		flow:      f,
-		collector: NewCollector(f.Submission, f.Started, f.Held),
-		holders:   map[job.EntryID]bool{},
 		done:      make(chan job.Answer, 1),
+		collector: NewCollector(f.Submission, f.Started, f.Held),
+		placing:   newPlacing(),
 	}
 	fl.offer(fl.collector.Open())
 	answer := fl.wait(ctx)
@@ -119,82 +117,63 @@
 	return job.Failed, job.Internal
 }
 
-// offer places tasks and hands them over, one batch a holder.
+// offer places tasks and hands them over, one batch a holder. Tasks without a
+// holder wait for one or end, as placing decides.
 func (fl *flight) offer(tasks []int) {
-	now := time.Now()
 	if len(tasks) == 0 {
 		fl.report("", nil)
 		return
 	}
-	parts, reason := fl.stage.Holders.Place(now, fl.flow, tasks)
-	if len(parts) == 0 && fl.mayWait(now, reason) {
-		time.AfterFunc(placeAgainAfter, func() { fl.offer(tasks) })
+	now := time.Now()
+	fl.mu.Lock()
+	if fl.collector.Finished() {
+		fl.mu.Unlock()
 		return
 	}
+	without := fl.placing.without()
+	fl.mu.Unlock()
+	parts, reason := fl.stage.Holders.Place(now, fl.flow, tasks, without)
 	if len(parts) == 0 {
-		fl.unplaced(tasks, reason)
+		fl.unplaced(now, tasks, reason)
 		return
 	}
 	fl.mu.Lock()
-	fl.unplacedSince = time.Time{}
-	if fl.holders == nil {
-		fl.mu.Unlock()
-		return // the answer was given while the tasks waited for a holder
-	}
-	fl.collector.Offered()
-	for _, p := range parts {
-		fl.holders[p.Holder] = true
+	finished := fl.collector.Finished()
+	committed := fl.placing.committed(fl.collector.Done())
+	if !finished {
+		fl.collector.Offered()
+		fl.placing.offered(parts)
 	}
 	fl.mu.Unlock()
+	if finished {
+		return
+	}
 	for _, p := range parts {
-		fl.handOver(now, p)
+		fl.handOver(now, p, committed)
 	}
 }
 
-// When targets change hands, the former holder gives their queued tasks back
-// before anybody hears of the new holder. A job with tasks elsewhere would then
-// fail for want of a target although all of them are well. It waits instead:
-// placeAgainAfter is a fraction of a heartbeat, placeBound a target's default
-// lease, after which targets that were not announced again are gone.
-const (
-	placeAgainAfter = 50 * time.Millisecond
-	placeBound      = 4 * time.Second
-)
-
-// mayWait reports whether tasks that have no holder now may wait for one. A
-// submission of which nothing was offered yet does not: its caller can take it
-// to another entry at once, since it is proved not to have run.
-func (fl *flight) mayWait(now time.Time, reason job.Reason) bool {
+// unplaced meets tasks for which there is no holder at this moment.
+func (fl *flight) unplaced(now time.Time, tasks []int, reason job.Reason) {
 	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	if reason != job.NoTarget || !fl.collector.Waiting() {
-		return false
-	}
-	if fl.unplacedSince.IsZero() {
-		fl.unplacedSince = now
-	}
-	return now.Sub(fl.unplacedSince) < placeBound
-}
-
-// unplaced ends tasks for which there is no holder at all.
-func (fl *flight) unplaced(tasks []int, reason job.Reason) {
-	detail := "no target of the service's pool is known"
-	if reason == job.Infeasible {
-		detail = "no known target of the service's pool could ever hold a task of this size"
+	end, wait := fl.placing.unplaced(now, reason, fl.collector.Done())
+	fl.mu.Unlock()
+	if wait {
+		time.AfterFunc(placeAgainAfter, func() { fl.offer(tasks) })
+		return
 	}
 	outcomes := make([]job.TaskOutcome, len(tasks))
 	for i, task := range tasks {
-		outcomes[i] = job.TaskOutcome{Index: task, Status: job.TaskNotStarted, Reason: reason, Detail: detail}
+		outcomes[i] = end
+		outcomes[i].Index = task
 	}
 	fl.mu.Lock()
-	for fl.collector.CanReoffer() {
-		fl.collector.Offered()
-	}
+	v := fl.collector.GiveUp(outcomes)
 	fl.mu.Unlock()
-	fl.report("", outcomes)
+	fl.act(v)
 }
 
-func (fl *flight) handOver(now time.Time, p Part) {
+func (fl *flight) handOver(now time.Time, p Part, committed bool) {
 	s := fl.flow.Submission
 	b := &job.Batch{
 		Owner:      fl.stage.Self,
@@ -204,6 +183,7 @@
 		Waited:     now.Sub(s.Received),
 		Tasks:      make([]job.BatchTask, len(p.Tasks)),
 		Single:     s.Single,
+		Committed:  committed,
 	}
 	if !s.Deadline.IsZero() {
 		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
@@ -219,9 +199,13 @@
 // within Offer.
 func (fl *flight) report(from job.EntryID, outcomes []job.TaskOutcome) {
 	fl.mu.Lock()
-	delete(fl.holders, from)
 	v := fl.collector.Add(outcomes)
+	fl.placing.reported(from, outcomes)
 	fl.mu.Unlock()
+	fl.act(v)
+}
+
+func (fl *flight) act(v Verdict) {
 	if v.Finished {
 		fl.finish(v.Answer)
 		return
@@ -235,9 +219,7 @@
 	fl.mu.Lock()
 	v := fl.collector.Stop(outcome, reason, detail)
 	fl.mu.Unlock()
-	if v.Finished {
-		fl.finish(v.Answer)
-	}
+	fl.act(v)
 }
 
 // finish hands the answer out and takes the rest back from the holders, so
@@ -245,10 +227,9 @@
 func (fl *flight) finish(a job.Answer) {
 	fl.done <- a
 	fl.mu.Lock()
-	holders := fl.holders
-	fl.holders = nil
+	holders := fl.placing.without()
 	fl.mu.Unlock()
-	for h := range holders {
+	for _, h := range holders {
 		fl.stage.Holders.Cancel(h, fl.stage.Self, fl.flow.Submission.ID)
 	}
 }
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -16,6 +16,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -143,9 +144,10 @@
 	assigned []job.BatchTask
 }
 
-// Split spreads the tasks of one job over the holders of a pool.
-func (s *Splitter) Split(now time.Time, pool string, u job.Urgency, tasks []job.BatchTask) Plan {
-	all := s.candidates(pool, u)
+// Split spreads the tasks of one job over the holders of a pool, but for those
+// named in without.
+func (s *Splitter) Split(now time.Time, pool string, u job.Urgency, tasks []job.BatchTask, without ...job.EntryID) Plan {
+	all := slices.DeleteFunc(s.candidates(pool, u), func(c *candidate) bool { return slices.Contains(without, c.load.Entry) })
 	if len(all) == 0 {
 		return Plan{Reason: job.NoTarget}
 	}
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -36,7 +36,7 @@
 		}
 	}
 	b := p.newBatch(now, key, m)
-	if v := p.admit(now, b); !v.Accepted {
+	if v := p.admit(now, b); !v.Accepted && !(m.Committed && v.Reason == job.Overloaded) {
 		return v
 	}
 	p.mix.Offered(now, b.long, len(b.tasks), time.Duration(b.queuedWork()*float64(time.Second)))
