Give all targets of a pool in a zone one holder and one queue

Cause: targets were spread over the zone's three entries by their own names, so each pool of 136 slots was three queues. Measured with the mix examples/cuenca.yaml (408 slots, 8 s, sampled every 20 ms): 175 slots stood idle on average while tasks waited, 120 of them at another holder than the waiting tasks. Ruled out: slots kept free for short tasks, which were the other 55. Change: rendezvous hashing by pool. A new holder learns its targets at once from the entries that they announced themselves through. More jobs now cross to another entry, for two messages each. One entry holds a whole pool of a zone; the size from which that needs several is for docs/CAPACITY.md.

--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,6 +32,30 @@
 	forward  *handover.Targets
 	events   timeline.Sink
 	log      *slog.Logger
+
+	// passed are the targets that announced themselves through this entry.
+	mu     sync.Mutex
+	passed map[job.TargetID]passedOn
+	// lastHolder is who held each pool in the last view; only setView uses it.
+	lastHolder map[string]job.EntryID
+}
+
+// passedOn is one announcement and when it lapses.
+type passedOn struct {
+	target job.Target
+	until  time.Time
+}
+
+// holderKey is what decides on the holder of a target: all targets of a pool in
+// an availability zone have one holder, with one queue. Spread over the zone's
+// three entries they lost slots to each other: with examples/cuenca.yaml 120
+// of 408 slots stood idle on average while tasks waited at another holder.
+// docs/CAPACITY.md says from which size on a pool needs several.
+func holderKey(pool string) job.TargetID { return job.TargetID(pool) }
+
+// holderOf returns the holder of a target; empty for none.
+func holderOf(view *membership.Members, t *job.Target) job.EntryID {
+	return view.Holder(t.Zone, holderKey(t.Pool))
 }
 
 func newTargets(e *Entry) *targets {
@@ -41,8 +66,12 @@
 		members:  e.members,
 		events:   e.ring,
 		log:      e.log,
+		passed:   map[job.TargetID]passedOn{},
 	}
-	t.forward = handover.NewTargets(e.links, e.members.HolderOf, heldHere{t})
+	t.forward = handover.NewTargets(e.links, func(announced *job.Target) job.EntryID {
+		view := t.members.View()
+		return holderOf(&view, announced)
+	}, heldHere{t})
 	return t
 }
 
@@ -60,13 +89,45 @@
 	case err != nil:
 		return 0, 0, errors.Trace(err)
 	}
+	t.remember(announced, lease)
 	return lease, lease / renewals, nil
 }
 
-// Withdraw implements api.Announcer. The request does not say the target's
-// availability zone; targets announce to entries of their own.
+func (t *targets) remember(announced job.Target, lease time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.passed[announced.ID] = passedOn{announced, time.Now().Add(lease)}
+}
+
+// known returns what a target last announced here or, if it is held here,
+// anywhere.
+func (t *targets) known(id job.TargetID) (job.Target, bool) {
+	t.mu.Lock()
+	p, ok := t.passed[id]
+	delete(t.passed, id)
+	t.mu.Unlock()
+	if ok {
+		return p.target, true
+	}
+	for _, held := range t.registry.Held() {
+		if held.ID == id {
+			return held, true
+		}
+	}
+	return job.Target{}, false
+}
+
+// errNotAnnounced is the answer to a withdrawal that can't be passed on.
+const errNotAnnounced = errors.ConstError("the target has not announced itself through this entry; withdraw where it announced")
+
+// Withdraw implements api.Announcer. The request names the target only; what it
+// announced through this entry says who holds it.
 func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
-	_, err := t.forward.ForwardTarget(ctx, job.Target{ID: id, Zone: t.self.Zone}, true)
+	announced, ok := t.known(id)
+	if !ok {
+		return errNotAnnounced
+	}
+	_, err := t.forward.ForwardTarget(ctx, announced, true)
 	return errors.Trace(err)
 }
 
@@ -97,14 +158,44 @@
 // target's next announcement reaches it anyway.
 const passOnTime = 500 * time.Millisecond
 
-// setView passes the targets on that another entry now holds.
+// setView passes the targets on that another entry now holds: those held here,
+// and those that announced themselves here and whose holder is gone.
 func (t *targets) setView(view membership.Members) {
-	keep := func(id job.TargetID) bool { return view.Holder(t.self.Zone, id) == t.self.Entry }
+	keep := func(held *job.Target) bool { return holderOf(&view, held) == t.self.Entry }
 	for _, released := range t.registry.Release(keep) {
 		t.holder.RemoveTarget(released.ID)
-		t.events.Record(timeline.Event{Kind: timeline.HolderChanged, Target: released.ID, Peer: view.Holder(t.self.Zone, released.ID), Cause: "the entries of the availability zone changed"})
+		t.events.Record(timeline.Event{Kind: timeline.HolderChanged, Target: released.ID, Peer: holderOf(&view, &released), Cause: "the entries of the availability zone changed"})
 		go t.passOn(released)
 	}
+	for _, announced := range t.stillAnnounced(time.Now()) {
+		if holder := holderOf(&view, &announced); holder != t.lastHolder[announced.Pool] {
+			go t.passOn(announced)
+		}
+	}
+	t.noteHolders(&view)
+}
+
+// stillAnnounced returns the targets whose last announcement here holds.
+func (t *targets) stillAnnounced(now time.Time) []job.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []job.Target
+	for id, p := range t.passed {
+		if now.After(p.until) {
+			delete(t.passed, id)
+			continue
+		}
+		out = append(out, p.target)
+	}
+	return out
+}
+
+// noteHolders remembers who holds each pool in this view.
+func (t *targets) noteHolders(view *membership.Members) {
+	t.lastHolder = map[string]job.EntryID{}
+	for _, announced := range t.stillAnnounced(time.Now()) {
+		t.lastHolder[announced.Pool] = holderOf(view, &announced)
+	}
 }
 
 // passOn saves the time until the target's next announcement.
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -69,3 +69,18 @@
 	}
 	return timeline.Merge(pages, nil).Events
 }
+
+// Pooling returns the free slots and the waiting tasks of all holders.
+func (f *Fleet) Pooling() (free, queued, same int) {
+	for _, m := range f.entries {
+		l := m.entry.Load(f.opts.Pool)
+		free += l.Free
+		here := 0
+		for _, n := range l.Queued {
+			here += n
+		}
+		queued += here
+		same += min(l.Free, here)
+	}
+	return free, queued, same
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -337,7 +337,7 @@
 		at := map[job.EntryID]*Targets{}
 		for id := range view {
 			held[id] = registry{}
-			at[id] = NewTargets(net.Join(job.Owner{Entry: id}), func(job.Zone, job.TargetID) job.EntryID { return view[id] }, held[id])
+			at[id] = NewTargets(net.Join(job.Owner{Entry: id}), func(*job.Target) job.EntryID { return view[id] }, held[id])
 		}
 		target := job.Target{ID: "t", Zone: "z"}
 		for _, by := range []job.EntryID{"a", "b", "c"} {
--- a/internal/handover/targets.go
+++ b/internal/handover/targets.go
@@ -26,8 +26,8 @@
 	Withdraw(id job.TargetID)
 }
 
-// HolderOf names the entry that holds a target of a zone; empty for none.
-type HolderOf func(zone job.Zone, target job.TargetID) job.EntryID
+// HolderOf names the entry that holds a target; empty for none.
+type HolderOf func(t *job.Target) job.EntryID
 
 // forward is the request of peer.TargetForward.
 type forward struct {
@@ -64,11 +64,11 @@
 // ForwardTarget makes a target known to its holder, or withdraws it, and
 // returns the lease that the holder gave.
 func (t *Targets) ForwardTarget(ctx context.Context, target job.Target, leaving bool) (time.Duration, error) {
-	to := t.holderOf(target.Zone, target.ID)
+	to := t.holderOf(&target)
 	for range maxForwards {
 		if to == t.mesh.Self().Entry {
 			// Another entry's view sent the search back here.
-			to = t.holderOf(target.Zone, target.ID)
+			to = t.holderOf(&target)
 		}
 		switch to {
 		case "":
@@ -102,7 +102,7 @@
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return nil, errors.Annotate(err, "decoding an announcement")
 	}
-	if holder := t.holderOf(f.Target.Zone, f.Target.ID); holder != t.mesh.Self().Entry {
+	if holder := t.holderOf(&f.Target); holder != t.mesh.Self().Entry {
 		if holder == "" {
 			return nil, errors.Trace(ErrNoHolder)
 		}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -173,10 +173,10 @@
 
 // Release gives up the targets for which keep is false, since another entry
 // now holds them, and returns them, so that they can be passed on.
-func (r *Registry) Release(keep func(job.TargetID) bool) []job.Target {
+func (r *Registry) Release(keep func(*job.Target) bool) []job.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.take(func(l *lease) bool { return !keep(l.target.ID) })
+	return r.take(func(l *lease) bool { return !keep(&l.target) })
 }
 
 // take drops and returns the leases that match, ordered by id.
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -134,7 +134,7 @@
 		}
 		qt.Assert(t, r.Held()[0].Address, qt.Equals, s.heldAddress)
 	}
-	gone := r.Release(func(id job.TargetID) bool { return id == "t1" })
+	gone := r.Release(func(held *job.Target) bool { return held.ID == "t1" })
 	qt.Assert(t, ids(gone), qt.DeepEquals, []job.TargetID{"t2", "t3"})
 	qt.Assert(t, ids(r.Held()), qt.DeepEquals, []job.TargetID{"t1"})
 }
