Test each policy module by itself

Names of teams that callers make up were kept until a slot was given back; a cancelled job now forgets its team too.

--- /dev/null
+++ b/internal/policy/estimate/estimate_test.go
@@ -0,0 +1,81 @@
+package estimate
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	kind  = Kind{"thumb", "pose"}
+)
+
+const ms = time.Millisecond
+
+// near reports whether an estimate is within a share of the truth.
+func near(got, want time.Duration, share float64) bool {
+	d := float64(got-want) / float64(want)
+	return d < share && d > -share
+}
+
+// A caller declares ten times too much or too little. After a few tasks the
+// measured run time counts, and a lasting change is followed.
+func TestDeclaredIsOutweighed(t *testing.T) {
+	for _, declared := range []time.Duration{30 * ms, 3 * time.Second} {
+		b := New()
+		qt.Assert(t, b.Mean(start, kind, declared), qt.Equals, declared)
+		for range 40 {
+			b.Learn(start, kind, 300*ms)
+		}
+		qt.Assert(t, near(b.Mean(start, kind, declared), 300*ms, 0.45), qt.IsTrue)
+		for range 300 {
+			b.Learn(start, kind, 300*ms)
+		}
+		qt.Assert(t, near(b.Mean(start, kind, declared), 300*ms, 0.1), qt.IsTrue)
+		for range 600 {
+			b.Learn(start, kind, 900*ms)
+		}
+		qt.Assert(t, near(b.Mean(start, kind, 0), 900*ms, 0.1), qt.IsTrue)
+	}
+}
+
+// A new kind runs for seconds. Its first task ends only then; until that, that
+// its tasks still run is the only sign that more of them are long.
+func TestRunningTasksCountBeforeTheFirstEnds(t *testing.T) {
+	b := New()
+	for range 10 {
+		b.Started(start, kind)
+	}
+	qt.Assert(t, b.Mean(start.Add(2*time.Second), kind, 0) >= 2*time.Second, qt.IsTrue)
+	for range 10 {
+		b.Ended(kind, start)
+		b.Learn(start.Add(3*time.Second), kind, 3*time.Second)
+	}
+	b.Started(start, kind)
+	qt.Assert(t, near(b.Mean(start.Add(time.Minute), kind, 0), 3*time.Second, 0.01), qt.IsTrue)
+}
+
+func TestQuantiles(t *testing.T) {
+	var s Sketch
+	for i := range 200 {
+		s.Add(time.Duration(i+1) * 10 * ms)
+	}
+	for _, q := range []float64{0.1, 0.25, 0.5, 0.9, 0.99} {
+		want := time.Duration(q * float64(2*time.Second))
+		qt.Assert(t, near(s.Quantile(q), want, 0.13), qt.IsTrue, qt.Commentf("%v: %v", q, s.Quantile(q)))
+	}
+	qt.Assert(t, s.Quantile(0) > 0 && s.Mean() > 0, qt.IsTrue)
+}
+
+// Callers choose the names of kinds. One that makes up a new name for each task
+// must not fill the memory; its tasks are measured as part of the service.
+func TestKindsAreBounded(t *testing.T) {
+	b := New()
+	for i := range 2 * maxKinds {
+		b.Learn(start, Kind{"thumb", time.Duration(i).String()}, 100*ms)
+	}
+	qt.Assert(t, len(b.kinds) <= maxKinds, qt.IsTrue)
+	qt.Assert(t, near(b.Mean(start, Kind{"thumb", "another"}, 0), 100*ms, 0.01), qt.IsTrue)
+}
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -147,7 +147,9 @@
 	f.items.Remove(i)
 	if f.items.Len() > 0 {
 		q.active.Push(f)
+		return
 	}
+	q.tidy(f)
 }
 
 // Head returns the job to serve next, or nil.
@@ -175,10 +177,14 @@
 	q.tidy(f)
 }
 
+// idleFlows is how many teams are kept without slots and jobs: twice the teams
+// of the largest site, so that those in use aren't made anew for each job.
+const idleFlows = 128
+
 // tidy forgets a team without slots and jobs, so that the names that callers
 // choose where no team is configured don't pile up.
 func (q *Queue[T]) tidy(f *flow[T]) {
-	if f.held == 0 && f.weight == 1 && f.items.Len() == 0 {
+	if len(q.flows) > idleFlows && f.held == 0 && f.weight == 1 && f.items.Len() == 0 {
 		delete(q.flows, f.name)
 	}
 }
--- /dev/null
+++ b/internal/policy/reserve/reserve_test.go
@@ -0,0 +1,57 @@
+package reserve
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// offer lets work arrive evenly: short and long are the slots that each needs.
+func offer(r *Reserve, seconds int, short, long float64) time.Time {
+	now := start
+	for i := range seconds * 10 {
+		now = start.Add(time.Duration(i) * 100 * time.Millisecond)
+		r.Offered(now, false, 1, time.Duration(short*float64(100*time.Millisecond)))
+		r.Offered(now, true, 1, time.Duration(long*float64(100*time.Millisecond)))
+	}
+	return now
+}
+
+// Long tasks fill a pool in which short ones need a known part of the slots.
+// Too small a reserve makes the short ones wait for seconds, too large a one
+// lets slots stand idle, and no long task may wait for ever.
+func TestMaxLong(t *testing.T) {
+	cases := []struct {
+		name        string
+		short, long float64
+		low, high   int
+	}{
+		{"only long tasks", 0, 100, 400, 400},
+		{"a third short", 140, 100, 400 - 140 - 30, 400 - 140 - 20},
+		{"the long ones alone would fill it", 140, 400, 230, 300},
+		{"only short ones, more than there is", 800, 0, 25, 25},
+		{"both too many", 400, 400, 150, 210},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			now := offer(r, 120, c.short, c.long)
+			got := r.MaxLong(now, 400, int(min(400, c.short)))
+			qt.Assert(t, got >= c.low && got <= c.high, qt.IsTrue, qt.Commentf("%d", got))
+		})
+	}
+}
+
+// One large job of long tasks arrives. Averaged over a few seconds it looks as
+// if long work were more than the pool can do, and the reserve would be given
+// up just when it is needed.
+func TestOneLongJobIsNoOverload(t *testing.T) {
+	r := New()
+	now := offer(r, 20, 140, 0)
+	r.Offered(now, true, 400, 400*5*time.Second)
+	got := r.MaxLong(now.Add(time.Second), 400, 140)
+	qt.Assert(t, got < 400-140, qt.IsTrue, qt.Commentf("%d", got))
+}
