--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,9 +16,13 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
 	"github.com/vanillagrade/vanillagrade/internal/target"
@@ -37,8 +42,12 @@
 	Log       *slog.Logger
 	// Scheduler switches single decisions off, for measurements.
 	Scheduler scheduler.Options
-	// Config is the configuration in force.
+	// Config, when set, is in force in place of what the entries agree on; the
+	// load tool uses it.
 	Config config.View
+	// Linger is how long a stopping entry keeps answering after its work has
+	// ended; zero takes DefaultLinger.
+	Linger time.Duration
 	// Incarnation numbers this life of the entry; zero takes the clock.
 	Incarnation job.Incarnation
 }
@@ -51,6 +60,11 @@
 	clock  *timeline.Clock
 	ring   *timeline.Ring
 	config config.View
+	links  *peer.Links
+
+	register *register.Register
+	members  *membership.Membership
+	lives    lives
 
 	record  *pipeline.Record
 	check   *pipeline.Check
@@ -61,12 +75,26 @@
 	holders *holders
 	targets *targets
 	memory  *api.ByteBudget
+
+	// stopping is closed when an operator asks for a planned stop.
+	stopping chan struct{}
+	stopOnce sync.Once
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // bodyMemory bounds the bytes of submissions that one entry holds. It is half
 // of a small entry VM's 1 GiB; the payloads are held once, as they came.
 const bodyMemory = 512 << 20
 
+// DefaultLinger is how long a stopping entry keeps its listener and its
+// connections. A caller that reuses a connection writes its next request without
+// knowing that the entry closes it, and can't tell whether it was read. While
+// the entry lingers each answer closes its connection, so only connections
+// that were silent for all this time are closed under a caller. A second is
+// above the time between two requests of any busy connection.
+const DefaultLinger = time.Second
+
 // stopBound bounds how long a stop waits for callers that do not read their
 // answer after all work has ended.
 const stopBound = 10 * time.Second
@@ -76,6 +104,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Linger == 0 {
+		o.Linger = DefaultLinger
+	}
 	if o.Incarnation == 0 {
 		o.Incarnation = job.Incarnation(time.Now().UnixNano())
 	}
@@ -89,7 +120,9 @@
 		log:    o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
 		clock:  timeline.NewClock(time.Now),
 		memory: api.NewByteBudget(bodyMemory),
-		config: o.Config,
+
+		stopping: make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
 	if err := e.assemble(); err != nil {
@@ -119,8 +152,30 @@
 	return nil
 }
 
-// assemble joins the parts.
+// assemble joins the parts: first what entries share, then the path.
 func (e *Entry) assemble() error {
+	if err := e.assembleShared(); err != nil {
+		return errors.Trace(err)
+	}
+	e.assemblePath()
+	e.configure(nil, e.config.Current())
+	e.register.OnChange(e.configure)
+	e.members.OnChange(e.setView)
+	return nil
+}
+
+// configure brings a file into force in every stage that keeps something of
+// it; the others read the view.
+func (e *Entry) configure(_, updated *config.File) {
+	if updated == nil {
+		return
+	}
+	e.admit.Configure(updated, e.quotaShare())
+	e.holder.Configure(updated)
+}
+
+// assemblePath joins the stages.
+func (e *Entry) assemblePath() {
 	e.holder = holder.New(holder.Options{
 		Self:      e.self,
 		Config:    e.config,
@@ -129,8 +184,11 @@
 		Log:       e.log,
 		Scheduler: e.opts.Scheduler,
 	})
-	e.holders = newHolders(e.self, e.holder, nil)
-	e.targets = newTargets(e.self.Zone, e.config, e.holder, e.ring)
+	e.assembleMembership()
+	handover.Serve(e.links, e.holder)
+	remote := handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
+	e.holders = newHolders(e.self, e.holder, remote, e.members)
+	e.targets = newTargets(e)
 	e.record = &pipeline.Record{Events: e.ring}
 	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
 	e.join = &pipeline.Join{Events: e.ring}
@@ -142,8 +200,6 @@
 		e.admit,
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
 	)
-	e.admit.Configure(e.config.Current(), 1)
-	return nil
 }
 
 // Run serves until ctx ends and then stops as planned: no request in progress
@@ -153,9 +209,17 @@
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
 	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
 	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
-	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, caller.Handler(), e.opts.Listeners.Caller) })
+	listen := e.opts.Listeners
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.closing(caller.Handler()), listen.Caller) })
+	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.operator().Handler(), listen.Operator) })
+	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
+	e.add(&g, e.links.Run)
+	e.add(&g, e.register.Run)
+	e.add(&g, e.members.Run)
+	e.add(&g, e.holders.observe)
 	e.add(&g, e.targets.expire)
-	stopped, stop := context.WithCancel(ctx)
+	e.add(&g, e.waitForKill)
+	stopped, stop := e.stopContext(ctx)
 	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
 	err := g.Run()
 	e.holder.Close()
@@ -163,6 +227,34 @@
 	return errors.Trace(err)
 }
 
+// errKilled ends a run without waiting for anything.
+const errKilled = errors.ConstError("killed")
+
+// Kill ends the entry as the loss of its VM would: nothing in progress is
+// waited for. Tests use it.
+func (e *Entry) Kill() {
+	e.killOnce.Do(func() { close(e.killed) })
+}
+
+func (e *Entry) waitForKill(ctx context.Context) error {
+	select {
+	case <-e.killed:
+		e.holder.Close()
+		return errKilled
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (e *Entry) isKilled() bool {
+	select {
+	case <-e.killed:
+		return true
+	default:
+		return false
+	}
+}
+
 // add runs f until the group ends.
 func (e *Entry) add(g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -170,20 +262,63 @@
 }
 
 func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
+	server := api.Server(h, e.log)
+	served := make(chan struct{})
+	defer close(served)
+	go func() {
+		select {
+		case <-e.killed:
+			_ = server.Close()
+		case <-served:
+		}
+	}()
+	return api.Serve(ctx, server, l, stopBound)
+}
+
+// closing makes each answer of a stopping entry close its connection.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: e.check.Draining}, r)
+	})
 }
 
+// closingWriter looks again when the answer is written, for requests that
+// began before the stop.
+type closingWriter struct {
+	http.ResponseWriter
+	draining func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(code int) {
+	if w.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // stopAsPlanned waits for ctx and then for all work in progress. The other
 // parts of the entry keep running until it returns.
 func (e *Entry) stopAsPlanned(ctx context.Context) error {
 	<-ctx.Done()
+	if e.isKilled() {
+		return errKilled
+	}
 	e.check.Drain()
+	e.members.Drain()
+	linger := time.NewTimer(e.opts.Linger)
+	defer linger.Stop()
 	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
 	e.log.Info("entry drains", "submissions", e.join.Running())
 	e.waitForSubmissions()
 	if err := e.holder.Drain(context.Background()); err != nil {
 		return errors.Trace(err)
 	}
+	<-linger.C
+	e.members.Leave(context.Background())
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
@@ -198,5 +333,9 @@
 	}
 }
 
-// Slots returns the slots of a pool that this entry holds.
-func (e *Entry) Slots(pool string) int { return e.holder.Load(pool).Slots }
+// Slots returns the slots of a pool that this entry can place tasks on, held
+// here or elsewhere.
+func (e *Entry) Slots(pool string) int { return e.holders.knownSlots(pool) }
+
+// Ring returns the events of this entry.
+func (e *Entry) Ring() *timeline.Ring { return e.ring }
--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -22,12 +23,14 @@
 	arrived time.Time
 	report  func([]job.TaskOutcome)
 
+	// sizes are the different sizes of its tasks.
+	sizes    []job.Size
 	outcomes []job.TaskOutcome
 	// open counts the tasks without an outcome.
 	open    int
 	running map[int]*link
-	// attempts counts how often a task was sent, from its second sending on.
-	attempts map[int]int
+	// retries counts how often a repeatable request was sent again.
+	retries int
 	// fatal is why the rest of the batch ends, once the job can't become
 	// complete any more.
 	fatal    job.Reason
@@ -42,14 +45,31 @@
 		service:  service,
 		arrived:  now,
 		report:   report,
+		sizes:    sizesOf(b.Tasks),
 		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
 		open:     len(b.Tasks),
 		running:  make(map[int]*link),
 	}
 }
 
-// settle takes one task's outcome.
+// sizesOf lists the different sizes. The tasks of a job have one or a few.
+func sizesOf(tasks []job.BatchTask) []job.Size {
+	var out []job.Size
+	for i := range tasks {
+		if s := tasks[i].Size(); !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// settle takes one task's outcome. A request that was sent again may have run
+// the first time, whatever became of its last attempt: called unstarted then,
+// its caller would be told "not run".
 func (b *batch) settle(o job.TaskOutcome) {
+	if b.retries > 0 && o.Status == job.TaskNotStarted {
+		o.Status = job.TaskErred
+	}
 	b.outcomes = append(b.outcomes, o)
 	b.open--
 	if b.fatal != "" || o.Status == job.TaskDone || mayGoElsewhere(o) {
@@ -64,15 +84,6 @@
 // ended reports whether no task is left, also none whose result is discarded.
 func (b *batch) ended() bool { return b.reported && len(b.running) == 0 }
 
-// again counts one more attempt of a task and reports how many there were.
-func (b *batch) again(index int) int {
-	if b.attempts == nil {
-		b.attempts = make(map[int]int)
-	}
-	b.attempts[index]++
-	return b.attempts[index]
-}
-
 // mayGoElsewhere reports whether the owner may still complete the job by
 // offering the task to another holder.
 func mayGoElsewhere(o job.TaskOutcome) bool {
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -16,8 +16,6 @@
 	// removed is set when this entry does not hold the target any more, or
 	// holds it at another address.
 	removed bool
-	// foreign is how many of the target's tasks an earlier holder started.
-	foreign int
 	// stopping are the tasks that the target is still to be asked to stop.
 	stopping []stopRequest
 	asking   bool
@@ -38,12 +36,12 @@
 			l = nil
 		}
 		if l == nil {
-			l = &link{conn: p.holder.opts.Connect(t), foreign: t.Running}
+			l = &link{conn: p.holder.opts.Connect(t)}
 			p.links[t.ID] = l
 		}
 		l.target = t
 		l.removed = false
-		p.sched.SetTarget(now, l.usable())
+		p.sched.SetTarget(now, t)
 	})
 }
 
@@ -66,18 +64,6 @@
 	return 0
 }
 
-// usable returns the target with the slots that this holder may fill. A target
-// that was taken over still runs what its earlier holder started, which this
-// one learns only from the target's own count. The count lags, so it is taken
-// as falling only; one slot is always left, whose refusal proves that nothing
-// started.
-func (l *link) usable() job.Target {
-	t := l.target
-	l.foreign = min(l.foreign, max(0, t.Running-l.running))
-	t.Slots = max(1, t.Slots-l.foreign)
-	return t
-}
-
 func (p *pool) removeTarget(id job.TargetID) {
 	p.change(func(now time.Time, e *effects) {
 		l := p.links[id]
@@ -87,9 +73,7 @@
 		l.removed = true
 		p.sched.RemoveTarget(now, id)
 		p.release(l, e)
-		if len(p.sched.Targets()) == 0 {
-			p.giveBackAll(now, e)
-		}
+		p.giveBackStranded(now, e)
 	})
 }
 
@@ -105,18 +89,33 @@
 	}
 }
 
-// giveBackAll empties the queue of a pool whose last target left. The tasks
-// would otherwise wait here while another holder has free slots.
-func (p *pool) giveBackAll(now time.Time, e *effects) {
+// giveBackStranded gives the queued tasks back of jobs with a task that no
+// target left here could ever hold. They would otherwise wait for ever, also
+// while another holder has room.
+func (p *pool) giveBackStranded(now time.Time, e *effects) {
 	for _, b := range p.batches {
-		if b.reported {
+		if b.reported || p.holds(b) {
 			continue
 		}
-		p.giveBack(now, b, job.NoTarget, "the last target of pool "+p.name+" left this holder")
+		p.giveBack(now, b, job.NoTarget, "the last target for the task left this holder")
 		p.conclude(now, b, e)
 	}
 }
 
+// holds reports whether each task of the batch fits on a target that is left.
+func (p *pool) holds(b *batch) bool {
+	for _, s := range b.sizes {
+		fits := false
+		for _, l := range p.links {
+			fits = fits || !l.removed && s.Fits(l.target.Room())
+		}
+		if !fits {
+			return false
+		}
+	}
+	return true
+}
+
 // stop asks the target to stop a task. One goroutine a target asks for one
 // task at a time, so that a wave of cancellations takes one connection.
 func (l *link) stop(p *pool, submission job.ID, index int, e *effects) {
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/retry"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -20,14 +21,14 @@
 	sched   *scheduler.Pool
 	batches map[batchKey]*batch
 	links   map[job.TargetID]*link
-	budget  retryBudget
+	budgets map[string]*retry.Budget
 	wake    *time.Timer
 }
 
 // effects are what a change of state asks for. They are carried out after the
 // lock is released, since a report may come back with another offer.
 type effects struct {
-	launches []launch
+	launches []*launch
 	after    []func()
 }
 
@@ -40,7 +41,7 @@
 		sched:   scheduler.NewWith(name, h.opts.Seed, h.opts.Scheduler),
 		batches: make(map[batchKey]*batch),
 		links:   make(map[job.TargetID]*link),
-		budget:  newRetryBudget(),
+		budgets: make(map[string]*retry.Budget),
 		file:    f,
 	}
 	p.sched.Configure(time.Now(), f)
@@ -106,8 +107,10 @@
 	}
 	b.running[s.Index] = l
 	l.running++
-	p.budget.started()
-	e.launches = append(e.launches, launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
+	if b.offered.Single && b.service.Repeatable && b.retries == 0 {
+		p.budget(b.service.Name).Request(now)
+	}
+	e.launches = append(e.launches, &launch{start: s, batch: b, link: l, queued: now.Sub(b.arrived)})
 }
 
 // wakeAt sets the one timer of the pool. Too early a wake-up only costs a look.
@@ -148,6 +151,7 @@
 			return
 		}
 		if v := p.sched.Offer(now, offered); !v.Accepted {
+			p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: offered.Submission, Reason: v.Reason, Cause: v.Detail, Count: len(offered.Tasks), Peer: offered.Owner.Entry})
 			p.refuse(e, report, unstarted(offered.Tasks, v))
 			return
 		}
@@ -195,7 +199,11 @@
 	b.reported = true
 	outcomes := b.outcomes
 	b.outcomes = nil
-	e.then(func() { b.report(outcomes) })
+	p.holder.gate.hold()
+	e.then(func() {
+		b.report(outcomes)
+		p.holder.gate.leave()
+	})
 }
 
 // giveBack takes the queued tasks of a batch out of the queue, unstarted.
