--- a/internal/register/fleet_test.go
+++ b/internal/register/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,7 +70,15 @@
 	if f.wrap != nil {
 		mesh = f.wrap(mesh)
 	}
-	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries}
+	// Nothing may depend on the time of day, so each entry's clock jumps by up
+	// to a day, back and forth, at each reading.
+	life := uint64(f.life)
+	clock := func() time.Time {
+		now := time.Now()
+		jump := rand.New(rand.NewPCG(life, uint64(now.UnixNano()))).Int64N(int64(48 * time.Hour))
+		return now.Add(time.Duration(jump) - 24*time.Hour)
+	}
+	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock}
 	if fs != nil {
 		store, err := storage.Open("data", fs)
 		qt.Assert(f.t, err, qt.IsNil)
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -28,6 +28,9 @@
 		state := f.nodes["v2"].State()
 		qt.Assert(t, state.Voter, qt.IsTrue)
 		qt.Assert(t, state.Stale, qt.IsFalse)
+		body, accepted := f.nodes["l2"].Body()
+		qt.Assert(t, string(body), qt.Equals, fileOf(7, "a"))
+		qt.Assert(t, accepted, qt.Equals, Accepted{Number: 7, Digest: config.Digest(body), ChangeID: "change-7"})
 		qt.Assert(t, f.nodes["l4"].Current().Services[0].Name, qt.Equals, "a")
 	})
 }
