Keep submissions of services that ask for it beyond their owner

Cause: keep: synced and keep: replicated stood in the file and nothing acted on them; an entry's death lost what it had accepted. Change: a keeper, on the entry's own disk or at another entry, holds the submission from before its acceptance, and must grant each task before any holder gets it. It grants a task once, ever, so two drivers after a cut can't start one twice. Kept submissions whose owner's life has ended are driven on: results are fetched from holders, tasks never granted start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,12 +19,14 @@
 	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/keep"
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -73,8 +75,12 @@
 	chain   pipeline.Next
 	holder  *holder.Holder
 	holders *holders
-	targets *targets
-	memory  *api.ByteBudget
+	remote  *handover.Remote
+	keeper  *keep.Keeper
+	// submissions is the keeper's log; nil without a disk.
+	submissions *storage.SubmissionLog
+	targets     *targets
+	memory      *api.ByteBudget
 
 	// stopping is closed when an operator asks for a planned stop.
 	stopping chan struct{}
@@ -157,6 +163,9 @@
 	if err := e.assembleShared(); err != nil {
 		return errors.Trace(err)
 	}
+	if err := e.openKeeper(); err != nil {
+		return errors.Trace(err)
+	}
 	e.assemblePath()
 	e.configure(nil, e.config.Current())
 	e.register.OnChange(e.configure)
@@ -186,8 +195,8 @@
 	})
 	e.assembleMembership()
 	handover.Serve(e.links, e.holder)
-	remote := handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
-	e.holders = newHolders(e.self, e.holder, remote, e.members)
+	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
+	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
 	e.record = &pipeline.Record{Events: e.ring}
 	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
@@ -198,6 +207,7 @@
 		e.check,
 		e.join,
 		e.admit,
+		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.ring},
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
 	)
 }
@@ -217,12 +227,16 @@
 	e.add(&g, e.register.Run)
 	e.add(&g, e.members.Run)
 	e.add(&g, e.holders.observe)
+	e.add(&g, e.driveOn)
 	e.add(&g, e.targets.expire)
 	e.add(&g, e.waitForKill)
 	stopped, stop := e.stopContext(ctx)
 	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
 	err := g.Run()
 	e.holder.Close()
+	if e.submissions != nil {
+		_ = e.submissions.Close()
+	}
 	e.log.Info("entry stopped")
 	return errors.Trace(err)
 }
--- a/internal/pipeline/check.go
+++ b/internal/pipeline/check.go
@@ -44,7 +44,7 @@
 
 func (c *Check) check(f *Flow) (job.Answer, bool) {
 	s := f.Submission
-	if c.Draining() {
+	if c.Draining() && !f.Resumed {
 		return job.Refuse(s.ID, job.Draining, "this entry is stopping; another one takes the submission", drainRetryAfter), false
 	}
 	file := c.Config.Current()
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/keep"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
@@ -63,6 +64,8 @@
 	mu        sync.Mutex
 	collector *Collector
 	placing   placing
+	// granted are the tasks that the keeper has granted to this flight.
+	granted map[int]bool
 }
 
 // Process implements Stage. It returns when the answer is decided; it never
@@ -74,6 +77,7 @@
 		done:      make(chan job.Answer, 1),
 		collector: NewCollector(f.Submission, f.Started, f.Held),
 		placing:   newPlacing(),
+		granted:   map[int]bool{},
 	}
 	fl.offer(fl.collector.Open())
 	answer := fl.wait(ctx)
@@ -137,6 +141,10 @@
 		fl.unplaced(now, tasks, reason)
 		return
 	}
+	if refused, ok := fl.grant(tasks); !ok {
+		fl.giveUp(tasks, refused)
+		return
+	}
 	fl.mu.Lock()
 	finished := fl.collector.Finished()
 	committed := fl.placing.committed(fl.collector.Done())
@@ -162,6 +170,11 @@
 		time.AfterFunc(placeAgainAfter, func() { fl.offer(tasks) })
 		return
 	}
+	fl.giveUp(tasks, end)
+}
+
+// giveUp ends tasks that no holder gets.
+func (fl *flight) giveUp(tasks []int, end job.TaskOutcome) {
 	outcomes := make([]job.TaskOutcome, len(tasks))
 	for i, task := range tasks {
 		outcomes[i] = end
@@ -173,6 +186,53 @@
 	fl.act(v)
 }
 
+// grantTime bounds one grant: a synced write takes several milliseconds, and
+// several of them may wait for one disk.
+const grantTime = 2 * time.Second
+
+// grant has the keeper of a kept submission grant the tasks to this entry
+// before any holder gets them. Tasks that it granted before stay granted.
+func (fl *flight) grant(tasks []int) (refused job.TaskOutcome, ok bool) {
+	if fl.flow.Journal == nil {
+		return job.TaskOutcome{}, true
+	}
+	ask := fl.ungranted(tasks)
+	if len(ask) == 0 {
+		return job.TaskOutcome{}, true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTime)
+	defer cancel()
+	err := fl.flow.Journal.Grant(ctx, fl.flow.Submission.ID, ask)
+	switch {
+	case err == nil:
+		fl.noteGranted(ask)
+		return job.TaskOutcome{}, true
+	case errors.Is(err, keep.ErrGranted):
+		return job.TaskOutcome{Status: job.TaskErred, Reason: job.OwnerLost, Detail: err.Error()}, false
+	}
+	return job.TaskOutcome{Status: job.TaskNotStarted, Reason: job.NotKept, Detail: err.Error()}, false
+}
+
+func (fl *flight) ungranted(tasks []int) []int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var out []int
+	for _, task := range tasks {
+		if !fl.granted[task] {
+			out = append(out, task)
+		}
+	}
+	return out
+}
+
+func (fl *flight) noteGranted(tasks []int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, task := range tasks {
+		fl.granted[task] = true
+	}
+}
+
 func (fl *flight) handOver(now time.Time, p Part, committed bool) {
 	s := fl.flow.Submission
 	b := &job.Batch{
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/keep"
 )
 
 // Flow is one submission on its way through the stages.
@@ -27,9 +28,11 @@
 	Started map[int]bool
 	// Held are results that an earlier owner had collected.
 	Held []job.TaskOutcome
-	// Resumed is set for a kept submission that is driven on after a restart:
-	// its record is on disk already.
+	// Resumed is set for a kept submission that is driven on after its owner
+	// was lost: it was checked, claimed and admitted before.
 	Resumed bool
+	// Journal is the keeper of a kept submission, nil for others.
+	Journal keep.Journal
 }
 
 // Next hands a flow to the rest of the chain and returns its answer.
