Claim submissions before they start; answer lost owners' ones

A submission with a caller's id is claimed with the registrars before anything of it starts. A live owner elsewhere is joined, an ended one's answer given again, a lost owner's submission answered from the results that holders still have; nothing of it starts again. For kept submissions the keepers are asked for whoever drives them on.

Found while wiring, each by a test through real sockets: - Results at this entry's own holder were not looked for after an owner's death: the resubmission failed after 10 s although all results were there. - Two entries with the same resubmission could wait for each other; only an entry that drives a submission is waited for now. - A rival whose own claim is on its way was taken for lost; the claim is made again after a pause.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/register"
+	"github.com/vanillagrade/vanillagrade/internal/registrar"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
@@ -76,7 +77,10 @@
 	holder  *holder.Holder
 	holders *holders
 	remote  *handover.Remote
-	keeper  *keep.Keeper
+	served  *handover.Server
+	// registrar knows who owns a submission.
+	registrar *registrar.Registrar
+	keeper    *keep.Keeper
 	// submissions is the keeper's log; nil without a disk.
 	submissions *storage.SubmissionLog
 	targets     *targets
@@ -194,7 +198,7 @@
 		Scheduler: e.opts.Scheduler,
 	})
 	e.assembleMembership()
-	handover.Serve(e.links, e.holder)
+	e.served = handover.Serve(e.links, e.holder)
 	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
 	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
@@ -202,10 +206,12 @@
 	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
 	e.join = &pipeline.Join{Events: e.ring}
 	e.admit = pipeline.NewAdmit(e.ring)
+	e.assembleClaims()
 	e.chain = pipeline.Chain(
 		e.record,
 		e.check,
 		e.join,
+		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Find: e.find, Events: e.ring},
 		e.admit,
 		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.ring},
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
@@ -227,6 +233,7 @@
 	e.add(&g, e.register.Run)
 	e.add(&g, e.members.Run)
 	e.add(&g, e.holders.observe)
+	e.add(&g, e.registrar.Run)
 	e.add(&g, e.driveOn)
 	e.add(&g, e.targets.expire)
 	e.add(&g, e.waitForKill)
--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -118,7 +118,7 @@
 	for _, task := range kept.Granted {
 		f.Started[task] = true
 	}
-	f.Held = e.collect(ctx, kept)
+	f.Held = e.collect(ctx, kept.Owner, kept.Submission.ID, kept.Granted, e.fetch(ctx, kept.Owner, kept.Submission.ID))
 	e.log.Info("a kept submission is driven on", "submission", kept.Submission.ID, "lost_owner", kept.Owner.Entry, "started", len(f.Started), "results", len(f.Held))
 	e.chain(ctx, f)
 }
@@ -130,24 +130,6 @@
 	collectBound = 10 * time.Second
 )
 
-func (e *Entry) collect(ctx context.Context, kept keep.Kept) []job.TaskOutcome {
-	if len(kept.Granted) == 0 {
-		return nil
-	}
-	until := time.Now().Add(collectBound)
-	for {
-		held := e.fetch(ctx, kept.Owner, kept.Submission.ID)
-		if covers(held, kept.Granted) || time.Now().After(until) {
-			return held
-		}
-		select {
-		case <-ctx.Done():
-			return held
-		case <-time.After(collectEvery):
-		}
-	}
-}
-
 func covers(held []job.TaskOutcome, tasks []int) bool {
 	have := map[int]bool{}
 	for i := range held {
@@ -181,9 +163,9 @@
 	view := e.members.View()
 	var from []job.EntryID
 	for _, m := range view.List {
-		if m.Live() {
+		if m.Live() && m.Entry != e.self.Entry {
 			from = append(from, m.Entry)
 		}
 	}
-	return e.remote.Fetch(ctx, from, owner, id)
+	return append(e.served.Held(owner, id), e.remote.Fetch(ctx, from, owner, id)...)
 }
--- /dev/null
+++ b/internal/fleet/resubmit_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// attempt returns the body of a later sending of the same job.
+func attempt(body string, n int) string {
+	return strings.Replace(body, `"attempt":1`, fmt.Sprintf(`"attempt":%d`, n), 1)
+}
+
+// A caller's client times out early and sends the job again through other
+// entries, of its own and of another availability zone, while it runs and after
+// it has ended. Every sending gets the same whole answer; nothing runs twice.
+func TestSameIDThroughSeveralEntries(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a", "b"}, EntriesPerZone: 2, TargetsPerZone: 2})
+	body := jobBody("again", "alerts", 3, 200)
+	addresses := f.CallerAddresses("")
+	replies := make([]*reply, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() {
+			if i > 0 {
+				for f.Ledger.Starts() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			r, err := send(http.DefaultClient, address, attempt(body, 1+i))
+			qt.Check(t, err, qt.IsNil)
+			replies[i] = r
+		})
+	}
+	wg.Wait()
+	for i, address := range addresses {
+		qt.Assert(t, replies[i].status, qt.Equals, http.StatusOK, qt.Commentf("%+v", replies[i].other))
+		qt.Assert(t, whole(replies[i], "again", 3), qt.IsTrue)
+		r, err := send(http.DefaultClient, address, attempt(body, 9))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r.other))
+		qt.Assert(t, r.complete.Results, qt.DeepEquals, replies[0].complete.Results)
+		r, err = send(http.DefaultClient, address, attempt(jobBody("again", "alerts", 4, 1), 2))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.other.Reason, qt.Equals, job.IDReused)
+	}
+	qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(3))
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
+
+// A balancer that retries sends one job to two entries in the same moment,
+// also without saying which attempt it is. It must run once.
+func TestSameIDAtTwoEntriesAtOnce(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a", "b"}, EntriesPerZone: 2, TargetsPerZone: 2})
+	addresses := f.CallerAddresses("")
+	const jobs = 20
+	var wg sync.WaitGroup
+	for i := range jobs {
+		for _, address := range []string{addresses[i%4], addresses[(i+1)%4]} {
+			wg.Go(func() {
+				id := fmt.Sprintf("twice-%d", i)
+				body := strings.Replace(jobBody(id, "alerts", 2, 5), `"attempt":1,`, "", 1)
+				r, err := send(http.DefaultClient, address, body)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r.other))
+				qt.Check(t, whole(r, id, 2), qt.IsTrue)
+			})
+		}
+	}
+	wg.Wait()
+	qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(2*jobs))
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
+
+// An entry's VM is lost while it owns a job whose tasks run on targets that
+// another entry holds. The caller sends the job again through that entry and
+// gets the whole answer from the results that are there; no task starts again.
+func TestResubmissionAfterTheOwnersDeath(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 3, TargetsPerZone: 2})
+	owner := f.entryWithoutTargets()
+	body := jobBody("orphan", "alerts", 4, 700)
+	go func() { _, _ = send(http.DefaultClient, f.member(owner).listen.Caller.Addr().String(), body) }()
+	for f.Ledger.Starts() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Kill(owner)
+	for _, m := range f.entries {
+		if m.name == owner {
+			continue
+		}
+		r, err := send(http.DefaultClient, m.listen.Caller.Addr().String(), attempt(body, 2))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r.other))
+		qt.Assert(t, whole(r, "orphan", 4), qt.IsTrue)
+	}
+	qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(4))
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
+
+// entryWithoutTargets returns an entry that holds no target.
+func (f *Fleet) entryWithoutTargets() job.EntryID {
+	for _, m := range f.entries {
+		if m.entry.Load(testPool).Slots == 0 {
+			return m.name
+		}
+	}
+	return ""
+}
+
+// A zone is cut off from the others. A resubmission there may have run on the
+// other side, so it is not started and not called "not run"; a first attempt
+// is served.
+func TestResubmissionInACutOffZone(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a", "b"}, EntriesPerZone: 1, TargetsPerZone: 2, Wires: true})
+	addresses := f.CallerAddresses("")
+	body := jobBody("crossing", "alerts", 1, 5)
+	r, err := send(http.DefaultClient, addresses[1], body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	f.CutZone("a", true)
+	r, err = send(http.DefaultClient, addresses[0], attempt(body, 2))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, r.other.Run, qt.Equals, "may have run")
+	qt.Assert(t, r.other.Reason, qt.Equals, job.ZoneUnreachable)
+	r, err = send(http.DefaultClient, addresses[0], jobBody("fresh", "alerts", 1, 5))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(2))
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -259,11 +259,16 @@
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return nil, errors.Annotate(err, "decoding a fetch")
 	}
+	return fetched{Outcomes: s.Held(f.Owner, f.Submission)}, nil
+}
+
+// Held returns the results that this holder has of an owner's submission.
+func (s *Server) Held(owner job.Owner, id job.ID) []job.TaskOutcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var held []job.TaskOutcome
 	for _, rec := range s.records {
-		if rec.owner != f.Owner || rec.submission != f.Submission {
+		if rec.owner != owner || rec.submission != id {
 			continue
 		}
 		for _, o := range rec.outcomes {
@@ -272,5 +277,5 @@
 			}
 		}
 	}
-	return fetched{Outcomes: held}, nil
+	return held
 }
--- a/internal/pipeline/join.go
+++ b/internal/pipeline/join.go
@@ -33,6 +33,7 @@
 type running struct {
 	digest  job.Digest
 	keep    bool
+	owned   bool
 	waiters int
 	cancel  context.CancelCauseFunc
 	done    chan struct{}
@@ -105,10 +106,22 @@
 	return true
 }
 
-// Wait returns the answer of a submission that runs here, for callers at other
-// entries; ok is false when it does not run here.
+// Owned notes that this entry drives the submission: others may wait for it.
+func (j *Join) Owned(id job.ID) {
+	shard := j.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if r := shard.running[id]; r != nil {
+		r.owned = true
+	}
+}
+
+// Wait returns the answer of a submission that this entry drives, for callers
+// at other entries; ok is false when it drives none. A submission that is only
+// being looked for does not count: two entries with the same resubmission
+// would wait for each other.
 func (j *Join) Wait(ctx context.Context, id job.ID) (a job.Answer, ok bool) {
-	r := j.find(id)
+	r := j.findOwned(id)
 	if r == nil {
 		return job.Answer{}, false
 	}
@@ -123,6 +136,16 @@
 // Has reports whether the submission runs here.
 func (j *Join) Has(id job.ID) bool { return j.find(id) != nil }
 
+func (j *Join) findOwned(id job.ID) *running {
+	shard := j.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if r := shard.running[id]; r != nil && r.owned {
+		return r
+	}
+	return nil
+}
+
 func (j *Join) find(id job.ID) *running {
 	shard := j.shard(id)
 	shard.mu.Lock()
--- a/internal/pipeline/join_test.go
+++ b/internal/pipeline/join_test.go
@@ -16,12 +16,16 @@
 // slowEnd answers after a second, or when its context ends, and counts how
 // often it was called.
 type slowEnd struct {
+	join      *Join
 	calls     atomic.Int64
 	cancelled atomic.Int64
 }
 
 func (e *slowEnd) Process(ctx context.Context, f *Flow, _ Next) job.Answer {
 	e.calls.Add(1)
+	if e.join != nil {
+		e.join.Owned(f.Submission.ID)
+	}
 	select {
 	case <-time.After(time.Second):
 		return job.Answer{ID: f.Submission.ID, Outcome: job.Complete}
@@ -65,8 +69,8 @@
 func TestJoinWhenTheCallerHangsUp(t *testing.T) {
 	for _, named := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			end := &slowEnd{}
 			join := &Join{Events: timeline.Discard{}}
+			end := &slowEnd{join: join}
 			chain := Chain(join, end)
 			ctx, hangUp := context.WithCancel(t.Context())
 			go chain(ctx, flow("a", named, "1"))
