--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -1,7 +1,9 @@
 package handover
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -247,6 +249,7 @@
 		}
 	}
 	s.mu.Unlock()
+	slices.SortFunc(drop, func(a, b *record) int { return cmp.Compare(a.key.number, b.key.number) })
 	for _, rec := range drop {
 		s.holder.Cancel(rec.owner, rec.submission)
 	}
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -145,6 +145,10 @@
 	if err != nil {
 		return errors.Annotatef(peer.ErrRejected, "encoding: %v", err)
 	}
+	if !d.running() {
+		<-ctx.Done()
+		return errors.Annotatef(peer.ErrNoAnswer, "%s has left", d.self.Entry)
+	}
 	node, ok := d.net.route(d.self.Entry, to, kind, false)
 	if !ok {
 		if d.net.Drop == nil {
@@ -193,6 +197,9 @@
 	if err != nil {
 		return errors.Annotatef(peer.ErrRejected, "encoding: %v", err)
 	}
+	if !d.running() {
+		return errors.Annotatef(peer.ErrNotSent, "%s has left", d.self.Entry)
+	}
 	node, ok := d.net.route(d.self.Entry, to, kind, false)
 	if !ok {
 		return errors.Annotatef(peer.ErrNotSent, "to %s", to)
