Keep more of the slack, and give long tasks their teams' share

The wait that a deadline must cover goes from two to four times the expected one. At twice the capacity goodput stays (99.5% to 100%) and the 99th-percentile stretch falls from 9.3 to 5.2; a burst of four times the capacity for half a second is answered in time as often as before, 109 of 255 jobs. Three and six were measured too and stand beside the constant.

TestLongTeamKeepsItsShare was red with the share of the long tasks taken out.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -117,7 +117,13 @@
 // overload the queue settles where the last admitted job just fits. Were the
 // wait taken at its word, every answer would come right at its deadline, and
 // an error of a tenth would make nearly all of them late.
-const waitDoubt = 2
+//
+// Measured at twice the capacity with a deadline of 2 s, goodput and
+// 99th-percentile stretch were 28% and 17.9 with 1, 99.5% and 9.3 with 2, 100%
+// and 6.7 with 3, 100% and 5.2 with 4, 100% and 3.9 with 6 (TestOverload). In a
+// burst of four times the capacity for half a second, 109, 113, 109 and 92 of
+// 255 jobs were answered in time with 2, 3, 4 and 6.
+const waitDoubt = 4
 
 func withDeadline(v Verdict, b Backlog, r Request) Verdict {
 	alone := v.Finish - v.Wait
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -70,6 +70,8 @@
 type Queue[T any] struct {
 	flows  map[string]*flow[T]
 	active *pq.Heap[*flow[T]]
+	// waiting sums up the weights of the teams in active.
+	waiting float64
 }
 
 // New returns an empty queue.
@@ -112,7 +114,11 @@
 		q.flow(name)
 	}
 	for name, f := range q.flows {
+		old := f.weight
 		f.weight = float64(max(1, weights[name]))
+		if f.node.Queued() {
+			q.waiting += f.weight - old
+		}
 		q.fix(f)
 		q.tidy(f)
 	}
@@ -131,6 +137,7 @@
 	f.items.Push(i)
 	if !f.node.Queued() {
 		q.active.Push(f)
+		q.waiting += f.weight
 		return
 	}
 	q.active.Fix(f)
@@ -149,6 +156,7 @@
 		q.active.Push(f)
 		return
 	}
+	q.waiting -= f.weight
 	q.tidy(f)
 }
 
@@ -189,21 +197,18 @@
 	}
 }
 
+// Weight returns the weights of all waiting teams together.
+func (q *Queue[T]) Weight() float64 { return q.waiting }
+
 // Share returns the part of the pool that the team gets while all teams that
 // wait now go on waiting.
 func (q *Queue[T]) Share(team string) float64 {
-	own := 1.0
-	total := 0.0
-	if f := q.flows[team]; f != nil {
-		own = f.weight
-		if !f.node.Queued() {
-			total = own
-		}
-	} else {
-		total = own
+	f := q.flows[team]
+	if f == nil {
+		return 1 / (q.waiting + 1)
 	}
-	for i := range q.active.Len() {
-		total += q.active.At(i).weight
+	if f.node.Queued() {
+		return f.weight / q.waiting
 	}
-	return own / total
+	return f.weight / (q.waiting + f.weight)
 }
--- a/internal/policy/reserve/reserve.go
+++ b/internal/policy/reserve/reserve.go
@@ -8,7 +8,10 @@
 // offered a second, so slots busy on average) plus two times the square root
 // of a, widened when they come in jobs of many tasks. By the square-root
 // staffing rule, two leaves a chance of waiting of about 3%. When both kinds
-// together want more than there is, the long ones get their share of it.
+// together want more than there is, the long ones get what they ask for up to
+// the share of their teams. What is asked for counts, not what is admitted:
+// else the long ones would be refused, and their share would shrink, and more
+// of them would be refused.
 package reserve
 
 import (
@@ -27,9 +30,11 @@
 	longMemory = time.Minute
 	// longShare is the part of the slots that long tasks may always take.
 	longShare = 1.0 / 16
-	// warmup is the least span over which demand is taken to be measured, so
-	// that the first jobs after a start don't count as a flood.
-	warmup = time.Second
+	// shortWarmup and longWarmup are the least spans over which demand is taken
+	// to be measured, so that the first jobs after a start don't count as a
+	// flood: several jobs of either kind.
+	shortWarmup = time.Second
+	longWarmup  = 20 * time.Second
 )
 
 // demand is work offered a second, decaying.
@@ -38,7 +43,8 @@
 	job   float64 // work weighted by the number of tasks in its job
 	at    time.Time
 	since time.Time
-	span  time.Duration
+	// span is how far back demand is measured, warmup the least of it.
+	span, warmup time.Duration
 }
 
 func (d *demand) decay(now time.Time) {
@@ -64,7 +70,7 @@
 // is set against the share of its memory that has passed since the start.
 func (d *demand) mean(now time.Time) float64 {
 	d.decay(now)
-	seen := max(warmup, now.Sub(d.since))
+	seen := max(d.warmup, now.Sub(d.since))
 	return d.work / (1 - math.Exp(-seen.Seconds()/d.span.Seconds()))
 }
 
@@ -83,10 +89,10 @@
 
 // New returns a reserve that has seen no task.
 func New() *Reserve {
-	return &Reserve{short: demand{span: shortMemory}, long: demand{span: longMemory}}
+	return &Reserve{short: demand{span: shortMemory, warmup: shortWarmup}, long: demand{span: longMemory, warmup: longWarmup}}
 }
 
-// Offered takes in one accepted job.
+// Offered takes in one job that callers sent, admitted or not.
 func (r *Reserve) Offered(now time.Time, long bool, tasks int, work time.Duration) {
 	if long {
 		r.long.add(now, tasks, work)
@@ -96,19 +102,16 @@
 }
 
 // MaxLong returns how many of the slots long tasks may hold together, while
-// the short ones hold or wait for so many.
-func (r *Reserve) MaxLong(now time.Time, slots, shortNow int) int {
+// the short ones hold or wait for so many. share is the part of the pool that
+// the teams with long tasks are entitled to while all of them wait.
+func (r *Reserve) MaxLong(now time.Time, slots, shortNow int, share float64) int {
 	short := r.short.mean(now)
 	if short <= 0 {
 		return slots
 	}
 	need := max(short, float64(shortNow))
 	free := float64(slots) - need - safety*math.Sqrt(need*r.short.jobSize())
-	r.long.decay(now)
-	least := longShare
-	if short+r.long.work > float64(slots) {
-		least = max(least, r.long.work/(short+r.long.work))
-	}
-	free = max(free, least*float64(slots))
+	least := min(r.long.mean(now), share*float64(slots))
+	free = max(free, least, longShare*float64(slots))
 	return min(slots, max(1, int(free)))
 }
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -36,10 +36,10 @@
 		}
 	}
 	b := p.newBatch(now, key, m)
+	p.mix.Offered(now, b.long, len(b.tasks), time.Duration(b.queuedWork()*float64(time.Second)))
 	if v := p.admit(now, b); !v.Accepted && !(m.Committed && v.Reason == job.Overloaded) {
 		return v
 	}
-	p.mix.Offered(now, b.long, len(b.tasks), time.Duration(b.queuedWork()*float64(time.Second)))
 	p.batches[key] = b
 	p.enqueue(b)
 	p.watchDeadline(b)
@@ -187,10 +187,18 @@
 		return int(p.slots)
 	}
 	short := p.running - p.longRuns
+	shortTeams, longTeams := 0.0, 0.0
 	for u := range p.classes {
-		short += p.classes[u].waiting[laneShort]
+		c := &p.classes[u]
+		short += c.waiting[laneShort]
+		shortTeams += c.lanes[laneShort].Weight()
+		longTeams += c.lanes[laneLong].Weight()
+	}
+	share := 0.5
+	if longTeams > 0 {
+		share = longTeams / (shortTeams + longTeams)
 	}
-	return p.mix.MaxLong(now, int(p.slots), min(short, int(p.slots)))
+	return p.mix.MaxLong(now, int(p.slots), min(short, int(p.slots)), share)
 }
 
 func (p *Pool) request(now time.Time, b *batch) admission.Request {
--- a/internal/scheduler/patterns_test.go
+++ b/internal/scheduler/patterns_test.go
@@ -71,6 +71,24 @@
 	qt.Check(t, off.p99 > 3*on.p99, qt.IsTrue)
 }
 
+// A team of thumbnails and a team of previews, eight times as long, both want
+// the whole pool. Slots kept free of long tasks must not cost the previews'
+// team its half.
+func TestLongTeamKeepsItsShare(t *testing.T) {
+	t.Parallel()
+	const end = 20 * time.Second
+	s := newSim(Options{}, 50, 8, nil)
+	s.run(mix(
+		load{group: "short", team: "a", service: "thumb", kind: "s", until: end, tasksPerSecond: 400 / 0.1, tasks: 2, run: between(70*ms, 140*ms), deadline: time.Second},
+		load{group: "long", team: "b", service: "thumb", kind: "l", until: end, tasksPerSecond: 400 / 0.8, tasks: 10, run: between(600*ms, time.Second), deadline: 3 * time.Second},
+	))
+	short, long := s.figures("short", 2*time.Second, end), s.figures("long", 2*time.Second, end)
+	t.Logf("short %v", short)
+	t.Logf("long  %v", long)
+	qt.Check(t, long.useful.Seconds() > 0.4*400*18, qt.IsTrue)
+	qt.Check(t, float64(long.useful+short.useful) > 0.95*400*18*float64(time.Second), qt.IsTrue)
+}
+
 // One team's program sends several times what the pool can do. The quiet team
 // should hardly notice.
 func TestHotCaller(t *testing.T) {
