--- a/cmd/vanillagrade/capacity.go
+++ b/cmd/vanillagrade/capacity.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/capacity"
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/target"
 )
 
 // capacityCmd measures how costs grow and works out a size.
 type capacityCmd struct {
-	Entries     int     `arg:"--entries" help:"entry VMs of all availability zones"`
-	Targets     int     `arg:"--targets"`
-	Starts      float64 `arg:"--starts" help:"task starts a second at the peak"`
-	TasksPerJob float64 `arg:"--tasks-per-job"`
-	Changes     float64 `arg:"--changes" help:"changes of configuration a day"`
+	Entries     int             `arg:"--entries" help:"entry VMs of all availability zones"`
+	Targets     int             `arg:"--targets"`
+	Starts      float64         `arg:"--starts" help:"task starts a second at the peak"`
+	TasksPerJob float64         `arg:"--tasks-per-job"`
+	Changes     float64         `arg:"--changes" help:"changes of configuration a day"`
+	Leases      []time.Duration `arg:"--lease" help:"leases of targets to work out, such as 4s 32s"`
 }
 
 func (c *capacityCmd) run(_ context.Context, stdout, stderr io.Writer) int {
@@ -27,9 +31,15 @@
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
-	if err := capacity.Write(stdout, &size, slopes); err != nil {
+	if err := capacity.WritePoints(stdout, slopes); err != nil {
 		return fail(stderr, exitFailed, err)
 	}
+	for _, lease := range append([]time.Duration{config.DefaultLease}, c.Leases...) {
+		size.Renew = lease / target.Renewals
+		if err := capacity.WriteSize(stdout, &size, slopes); err != nil {
+			return fail(stderr, exitFailed, err)
+		}
+	}
 	return exitOK
 }
 
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -32,20 +32,22 @@
 	RenewalBytes float64
 	TargetBytes  float64
 	ExpireCPU    time.Duration
-	// HeartbeatCPU and HeartbeatBytes are for one peer and second.
-	HeartbeatCPU   time.Duration
-	HeartbeatBytes float64
-	PeerMemory     float64
-	ParseCPU       time.Duration
-	ConfigBytes    float64
-	ConfigMemory   float64
-	EventCPU       time.Duration
-	RingMemory     float64
-	TaskCPU        time.Duration
-	ScheduleCPU    time.Duration
-	SplitCPU       time.Duration
-	QuotaCPU       time.Duration
-	QueuedBytes    float64
+	ForwardBytes float64
+	// Rest is what links and heartbeats take, by the number of entries.
+	Rest []AtRest
+	// BaseMemory is the heap of an entry without peers, its empty ring included.
+	BaseMemory   float64
+	ParseCPU     time.Duration
+	ConfigBytes  float64
+	ConfigMemory float64
+	EventCPU     time.Duration
+	RingMemory   float64
+	EmptyRing    float64
+	TaskCPU      time.Duration
+	ScheduleCPU  time.Duration
+	SplitCPU     time.Duration
+	QuotaCPU     time.Duration
+	QueuedBytes  float64
 }
 
 func (m *Slopes) point(what, at string, value float64, unit string) {
@@ -62,7 +64,7 @@
 // Parts are all measurements, in order.
 func Parts() []Measurement {
 	return []Measurement{
-		measureRenewals, measureExpiry, measureConfiguration, measureTimeline,
+		measureRenewals, measureExpiry, measureForwards, measurePeers, measureConfiguration, measureTimeline,
 		measureSchedule, measureSplit, measureQuotas, measureQueue, measurePath,
 	}
 }
@@ -169,7 +171,9 @@
 		}
 		return r
 	})
-	m.point("memory of one ring", fmt.Sprintf("%d events", timeline.DefaultRingEvents), m.RingMemory, "bytes")
+	m.EmptyRing = heapOf(func() any { return timeline.NewRing("e", timeline.NewClock(nil), 0) })
+	m.point("memory of one full ring", fmt.Sprintf("%d events", timeline.DefaultRingEvents), m.RingMemory, "bytes")
+	m.point("memory of one empty ring", fmt.Sprintf("%d events", timeline.DefaultRingEvents), m.EmptyRing, "bytes")
 	return nil
 }
 
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -3,7 +3,10 @@
 // can't be run on one machine takes.
 package capacity
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Size is a fleet to work out.
 type Size struct {
@@ -25,12 +28,12 @@
 }
 
 // TwoYears is the size that the users expect within two years. Entries and
-// TasksPerJob are assumptions of this page: 7 entry VMs, as a user has today,
-// for each of the 7 zones, and jobs of ten tasks in the mean. Renew follows
-// from the default lease.
+// TasksPerJob are assumptions: three entry VMs a zone, so that a zone bears the
+// loss of one and then of a second, and jobs of ten tasks in the mean. Renew
+// follows from the default lease.
 func TwoYears() Size {
 	return Size{
-		Regions: 2, Zones: 7, Entries: 49, Targets: 2700, Starts: 110_000, TasksPerJob: 10,
+		Regions: 2, Zones: 7, Entries: 21, Targets: 2700, Starts: 110_000, TasksPerJob: 10,
 		Teams: 63, Services: 20, Changes: 2900, Renew: 4 * time.Second / 3,
 	}
 }
@@ -79,10 +82,12 @@
 
 // Control returns what control takes of one entry at the size.
 func Control(s *Size, m *Slopes) []Cost {
+	rest := m.restAt(s.Entries)
 	return []Cost{
+		{What: "the process itself", Memory: m.BaseMemory, Mechanism: "one process, no work yet, the ring's slots allotted"},
 		{
 			What: "targets' leases", Core: s.RenewalsPerEntry() * m.RenewalCPU.Seconds(),
-			Bytes: s.RenewalsPerEntry() * m.RenewalBytes, Memory: s.TargetsPerEntry() * m.TargetBytes,
+			Bytes: s.RenewalsPerEntry() * (m.RenewalBytes + m.ForwardBytes), Memory: s.TargetsPerEntry() * m.TargetBytes,
 			Mechanism: "each target announces to its zone, one entry holds it (rendezvous hash)",
 		},
 		{
@@ -90,8 +95,8 @@
 			Mechanism: "one scan of the held leases each 250 ms",
 		},
 		{
-			What: "heartbeats", Core: float64(s.Entries-1) * m.HeartbeatCPU.Seconds(), Bytes: float64(s.Entries-1) * m.HeartbeatBytes,
-			Memory: float64(s.Entries-1) * m.PeerMemory, Mechanism: "one message a peer and interval, loads and digest on it",
+			What: "links and heartbeats", Core: rest.Core, Bytes: rest.Bytes, Memory: rest.Memory,
+			Mechanism: fmt.Sprintf("one message a peer and interval, loads and digest on it; measured with %d entries", rest.Entries),
 		},
 		{
 			What: "configuration", Core: s.ChangesPerSecond() * m.ParseCPU.Seconds(),
@@ -99,8 +104,8 @@
 			Mechanism: "digest on heartbeats, pull of the whole file, one register",
 		},
 		{
-			What: "time line", Core: s.StartsPerEntry() * eventsPerTask * m.EventCPU.Seconds(), Memory: m.RingMemory,
-			Mechanism: "bounded ring, read only when asked",
+			What: "time line", Core: s.StartsPerEntry() * eventsPerTask * m.EventCPU.Seconds(), Memory: max(0, m.RingMemory-m.EmptyRing),
+			Mechanism: "bounded ring, read only when asked; its texts",
 		},
 	}
 }
--- a/internal/capacity/write.go
+++ b/internal/capacity/write.go
@@ -8,13 +8,20 @@
 	"github.com/juju/errors"
 )
 
-// Write writes the points, and what they come to at the size, as Markdown.
-func Write(w io.Writer, s *Size, m *Slopes) error {
+// WritePoints writes what was measured as Markdown.
+func WritePoints(w io.Writer, m *Slopes) error {
 	var out strings.Builder
 	out.WriteString("| measured | at | value | unit |\n|---|---|---|---|\n")
 	for _, p := range m.Points {
 		fmt.Fprintf(&out, "| %s | %s | %.4g | %s |\n", p.What, p.At, p.Value, p.Unit)
 	}
+	_, err := io.WriteString(w, out.String())
+	return errors.Trace(err)
+}
+
+// WriteSize writes what the slopes come to at the size as Markdown.
+func WriteSize(w io.Writer, s *Size, m *Slopes) error {
+	var out strings.Builder
 	fmt.Fprintf(&out, "\nAt %d targets, %d entries in %d availability zones, %.0f task starts a second in jobs of %.0f tasks, %.0f changes a day, an announcement each %s:\n\n",
 		s.Targets, s.Entries, s.Zones, s.Starts, s.TasksPerJob, s.Changes, s.Renew)
 	out.WriteString("| control, each entry | % of a core | bytes a second | MB | carried by |\n|---|---|---|---|---|\n")
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -26,9 +26,9 @@
 )
 
 const (
-	// renewals is how many announcements fit into one lease, so that two lost
+	// Renewals is how many announcements fit into one lease, so that two lost
 	// ones in a row don't end it.
-	renewals = 3
+	Renewals = 3
 	// withdrawnFor is how long a withdrawn target's announcements are refused
 	// at the address that it left. An announcement that was on its way through
 	// another entry may come after the withdrawal and would bring the target
@@ -93,7 +93,7 @@
 		return 0, 0, errors.Trace(err)
 	}
 	r.put(now, t, lasts)
-	return lasts, lasts / renewals, nil
+	return lasts, lasts / Renewals, nil
 }
 
 func (r *Registry) leaseTime() time.Duration {
