--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,13 +16,17 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/keep"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -61,6 +65,8 @@
 	links  *peer.Links
 
 	register *register.Register
+	members  *membership.Membership
+	lives    lives
 
 	record  *pipeline.Record
 	check   *pipeline.Check
@@ -69,12 +75,18 @@
 	chain   pipeline.Next
 	holder  *holder.Holder
 	holders *holders
-	targets *targets
-	memory  *api.ByteBudget
+	remote  *handover.Remote
+	keeper  *keep.Keeper
+	// submissions is the keeper's log; nil without a disk.
+	submissions *storage.SubmissionLog
+	targets     *targets
+	memory      *api.ByteBudget
 
 	// stopping is closed when an operator asks for a planned stop.
 	stopping chan struct{}
 	stopOnce sync.Once
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // bodyMemory bounds the bytes of submissions that one entry holds. It is half
@@ -116,6 +128,7 @@
 		memory: api.NewByteBudget(bodyMemory),
 
 		stopping: make(chan struct{}),
+		killed:   make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
 	if err := e.assemble(); err != nil {
@@ -150,9 +163,13 @@
 	if err := e.assembleShared(); err != nil {
 		return errors.Trace(err)
 	}
+	if err := e.openKeeper(); err != nil {
+		return errors.Trace(err)
+	}
 	e.assemblePath()
 	e.configure(nil, e.config.Current())
 	e.register.OnChange(e.configure)
+	e.members.OnChange(e.setView)
 	return nil
 }
 
@@ -176,8 +193,11 @@
 		Log:       e.log,
 		Scheduler: e.opts.Scheduler,
 	})
-	e.holders = newHolders(e.self, e.holder, nil)
-	e.targets = newTargets(e.self.Zone, e.config, e.holder, e.ring)
+	e.assembleMembership()
+	handover.Serve(e.links, e.holder)
+	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
+	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
+	e.targets = newTargets(e)
 	e.record = &pipeline.Record{Events: e.ring}
 	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
 	e.join = &pipeline.Join{Events: e.ring}
@@ -187,6 +207,7 @@
 		e.check,
 		e.join,
 		e.admit,
+		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.ring},
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
 	)
 }
@@ -204,15 +225,50 @@
 	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
 	e.add(&g, e.links.Run)
 	e.add(&g, e.register.Run)
+	e.add(&g, e.members.Run)
+	e.add(&g, e.holders.observe)
+	e.add(&g, e.driveOn)
 	e.add(&g, e.targets.expire)
+	e.add(&g, e.waitForKill)
 	stopped, stop := e.stopContext(ctx)
 	g.Add(func() error { return e.stopAsPlanned(stopped) }, func(error) { stop() })
 	err := g.Run()
 	e.holder.Close()
+	if e.submissions != nil {
+		_ = e.submissions.Close()
+	}
 	e.log.Info("entry stopped")
 	return errors.Trace(err)
 }
 
+// errKilled ends a run without waiting for anything.
+const errKilled = errors.ConstError("killed")
+
+// Kill ends the entry as the loss of its VM would: nothing in progress is
+// waited for. Tests use it.
+func (e *Entry) Kill() {
+	e.killOnce.Do(func() { close(e.killed) })
+}
+
+func (e *Entry) waitForKill(ctx context.Context) error {
+	select {
+	case <-e.killed:
+		e.holder.Close()
+		return errKilled
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (e *Entry) isKilled() bool {
+	select {
+	case <-e.killed:
+		return true
+	default:
+		return false
+	}
+}
+
 // add runs f until the group ends.
 func (e *Entry) add(g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -220,7 +276,17 @@
 }
 
 func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	return api.Serve(ctx, api.Server(h, e.log), l, stopBound)
+	server := api.Server(h, e.log)
+	served := make(chan struct{})
+	defer close(served)
+	go func() {
+		select {
+		case <-e.killed:
+			_ = server.Close()
+		case <-served:
+		}
+	}()
+	return api.Serve(ctx, server, l, stopBound)
 }
 
 // closing makes each answer of a stopping entry close its connection.
@@ -252,7 +318,11 @@
 // parts of the entry keep running until it returns.
 func (e *Entry) stopAsPlanned(ctx context.Context) error {
 	<-ctx.Done()
+	if e.isKilled() {
+		return errKilled
+	}
 	e.check.Drain()
+	e.members.Drain()
 	linger := time.NewTimer(e.opts.Linger)
 	defer linger.Stop()
 	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
@@ -262,6 +332,7 @@
 		return errors.Trace(err)
 	}
 	<-linger.C
+	e.members.Leave(context.Background())
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
@@ -276,5 +347,12 @@
 	}
 }
 
-// Slots returns the slots of a pool that this entry holds.
-func (e *Entry) Slots(pool string) int { return e.holder.Load(pool).Slots }
+// Slots returns the slots of a pool that this entry can place tasks on, held
+// here or elsewhere.
+func (e *Entry) Slots(pool string) int { return e.holders.knownSlots(pool) }
+
+// Ring returns the events of this entry.
+func (e *Entry) Ring() *timeline.Ring { return e.ring }
+
+// Load returns the load of the pool's targets that this entry holds.
+func (e *Entry) Load(pool string) job.HolderLoad { return e.holder.Load(pool) }
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"log/slog"
+	"sync"
 	"time"
 
-	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -18,38 +25,128 @@
 // targets takes the announcements of targets and keeps the holder's set of
 // them in step with the leases.
 type targets struct {
+	self     job.Owner
 	registry *target.Registry
 	holder   *holder.Holder
+	members  *membership.Membership
+	forward  *handover.Targets
 	events   timeline.Sink
+	log      *slog.Logger
+
+	// passed are the targets that announced themselves through this entry.
+	mu     sync.Mutex
+	passed map[job.TargetID]passedOn
+	// lastHolder is who held each pool in the last view; only setView uses it.
+	lastHolder map[string]job.EntryID
 }
 
-func newTargets(zone job.Zone, view config.View, h *holder.Holder, events timeline.Sink) *targets {
-	return &targets{registry: target.NewRegistry(zone, view), holder: h, events: events}
+// passedOn is one announcement and when it lapses.
+type passedOn struct {
+	target job.Target
+	until  time.Time
 }
 
-// Announce implements api.Announcer.
-func (t *targets) Announce(_ context.Context, announced job.Target) (lease, renew time.Duration, err error) {
-	return t.hold(announced)
+// holderKey is what decides on the holder of a target: all targets of a pool in
+// an availability zone have one holder, with one queue. Spread over the zone's
+// three entries they lost slots to each other: with examples/cuenca.yaml 120
+// of 408 slots stood idle on average while tasks waited at another holder.
+// docs/CAPACITY.md says from which size on a pool needs several.
+func holderKey(pool string) job.TargetID { return job.TargetID(pool) }
+
+// holderOf returns the holder of a target; empty for none.
+func holderOf(view *membership.Members, t *job.Target) job.EntryID {
+	return view.Holder(t.Zone, holderKey(t.Pool))
 }
 
-// hold takes or renews the lease of a target that this entry holds.
-func (t *targets) hold(announced job.Target) (lease, renew time.Duration, err error) {
-	lease, renew, err = t.registry.Announce(time.Now(), announced)
-	if err != nil {
-		return 0, 0, err
+func newTargets(e *Entry) *targets {
+	t := &targets{
+		self:     e.self,
+		registry: target.NewRegistry(e.self.Zone, e.config),
+		holder:   e.holder,
+		members:  e.members,
+		events:   e.ring,
+		log:      e.log,
+		passed:   map[job.TargetID]passedOn{},
 	}
-	t.holder.SetTarget(announced)
-	return lease, renew, nil
+	t.forward = handover.NewTargets(e.links, func(announced *job.Target) job.EntryID {
+		view := t.members.View()
+		return holderOf(&view, announced)
+	}, heldHere{t})
+	return t
+}
+
+// renewals is how many announcements a target makes in one lease, so that two
+// may be lost without its lapsing.
+const renewals = 3
+
+// Announce implements api.Announcer: the announcement goes to the target's
+// holder, which may be this entry.
+func (t *targets) Announce(ctx context.Context, announced job.Target) (lease, renew time.Duration, err error) {
+	lease, err = t.forward.ForwardTarget(ctx, announced, false)
+	switch {
+	case errors.Is(err, handover.ErrNoHolder) || errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrNoAnswer):
+		return 0, 0, errors.Annotate(api.ErrNoHolder, err.Error())
+	case err != nil:
+		return 0, 0, errors.Trace(err)
+	}
+	t.remember(announced, lease)
+	return lease, lease / renewals, nil
+}
+
+func (t *targets) remember(announced job.Target, lease time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.passed[announced.ID] = passedOn{announced, time.Now().Add(lease)}
+}
+
+// known returns what a target last announced here or, if it is held here,
+// anywhere.
+func (t *targets) known(id job.TargetID) (job.Target, bool) {
+	t.mu.Lock()
+	p, ok := t.passed[id]
+	delete(t.passed, id)
+	t.mu.Unlock()
+	if ok {
+		return p.target, true
+	}
+	for _, held := range t.registry.Held() {
+		if held.ID == id {
+			return held, true
+		}
+	}
+	return job.Target{}, false
+}
+
+// errNotAnnounced is the answer to a withdrawal that can't be passed on.
+const errNotAnnounced = errors.ConstError("the target has not announced itself through this entry; withdraw where it announced")
+
+// Withdraw implements api.Announcer. The request names the target only; what it
+// announced through this entry says who holds it.
+func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
+	announced, ok := t.known(id)
+	if !ok {
+		return errNotAnnounced
+	}
+	_, err := t.forward.ForwardTarget(ctx, announced, true)
+	return errors.Trace(err)
 }
 
-// Withdraw implements api.Announcer.
-func (t *targets) Withdraw(_ context.Context, id job.TargetID) error {
-	t.leave(id)
-	return nil
+// heldHere is the part of the targets that this entry holds, as the hand-over
+// of announcements sees it.
+type heldHere struct{ *targets }
+
+// Announce implements handover.Registry.
+func (t heldHere) Announce(announced job.Target) (time.Duration, error) {
+	lease, _, err := t.registry.Announce(time.Now(), announced)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	t.holder.SetTarget(announced)
+	return lease, nil
 }
 
-// leave stops new work on a target that said it is leaving.
-func (t *targets) leave(id job.TargetID) {
+// Withdraw implements handover.Registry: no new work from now on.
+func (t heldHere) Withdraw(id job.TargetID) {
 	if _, held := t.registry.Withdraw(time.Now(), id); !held {
 		return
 	}
@@ -57,6 +154,59 @@
 	t.events.Record(timeline.Event{Kind: timeline.TargetLeaving, Target: id, Cause: "the target withdrew"})
 }
 
+// passOnTime bounds the passing on of one target to its new holder; the
+// target's next announcement reaches it anyway.
+const passOnTime = 500 * time.Millisecond
+
+// setView passes the targets on that another entry now holds: those held here,
+// and those that announced themselves here and whose holder is gone.
+func (t *targets) setView(view membership.Members) {
+	keep := func(held *job.Target) bool { return holderOf(&view, held) == t.self.Entry }
+	for _, released := range t.registry.Release(keep) {
+		t.holder.RemoveTarget(released.ID)
+		t.events.Record(timeline.Event{Kind: timeline.HolderChanged, Target: released.ID, Peer: holderOf(&view, &released), Cause: "the entries of the availability zone changed"})
+		go t.passOn(released)
+	}
+	for _, announced := range t.stillAnnounced(time.Now()) {
+		if holder := holderOf(&view, &announced); holder != t.lastHolder[announced.Pool] {
+			go t.passOn(announced)
+		}
+	}
+	t.noteHolders(&view)
+}
+
+// stillAnnounced returns the targets whose last announcement here holds.
+func (t *targets) stillAnnounced(now time.Time) []job.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []job.Target
+	for id, p := range t.passed {
+		if now.After(p.until) {
+			delete(t.passed, id)
+			continue
+		}
+		out = append(out, p.target)
+	}
+	return out
+}
+
+// noteHolders remembers who holds each pool in this view.
+func (t *targets) noteHolders(view *membership.Members) {
+	t.lastHolder = map[string]job.EntryID{}
+	for _, announced := range t.stillAnnounced(time.Now()) {
+		t.lastHolder[announced.Pool] = holderOf(view, &announced)
+	}
+}
+
+// passOn saves the time until the target's next announcement.
+func (t *targets) passOn(released job.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), passOnTime)
+	defer cancel()
+	if _, err := t.forward.ForwardTarget(ctx, released, false); err != nil {
+		t.log.Info("a target was not passed on; its next announcement reaches its holder", "target", released.ID, "error", err)
+	}
+}
+
 // expire ends leases that ran out, until ctx ends.
 func (t *targets) expire(ctx context.Context) error {
 	tick := time.NewTicker(expireEvery)
--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -22,6 +23,8 @@
 	arrived time.Time
 	report  func([]job.TaskOutcome)
 
+	// sizes are the different sizes of its tasks.
+	sizes    []job.Size
 	outcomes []job.TaskOutcome
 	// open counts the tasks without an outcome.
 	open    int
@@ -42,14 +45,31 @@
 		service:  service,
 		arrived:  now,
 		report:   report,
+		sizes:    sizesOf(b.Tasks),
 		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
 		open:     len(b.Tasks),
 		running:  make(map[int]*link),
 	}
 }
 
-// settle takes one task's outcome.
+// sizesOf lists the different sizes. The tasks of a job have one or a few.
+func sizesOf(tasks []job.BatchTask) []job.Size {
+	var out []job.Size
+	for i := range tasks {
+		if s := tasks[i].Size(); !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// settle takes one task's outcome. A request that was sent again may have run
+// the first time, whatever became of its last attempt: called unstarted then,
+// its caller would be told "not run".
 func (b *batch) settle(o job.TaskOutcome) {
+	if b.retries > 0 && o.Status == job.TaskNotStarted {
+		o.Status = job.TaskErred
+	}
 	b.outcomes = append(b.outcomes, o)
 	b.open--
 	if b.fatal != "" || o.Status == job.TaskDone || mayGoElsewhere(o) {
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -70,6 +70,8 @@
 type Queue[T any] struct {
 	flows  map[string]*flow[T]
 	active *pq.Heap[*flow[T]]
+	// waiting sums up the weights of the teams in active.
+	waiting float64
 }
 
 // New returns an empty queue.
@@ -112,7 +114,11 @@
 		q.flow(name)
 	}
 	for name, f := range q.flows {
+		old := f.weight
 		f.weight = float64(max(1, weights[name]))
+		if f.node.Queued() {
+			q.waiting += f.weight - old
+		}
 		q.fix(f)
 		q.tidy(f)
 	}
@@ -131,6 +137,7 @@
 	f.items.Push(i)
 	if !f.node.Queued() {
 		q.active.Push(f)
+		q.waiting += f.weight
 		return
 	}
 	q.active.Fix(f)
@@ -147,7 +154,10 @@
 	f.items.Remove(i)
 	if f.items.Len() > 0 {
 		q.active.Push(f)
+		return
 	}
+	q.waiting -= f.weight
+	q.tidy(f)
 }
 
 // Head returns the job to serve next, or nil.
@@ -175,29 +185,30 @@
 	q.tidy(f)
 }
 
+// idleFlows is how many teams are kept without slots and jobs: twice the teams
+// of the largest site, so that those in use aren't made anew for each job.
+const idleFlows = 128
+
 // tidy forgets a team without slots and jobs, so that the names that callers
 // choose where no team is configured don't pile up.
 func (q *Queue[T]) tidy(f *flow[T]) {
-	if f.held == 0 && f.weight == 1 && f.items.Len() == 0 {
+	if len(q.flows) > idleFlows && f.held == 0 && f.weight == 1 && f.items.Len() == 0 {
 		delete(q.flows, f.name)
 	}
 }
 
+// Weight returns the weights of all waiting teams together.
+func (q *Queue[T]) Weight() float64 { return q.waiting }
+
 // Share returns the part of the pool that the team gets while all teams that
 // wait now go on waiting.
 func (q *Queue[T]) Share(team string) float64 {
-	own := 1.0
-	total := 0.0
-	if f := q.flows[team]; f != nil {
-		own = f.weight
-		if !f.node.Queued() {
-			total = own
-		}
-	} else {
-		total = own
+	f := q.flows[team]
+	if f == nil {
+		return 1 / (q.waiting + 1)
 	}
-	for i := range q.active.Len() {
-		total += q.active.At(i).weight
+	if f.node.Queued() {
+		return f.weight / q.waiting
 	}
-	return own / total
+	return f.weight / (q.waiting + f.weight)
 }
--- a/internal/register/fleet_test.go
+++ b/internal/register/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
@@ -26,6 +28,8 @@
 	mu    sync.Mutex
 	nodes map[job.EntryID]*member
 	life  job.Incarnation
+	// wrap, when set, goes around the link of an entry that starts.
+	wrap func(peer.Mesh) peer.Mesh
 }
 
 type member struct {
@@ -62,8 +66,19 @@
 // start starts an entry on a disk; nil is none.
 func (f *fleet) start(e job.EntryID, fs *storagetest.FS) *member {
 	f.life++
-	mesh := f.net.Join(job.Owner{Entry: e, Incarnation: f.life})
-	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries}
+	var mesh peer.Mesh = f.net.Join(job.Owner{Entry: e, Incarnation: f.life})
+	if f.wrap != nil {
+		mesh = f.wrap(mesh)
+	}
+	// Nothing may depend on the time of day, so each entry's clock jumps by up
+	// to a day, back and forth, at each reading.
+	life := uint64(f.life)
+	clock := func() time.Time {
+		now := time.Now()
+		jump := rand.New(rand.NewPCG(life, uint64(now.UnixNano()))).Int64N(int64(48 * time.Hour))
+		return now.Add(time.Duration(jump) - 24*time.Hour)
+	}
+	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock}
 	if fs != nil {
 		store, err := storage.Open("data", fs)
 		qt.Assert(f.t, err, qt.IsNil)
