--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -168,7 +168,7 @@
 		run(t, func(s *setting) {
 			lost := 0
 			var mu sync.Mutex
-			s.net.Drop = func(_, _ job.EntryID, kind peer.Kind, answer bool) bool {
+			s.net.SetDrop(func(_, _ job.EntryID, kind peer.Kind, answer bool) bool {
 				mu.Lock()
 				defer mu.Unlock()
 				if kind == peer.BatchOffer && answer == lose.answer && lost < lose.times {
@@ -176,7 +176,7 @@
 					return true
 				}
 				return false
-			}
+			})
 			outcomes := <-s.offer(s.t.Context(), batch("a", 0, 1))
 			qt.Assert(t, statuses(outcomes), qt.Equals, twoDone)
 			qt.Assert(t, lost, qt.Equals, lose.times)
@@ -190,7 +190,7 @@
 func TestLossyNetworkNeverDoublesATask(t *testing.T) {
 	for seed := range uint64(5) {
 		run(t, func(s *setting) {
-			s.net.Drop = peertest.LoseAtRandom(seed, 0.33)
+			s.net.SetDrop(peertest.LoseAtRandom(seed, 0.33))
 			var all []<-chan []job.TaskOutcome
 			for i := range 40 {
 				all = append(all, s.offer(s.t.Context(), batch(job.ID(fmt.Sprint(i)), 0, 1)))
@@ -302,14 +302,14 @@
 // over must get the results that are still held.
 func TestFetchOfALostOwnersResults(t *testing.T) {
 	run(t, func(s *setting) {
-		s.net.Drop = func(_, _ job.EntryID, kind peer.Kind, answer bool) bool { return kind == peer.BatchOffer && answer }
+		s.net.SetDrop(func(_, _ job.EntryID, kind peer.Kind, answer bool) bool { return kind == peer.BatchOffer && answer })
 		s.offer(s.t.Context(), batch("a", 0, 1))
 		time.Sleep(time.Second)
 		taker := NewRemote(RemoteOptions{Mesh: s.net.Join(job.Owner{Entry: "taker", Incarnation: 1})})
 		defer s.net.Leave("taker")
 		held := taker.Fetch(s.t.Context(), []job.EntryID{"holder", "nobody"}, ownerLife, "a")
 		qt.Assert(t, statuses(held), qt.Equals, twoDone)
-		s.net.Drop = nil
+		s.net.SetDrop(nil)
 	})
 }
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,7 +74,7 @@
 }
 
 func (m *Members) sort() {
-	slices.SortFunc(m.List, func(a, b Member) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+	slices.SortFunc(m.List, func(a, b Member) int { return cmp.Compare(a.Entry, b.Entry) })
 }
 
 // Get returns one member.
@@ -105,33 +105,45 @@
 	return ranked[0]
 }
 
-// Replicas returns the n live entries of a zone that keep what belongs to key.
-func (m *Members) Replicas(zone job.Zone, key string, n int) []job.EntryID {
-	ranked := m.rank(zone, key, Member.Live)
-	return ranked[:min(n, len(ranked))]
+// Ranked returns the live entries of a zone in the order in which they keep
+// what belongs to key.
+func (m *Members) Ranked(zone job.Zone, key string) []job.EntryID {
+	return m.rank(zone, key, Member.Live)
+}
+
+// Live lists the entries of a zone that may run, by name.
+func (m *Members) Live(zone job.Zone) []job.EntryID { return m.names(zone, Member.Live) }
+
+func (m *Members) names(zone job.Zone, counts func(Member) bool) []job.EntryID {
+	var names []job.EntryID
+	for _, member := range m.List {
+		if member.Zone == zone && counts(member) {
+			names = append(names, member.Entry)
+		}
+	}
+	return names
 }
 
-// rank orders entries by rendezvous hashing: each entry's place depends on its
-// own name only, so one that comes or goes moves nothing between the others.
 func (m *Members) rank(zone job.Zone, key string, counts func(Member) bool) []job.EntryID {
+	return Rank(m.names(zone, counts), key)
+}
+
+// Rank orders entries by rendezvous hashing: each entry's place depends on its
+// own name only, so one that comes or goes moves nothing between the others.
+func Rank(entries []job.EntryID, key string) []job.EntryID {
 	type scored struct {
 		entry job.EntryID
 		score uint64
 	}
-	var all []scored
-	for _, member := range m.List {
-		if member.Zone == zone && counts(member) {
-			all = append(all, scored{member.Entry, xxhash.Sum64String(string(member.Entry) + "\x00" + key)})
-		}
+	all := make([]scored, len(entries))
+	for i, entry := range entries {
+		all[i] = scored{entry, xxhash.Sum64String(string(entry) + "\x00" + key)}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
+			return cmp.Compare(b.score, a.score)
 		}
-		return strings.Compare(string(a.entry), string(b.entry))
+		return cmp.Compare(a.entry, b.entry)
 	})
 	ranked := make([]job.EntryID, len(all))
 	for i := range all {
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -87,6 +87,19 @@
 	n.Cut(b, a, down)
 }
 
+// SetDrop replaces Drop while the network is in use.
+func (n *Network) SetDrop(drop func(from, to job.EntryID, kind peer.Kind, answer bool) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Drop = drop
+}
+
+func (n *Network) dropping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Drop != nil
+}
+
 // Sent returns how many messages of the kind were sent, answers included.
 func (n *Network) Sent(kind peer.Kind) int {
 	n.mu.Lock()
@@ -151,7 +164,7 @@
 	}
 	node, ok := d.net.route(d.self.Entry, to, kind, false)
 	if !ok {
-		if d.net.Drop == nil {
+		if !d.net.dropping() {
 			return errors.Annotatef(peer.ErrNotSent, "to %s", to)
 		}
 		<-ctx.Done()
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -271,12 +271,12 @@
 		withFleet(t, twoZones, func(f *fleet) {
 			var mu sync.Mutex
 			n := seed
-			f.net.Drop = func(_, _ job.EntryID, kind peer.Kind, _ bool) bool {
+			f.net.SetDrop(func(_, _ job.EntryID, kind peer.Kind, _ bool) bool {
 				mu.Lock()
 				defer mu.Unlock()
 				n = n*6364136223846793005 + 1442695040888963407
 				return kind != peer.Heartbeat && n>>62 == 0
-			}
+			})
 			var all []<-chan string
 			for _, id := range each("id") {
 				for at := range twoZones {
@@ -287,7 +287,7 @@
 			for _, got := range all {
 				<-got
 			}
-			f.net.Drop = nil
+			f.net.SetDrop(nil)
 			f.check()
 			qt.Assert(t, len(f.starts) > 0, qt.IsTrue)
 		})
