--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -35,7 +35,9 @@
 	ForwardBytes float64
 	// Rest is what links and heartbeats take, by the number of entries.
 	Rest []AtRest
-	// BaseMemory is the heap of an entry without peers, its empty ring included.
+	// BaseCore and BaseMemory are what an entry without peers takes at rest, its
+	// empty ring included.
+	BaseCore     float64
 	BaseMemory   float64
 	ParseCPU     time.Duration
 	ConfigBytes  float64
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -74,7 +74,7 @@
 			})
 		}
 	}
-	m.BaseMemory = alone.heap
+	m.BaseCore, m.BaseMemory = alone.core, alone.heap
 	return nil
 }
 
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -84,7 +84,7 @@
 func Control(s *Size, m *Slopes) []Cost {
 	rest := m.restAt(s.Entries)
 	return []Cost{
-		{What: "the process itself", Memory: m.BaseMemory, Mechanism: "one process, no work yet, the ring's slots allotted"},
+		{What: "the process itself", Core: m.BaseCore, Memory: m.BaseMemory, Mechanism: "one process, no work yet, the ring's slots allotted"},
 		{
 			What: "targets' leases", Core: s.RenewalsPerEntry() * m.RenewalCPU.Seconds(),
 			Bytes: s.RenewalsPerEntry() * (m.RenewalBytes + m.ForwardBytes), Memory: s.TargetsPerEntry() * m.TargetBytes,
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -144,17 +144,29 @@
 	return errors.Trace(failed)
 }
 
-// measurePath sends jobs of tasks that take no time through one entry. The
-// processor time is that of the whole process: entry, stand-in targets and
-// callers, so it bounds the entry's own from above.
+// measurePath sends jobs of tasks that take no time through one entry, with the
+// time line on and off. The processor time is that of the whole process: entry,
+// stand-in targets and callers, so it bounds the entry's own from above.
 func measurePath(m *Slopes, least time.Duration) error {
 	file, err := parsed(TwoYears().Teams, 1)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	for _, line := range []struct {
+		name   string
+		events int
+	}{{"off", -1}, {"on", 0}} {
+		if err := m.path(file, line.name, line.events, least); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (m *Slopes) path(file *config.File, name string, events int, least time.Duration) error {
 	const targets = 8
 	f, err := fleet.Start(fleet.Options{
-		Zones: []job.Zone{"z"}, EntriesPerZone: 1, TargetsPerZone: targets, Pool: "p",
+		Zones: []job.Zone{"z"}, EntriesPerZone: 1, TargetsPerZone: targets, Pool: "p", Events: events,
 		Target: standin.Options{Processors: 32, MemoryMB: 65536}, Config: config.Fixed{File: file},
 	})
 	if err != nil {
@@ -167,11 +179,11 @@
 		return errors.Trace(err)
 	}
 	for _, tasks := range []int{1, 10, 100} {
-		per, err := m.jobs(f.CallerAddresses("")[0], tasks, least)
+		per, err := m.jobs(f.CallerAddresses("")[0], tasks, 3*least)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		m.cpu("one task through one entry, targets and caller included", fmt.Sprintf("jobs of %d tasks", tasks), per)
+		m.cpu("one task through one entry, targets and caller included", fmt.Sprintf("jobs of %d tasks, time line %s", tasks, name), per)
 		if tasks == 10 {
 			m.TaskCPU = per
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,9 @@
 	Log       *slog.Logger
 	// Scheduler switches single decisions off, for measurements.
 	Scheduler scheduler.Options
+	// Events bounds the time line's ring; zero takes the default, a negative
+	// number switches the time line off, for measurements.
+	Events int
 	// Config, when set, is in force in place of what the entries agree on; the
 	// load tool uses it.
 	Config config.View
@@ -130,7 +133,7 @@
 		stopping: make(chan struct{}),
 		killed:   make(chan struct{}),
 	}
-	e.ring = timeline.NewRing(self.Entry, e.clock, timeline.DefaultRingEvents)
+	e.ring = timeline.NewRing(self.Entry, e.clock, o.Events)
 	if err := e.assemble(); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,8 @@
 	Change func(index int, o *standin.Options)
 	// Scheduler switches single decisions off, for measurements.
 	Scheduler scheduler.Options
+	// Events bounds each entry's time line, as entry.Options says.
+	Events int
 	// File is a declarative file that is applied at the start; the first
 	// entries of up to three zones vote on it.
 	File []byte
@@ -226,6 +228,7 @@
 		Listeners: m.listen,
 		Log:       f.opts.Log,
 		Scheduler: f.opts.Scheduler,
+		Events:    f.opts.Events,
 		Config:    f.opts.Config,
 		Linger:    linger,
 	})
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -56,6 +56,7 @@
 type Ring struct {
 	entry  job.EntryID
 	clock  *Clock
+	off    bool
 	shards [ringShards]ringShard
 }
 
@@ -73,12 +74,15 @@
 var _ Sink = (*Ring)(nil)
 
 // NewRing returns a ring of about the given number of events; zero takes
-// DefaultRingEvents.
+// DefaultRingEvents, and a negative number keeps nothing.
 func NewRing(entry job.EntryID, clock *Clock, events int) *Ring {
-	if events <= 0 {
+	r := &Ring{entry: entry, clock: clock, off: events < 0}
+	if r.off {
+		return r
+	}
+	if events == 0 {
 		events = DefaultRingEvents
 	}
-	r := &Ring{entry: entry, clock: clock}
 	perShard := (events + ringShards - 1) / ringShards
 	for i := range r.shards {
 		r.shards[i].events = make([]Event, 0, perShard)
@@ -88,6 +92,9 @@
 
 // Record stamps the event and keeps it in place of the shard's oldest one.
 func (r *Ring) Record(ev Event) {
+	if r.off {
+		return
+	}
 	ev.Cause = boundCause(ev.Cause)
 	ev.Stamp = Stamp(r.clock.Now())
 	ev.Entry = r.entry
