Ask a rival of other content before calling an id reused; never yield to one

Cause: a sending refused for other content left its claim with a registrar until the news of its refusal arrived; the true content sent in between was refused as reused. Found on the way: a pending claim was yielded to a rival of other content, whose answer its caller would then have been given. Change: a record of other content counts only when it has an answer, its owner says that it is its own, or the owner is gone; the request to yield carries the content, and other content is never yielded to.

--- a/internal/registrar/claim.go
+++ b/internal/registrar/claim.go
@@ -246,14 +246,19 @@
 func (c *claim) rivalVerdict(view *membership.Members, digest job.Digest, held *Record) claimVerdict {
 	v := claimVerdict{owner: held.By.Owner, by: held.By, reason: job.OwnerLost}
 	keeper, joined := c.joined[held.By]
+	gone := view.Gone(held.By.Owner.Entry, held.By.Owner.Incarnation)
 	switch {
-	case held.Digest != digest:
+	case held.Digest != digest && (held.Answer != nil || joined || gone):
 		v.kind = verdictConflict
+	case held.Digest != digest:
+		// Its claim may have been refused, with the news of that on its way
+		// here; then the record names nothing that exists.
+		v.kind = verdictRival
 	case held.Answer != nil && !held.Answer.Run.Proven():
 		v.kind, v.answer = verdictAnswered, held.Answer
 	case joined:
 		v.kind, v.owner = verdictJoin, keeper
-	case view.Gone(held.By.Owner.Entry, held.By.Owner.Incarnation):
+	case gone:
 		v.kind = verdictTakeOver
 	default:
 		v.kind = verdictRival
--- a/internal/registrar/drive.go
+++ b/internal/registrar/drive.go
@@ -124,7 +124,7 @@
 		}
 		if v.kind == verdictRival && !asking {
 			asking = true
-			go r.askRival(ctx, reply{yield: true, rival: v.by, asked: c.rival(v.by)}, sub.ID, replies)
+			go r.askRival(ctx, reply{yield: true, rival: v.by, asked: c.rival(v.by)}, sub, replies)
 		}
 		timer := time.NewTimer(retryPause)
 		select {
@@ -179,10 +179,10 @@
 	}
 }
 
-func (r *Registrar) askRival(ctx context.Context, a reply, id job.ID, replies chan<- reply) {
+func (r *Registrar) askRival(ctx context.Context, a reply, sub *job.Submission, replies chan<- reply) {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a.err = r.opts.Mesh.Call(call, a.asked.Entry, peer.RegistrarYield, yieldRequest{ID: id}, &a.answer)
+	a.err = r.opts.Mesh.Call(call, a.asked.Entry, peer.RegistrarYield, yieldRequest{ID: sub.ID, Digest: sub.Digest}, &a.answer)
 	send(ctx, replies, a)
 }
 
--- a/internal/registrar/messages.go
+++ b/internal/registrar/messages.go
@@ -73,6 +73,8 @@
 // yieldRequest asks the owner in a record whether the submission is its own.
 type yieldRequest struct {
 	ID job.ID `cbor:"1,keyasint"`
+	// Digest is the content that the asking entry would start.
+	Digest job.Digest `cbor:"2,keyasint"`
 }
 
 // yieldVerdict is the owner's word.
--- a/internal/registrar/owned.go
+++ b/internal/registrar/owned.go
@@ -87,6 +87,16 @@
 	close(e.decided)
 }
 
+// asked answers another entry that found this one in a record. A claim of other
+// content is never yielded: its callers would be given the answer of a job that
+// they did not send.
+func (o *owned) asked(by job.Owner, req *yieldRequest) yieldReply {
+	if e := o.entries[req.ID]; e != nil && e.digest != req.Digest {
+		return yieldReply{Verdict: yieldMine}
+	}
+	return o.yield(by, req.ID)
+}
+
 // yield answers another entry that found this one in a record of id.
 func (o *owned) yield(by job.Owner, id job.ID) yieldReply {
 	e := o.entries[id]
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -219,7 +219,7 @@
 	s := r.shard(req.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.owned.yield(from, req.ID), nil
+	return s.owned.asked(from, &req), nil
 }
 
 func (r *Registrar) handleSettle(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -335,3 +335,14 @@
 		qt.Assert(t, f.net.Sent(peer.RegistrarClaim), qt.Equals, before)
 	})
 }
+
+// A caller sends an id that is still being claimed elsewhere, by mistake with
+// other content. The claim must not be yielded to it: the first caller would be
+// given the answer of a job that it did not send.
+func TestClaimOfOtherContentIsNotYielded(t *testing.T) {
+	o := newOwned(job.Owner{Entry: "b", Incarnation: 1, Zone: "z"})
+	o.begin("id", job.Digest{1})
+	smaller := job.Owner{Entry: "a", Incarnation: 1, Zone: "z"}
+	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{2}}).Verdict, qt.Equals, yieldMine)
+	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{1}}).Verdict, qt.Equals, yieldYours)
+}
