Pack the file, lock the data folder and notice another fleet

Catching up after a cut took over 4 s where the last word of a voter was just before it: a test of 5 voters found that.

Two processes on one data folder would vote under one identity: the folder is locked. A new folder's name is synced too, since a crash that loses it loses all that was synced in it. An entry with the data folder of another fleet followed nothing and said nothing; its status now says why.

--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -75,7 +75,7 @@
 		Cause: fmt.Sprintf("number %d, digest %s, change %s", change.Number, change.Digest, change.ID),
 	})
 	return r.carryOut(ctx, consensus.Command{
-		Kind: consensus.Configure, Change: change, Body: slices.Clone(body), At: r.clock().UnixMilli(),
+		Kind: consensus.Configure, Change: change, Body: pack(body), At: r.clock().UnixMilli(),
 	})
 }
 
@@ -231,11 +231,15 @@
 	switch req.Command.Kind {
 	case consensus.Configure:
 		// The sender checked it too; a voter does not rely on it.
-		file, err := config.Parse("configuration", req.Command.Body)
+		body, err := unpack(req.Command.Body)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if file.Number != req.Command.Change.Number || consensus.DigestOf(req.Command.Body) != req.Command.Change.Digest {
+		file, err := config.Parse("configuration", body)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if file.Number != req.Command.Change.Number || consensus.DigestOf(body) != req.Command.Change.Digest {
 			return nil, errors.NotValidf("change that does not match its file")
 		}
 	case consensus.Replace, consensus.Read:
--- a/internal/register/bench_test.go
+++ b/internal/register/bench_test.go
@@ -157,7 +157,7 @@
 			for n := 1; n <= changes; n++ {
 				body := []byte(fileOf(n, "a"))
 				id := fmt.Sprintf("01JE%022d", n)
-				v = v.Apply(&consensus.Command{Kind: consensus.Configure, Body: body, Change: consensus.Change{ID: id, Number: uint64(n), Digest: consensus.DigestOf(body)}})
+				v = v.Apply(&consensus.Command{Kind: consensus.Configure, Body: pack(body), Change: consensus.Change{ID: id, Number: uint64(n), Digest: consensus.DigestOf(body)}})
 			}
 			qt.Assert(b, saveRecord(store, consensus.Record{Self: v.Voters[0], Chosen: v}), qt.IsNil)
 			for b.Loop() {
--- a/internal/register/body.go
+++ b/internal/register/body.go
@@ -7,5 +7,5 @@
 	if s == nil || s.Change.Number == 0 {
 		return nil, Accepted{}
 	}
-	return s.Body, Accepted{Number: s.Change.Number, Digest: s.Change.Digest.String(), ChangeID: s.Change.ID}
+	return s.body, Accepted{Number: s.Change.Number, Digest: s.Change.Digest.String(), ChangeID: s.Change.ID}
 }
--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -9,7 +9,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
 )
 
@@ -321,3 +323,23 @@
 		qt.Assert(t, m.Current().Number, qt.Equals, uint64(3), qt.Commentf("written once there was space, without another change"))
 	})
 }
+
+// An entry is started with the data folder of another fleet. It must not take
+// part in this one, nor overwrite its own configuration, and must say why it
+// does not follow.
+func TestDataFolderOfAnotherFleet(t *testing.T) {
+	scenario(t, 3, 0, func(t *testing.T, f *fleet) {
+		f.mustApply("v1", 2)
+		fs := &storagetest.FS{}
+		store, err := storage.Open("data", fs)
+		qt.Assert(t, err, qt.IsNil)
+		v := consensus.Value{Version: 1, Lineage: 42, Voters: []consensus.Voter{{Entry: "x", Identity: "x#0"}}}
+		qt.Assert(t, saveRecord(store, consensus.Record{Self: v.Voters[0], Chosen: v}), qt.IsNil)
+		m := f.start("x", fs)
+		m.Observe("v1", 2, "digest")
+		time.Sleep(4 * time.Second)
+		qt.Assert(t, m.State().Problem, qt.Matches, ".*another fleet.*")
+		qt.Assert(t, m.Current(), qt.IsNil)
+		f.inForce(2, 0, f.voters...)
+	})
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -35,6 +35,10 @@
 // of the 6 s within which a change must be in force.
 const (
 	probeInterval = 2 * time.Second
+	// silentAfter is how long a voter's last word is taken for news. It is the
+	// shortest time between two probes, so that the next probe after a lost
+	// message finds what it said.
+	silentAfter = probeInterval / 2
 	// finishInterval is how often a voter looks for a proposal that its
 	// proposer left behind.
 	finishInterval = time.Second
@@ -93,6 +97,8 @@
 	waiting   map[consensus.Token]chan consensus.Outcome
 	lastToken consensus.Token
 	problem   string
+	// foreign says that another fleet was met on the network.
+	foreign   string
 	heard     map[job.EntryID]time.Time
 	started   time.Time
 	stale     bool
@@ -170,9 +176,12 @@
 	return binary.LittleEndian.Uint64(b[:])
 }
 
-// Run takes part until ctx ends.
+// Run takes part until ctx ends, and then closes the store.
 func (r *Register) Run(ctx context.Context) error {
 	r.run.Store(&ctx)
+	if r.opts.Store != nil {
+		defer func() { _ = r.opts.Store.Close() }()
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	if r.hasDisk {
@@ -213,7 +222,7 @@
 	}
 	s.since = r.clock()
 	if old != nil && old.Change == s.Change {
-		s.file, s.since = old.file, old.since
+		s.file, s.body, s.since = old.file, old.body, old.since
 		r.current.Store(s)
 		return
 	}
@@ -222,14 +231,12 @@
 		before = old.file
 	}
 	if s.Change.Number > 0 {
-		file, err := config.Parse("accepted configuration", s.Body)
-		if err != nil {
+		if err := s.read(); err != nil {
 			// Another release accepted what this one can't read. The file
 			// in force stays, and the number shows what is missing.
 			r.log.Error("the accepted configuration can't be read", "number", s.Change.Number, "error", err)
-			file = before
+			s.file = before
 		}
-		s.file = file
 	}
 	r.current.Store(s)
 	if s.file == nil || s.file == before {
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -34,3 +34,22 @@
 		qt.Assert(t, f.nodes["l4"].Current().Services[0].Name, qt.Equals, "a")
 	})
 }
+
+func TestFleetsOfAnySize(t *testing.T) {
+	for _, size := range []struct{ voters, learners int }{{1, 0}, {1, 2}, {2, 1}, {5, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size.voters, size.learners)
+			defer f.stopAll()
+			time.Sleep(3 * time.Second)
+			f.mustApply(f.entries[len(f.entries)-1], 1)
+			f.mustApply("v1", 2)
+			f.inForce(2, time.Second, f.entries...)
+			if size.voters == 5 {
+				f.cut(true, "v1", "v2")
+				f.mustApply("l1", 3)
+				f.cut(false, "v1", "v2")
+				f.inForce(3, 4*time.Second, f.entries...)
+			}
+		})
+	}
+}
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
@@ -64,7 +65,7 @@
 		return
 	}
 	r.contact(from)
-	if answer.Newer == nil {
+	if answer.Newer == nil || r.isForeign(from, answer.Newer) {
 		return
 	}
 	if r.diskWorks() && answer.Self.Identity != "" {
@@ -76,6 +77,25 @@
 	r.putAndTell(answer.Newer)
 }
 
+// isForeign reports whether a snapshot belongs to another fleet, and has State
+// say so: an entry with the data folder of another fleet would otherwise serve
+// by an old file for ever, and look well.
+func (r *Register) isForeign(from job.EntryID, s *snapshot) bool {
+	mine := r.current.Load()
+	foreign := ""
+	if mine != nil && mine.Lineage != s.Lineage {
+		foreign = fmt.Sprintf("entry %s belongs to another fleet than this data folder or configuration", from)
+	}
+	r.mu.Lock()
+	news := foreign != r.foreign
+	r.foreign = foreign
+	r.mu.Unlock()
+	if news && foreign != "" {
+		r.log.Error("two fleets share a network", "peer", from, "lineage", s.Lineage)
+	}
+	return foreign != ""
+}
+
 func (r *Register) diskWorks() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,7 +195,7 @@
 	now := time.Now()
 	for _, v := range voters {
 		r.mu.Lock()
-		silent := now.Sub(r.heard[v]) >= probeInterval
+		silent := now.Sub(r.heard[v]) >= silentAfter
 		r.mu.Unlock()
 		if v != r.self && (silent || v == picked) {
 			r.startProbe(ctx, v)
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -28,7 +28,8 @@
 	// Identity names this entry's disk; empty without one.
 	Identity string
 	Voters   []consensus.Voter
-	// Problem says why a data folder is not used or not written.
+	// Problem says why a data folder is not used or not written, or that the
+	// entry met another fleet.
 	Problem string
 	// Serving says all this in one line.
 	Serving string
@@ -44,6 +45,9 @@
 	}
 	r.mu.Lock()
 	out.Problem = r.problem
+	if out.Problem == "" {
+		out.Problem = r.foreign
+	}
 	if r.node != nil {
 		out.Voter = r.node.Voting()
 		out.Identity = string(r.node.Self.Identity)
@@ -69,7 +73,7 @@
 		line += fmt.Sprintf("; stale: no majority of the voters heard since %s", s.StaleSince.UTC().Format(time.RFC3339))
 	}
 	if s.Problem != "" {
-		line += "; does not vote: " + s.Problem
+		line += "; problem: " + s.Problem
 	}
 	return line
 }
--- a/internal/register/traffic_test.go
+++ b/internal/register/traffic_test.go
@@ -75,9 +75,9 @@
 		every            time.Duration
 		most             float64 // bytes a second by the entry that sends most
 	}{
-		{"7 entries at rest", 3, 4, 0, 1000},
-		{"7 entries at 2,900 changes a day", 3, 4, 24 * time.Hour / 2900, 3000},
-		{"14 entries at 2,900 changes a day", 5, 9, 24 * time.Hour / 2900, 4000},
+		{"7 entries at rest", 3, 4, 0, 800},
+		{"7 entries at 2,900 changes a day", 3, 4, 24 * time.Hour / 2900, 1000},
+		{"14 entries at 2,900 changes a day", 5, 9, 24 * time.Hour / 2900, 2000},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
@@ -98,7 +98,7 @@
 				n.messages.Store(0)
 				n.bytes.Store(0)
 			}
-			const span = 20 * time.Minute
+			const span = 10 * time.Minute
 			for start, number := time.Now(), 1; c.every > 0 && time.Since(start) < span; time.Sleep(c.every) {
 				number++
 				_, err := f.apply(f.entries[number%len(f.entries)], fmt.Sprint(number), largeFile(number))
--- a/internal/register/wire.go
+++ b/internal/register/wire.go
@@ -14,17 +14,37 @@
 
 // snapshot is what an entry needs of a value to serve by it and to pass it on.
 type snapshot struct {
-	Version    uint64            `cbor:"1,keyasint"`
-	Lineage    uint64            `cbor:"2,keyasint"`
-	Voters     []consensus.Voter `cbor:"3,keyasint"`
-	Change     consensus.Change  `cbor:"4,keyasint"`
-	Body       []byte            `cbor:"5,keyasint"`
-	AcceptedAt int64             `cbor:"6,keyasint"`
+	Version uint64            `cbor:"1,keyasint"`
+	Lineage uint64            `cbor:"2,keyasint"`
+	Voters  []consensus.Voter `cbor:"3,keyasint"`
+	Change  consensus.Change  `cbor:"4,keyasint"`
+	// Body is the packed file.
+	Body       []byte `cbor:"5,keyasint"`
+	AcceptedAt int64  `cbor:"6,keyasint"`
 
+	body  []byte
 	file  *config.File
 	since time.Time
 }
 
+// read unpacks and parses the file.
+func (s *snapshot) read() error {
+	body, err := unpack(s.Body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.body = body
+	if consensus.DigestOf(body) != s.Change.Digest {
+		return errors.NotValidf("file that does not match its digest")
+	}
+	file, err := config.Parse("accepted configuration", body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.file = file
+	return nil
+}
+
 func snapshotOf(v *consensus.Value) *snapshot {
 	return &snapshot{
 		Version: v.Version, Lineage: v.Lineage, Voters: v.Voters,
--- a/internal/storage/fs.go
+++ b/internal/storage/fs.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -11,7 +12,10 @@
 // FS is the part of a file system that the package uses. Tests put one in its
 // place that loses what was not synced.
 type FS interface {
+	// MkdirAll makes a directory and its parents, and makes their names last.
 	MkdirAll(dir string) error
+	// Lock keeps other processes from using dir until it is closed.
+	Lock(dir string) (io.Closer, error)
 	// Create makes or truncates a file.
 	Create(name string) (File, error)
 	// Append opens a file for writing at its end and makes it if needed.
@@ -42,8 +46,39 @@
 	fileMode = 0o640
 )
 
-// MkdirAll makes a directory and its parents.
-func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+// MkdirAll makes a directory and its parents. Each new name is synced: a crash
+// that loses the directory loses all that was synced in it.
+func (o OS) MkdirAll(dir string) error {
+	if info, err := os.Stat(dir); err == nil && info.IsDir() {
+		return nil
+	}
+	parent := filepath.Dir(dir)
+	if parent != dir {
+		if err := o.MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return o.SyncDir(parent)
+}
+
+const lockName = "lock"
+
+// Lock takes an advisory lock, which the operating system gives back when the
+// process ends in any way.
+func (OS) Lock(dir string) (io.Closer, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, errors.Annotatef(ErrInUse, "%s: %v", dir, err)
+	}
+	return f, nil
+}
 
 // Create makes or truncates a file.
 func (OS) Create(name string) (File, error) {
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -19,8 +19,8 @@
 const (
 	// ErrCorrupt says that a record is there but is not what was written.
 	ErrCorrupt = errors.ConstError("storage: corrupt record")
-	// ErrClosed says that the log no longer takes records.
-	ErrClosed = errors.ConstError("storage: closed")
+	// ErrInUse says that another process uses the folder.
+	ErrInUse = errors.ConstError("storage: the folder is used by another process")
 )
 
 // A record file is a header and a body:
--- a/internal/storage/storagetest/fs.go
+++ b/internal/storage/storagetest/fs.go
@@ -3,6 +3,7 @@
 package storagetest
 
 import (
+	"io"
 	"io/fs"
 	"path/filepath"
 	"slices"
@@ -185,6 +186,9 @@
 // MkdirAll does nothing: there are no directories.
 func (f *FS) MkdirAll(string) error { return nil }
 
+// Lock does nothing: each FS belongs to one process.
+func (f *FS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
 // Create makes or truncates a file.
 func (f *FS) Create(name string) (storage.File, error) {
 	f.mu.Lock()
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,8 +12,9 @@
 // Store holds named records in one directory. Its methods may be called from
 // several goroutines only for different names.
 type Store struct {
-	dir string
-	fs  FS
+	dir  string
+	fs   FS
+	lock io.Closer
 }
 
 const (
@@ -21,25 +23,44 @@
 )
 
 // Open makes the directory if needed and removes what an interrupted write left.
+// Until Close no other process can open it: two of them would vote under one
+// identity, each without knowing the other's votes.
 func Open(dir string, fs FS) (*Store, error) {
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, errors.Annotatef(err, "making %s", dir)
 	}
+	lock, err := fs.Lock(dir)
+	if err != nil {
+		return nil, errors.Annotate(err, "locking")
+	}
+	s := &Store{dir: dir, fs: fs, lock: lock}
+	if err := s.removeTemporary(); err != nil {
+		_ = lock.Close()
+		return nil, errors.Trace(err)
+	}
+	return s, nil
+}
+
+func (s *Store) removeTemporary() error {
+	dir, fs := s.dir, s.fs
 	names, err := fs.List(dir)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listing %s", dir)
+		return errors.Annotatef(err, "listing %s", dir)
 	}
 	for _, name := range names {
 		if !strings.HasSuffix(name, tempSuffix) {
 			continue
 		}
 		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
-			return nil, errors.Annotatef(err, "removing %s", name)
+			return errors.Annotatef(err, "removing %s", name)
 		}
 	}
-	return &Store{dir: dir, fs: fs}, nil
+	return nil
 }
 
+// Close lets other processes open the directory.
+func (s *Store) Close() error { return s.lock.Close() }
+
 // Dir returns the directory of the store.
 func (s *Store) Dir() string { return s.dir }
 
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -112,14 +112,30 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, s.Save("r", 1, []byte("x")), qt.IsNil)
 	qt.Assert(t, os.WriteFile(d+"/r.record.temp", []byte("left over"), 0o600), qt.IsNil)
+	qt.Assert(t, s.Close(), qt.IsNil)
 	s, err = storage.Open(d, storage.OS{})
 	qt.Assert(t, err, qt.IsNil)
 	names, err := storage.OS{}.List(d)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, names, qt.DeepEquals, []string{"r.record"})
+	qt.Assert(t, names, qt.DeepEquals, []string{"lock", "r.record"})
 	_, got, err := s.Load("r")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(got), qt.Equals, "x")
+	qt.Assert(t, s.Close(), qt.IsNil)
+}
+
+// An operator starts an entry a second time on the data folder of one that runs.
+// Both would vote under one identity, each blind to the other's votes.
+func TestFolderIsOpenedOnce(t *testing.T) {
+	d := t.TempDir() + "/a/b"
+	first, err := storage.Open(d, storage.OS{})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = storage.Open(d, storage.OS{})
+	qt.Assert(t, errors.Is(err, storage.ErrInUse), qt.IsTrue)
+	qt.Assert(t, first.Close(), qt.IsNil)
+	second, err := storage.Open(d, storage.OS{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second.Close(), qt.IsNil)
 }
 
 // A record file is whatever a broken disk returns: loading must not panic, and
