Leave the last free slots to quiet teams and urgent jobs

A quiet team's job of eight tasks waited for as many slots to come free from a hot team's tasks of one second: 99th-percentile stretch 1.24 beside 1.00 alone. Teams above their share now leave 1/32 of the slots free.

The price is goodput at twice the capacity, 100% to 96.6%. Other parts were tried and stand beside the constant. The test is red with the headroom off.

--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -177,6 +177,16 @@
 	return flowLess(a.flow, b.flow)
 }
 
+// WithinShare reports whether the team of a waiting job may take one more slot
+// without holding more than it would if one more team waited.
+func (q *Queue[T]) WithinShare(i *Item[T], slots float64) bool {
+	f := i.flow
+	return f.held+1 <= slots*f.weight/(q.waiting+1)
+}
+
+// Teams returns how many teams are known.
+func (q *Queue[T]) Teams() int { return len(q.flows) }
+
 // Hold counts slots that a team has taken (positive) or given back.
 func (q *Queue[T]) Hold(team string, slots float64) {
 	f := q.flow(team)
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -89,7 +90,7 @@
 	for u := classes - 1; u >= 0; u-- {
 		b, blocked := p.head(job.Urgency(u), maxLong)
 		heldLong = heldLong || blocked
-		if b == nil {
+		if b == nil || p.leavesHeadroom(b) {
 			continue
 		}
 		if next == nil {
@@ -121,6 +122,33 @@
 	return long.Value, heldLong
 }
 
+// headroomPart is the part of the slots that teams above their share leave
+// free, so that a quiet team's or an urgent job finds a slot at once in place
+// of waiting for the next ones to come free.
+//
+// In trials on 400 slots with a hot team's tasks of one second, the quiet
+// team's 99th-percentile stretch was 1.20, 1.14, 1.14, 1.06 and 1.00 with none,
+// 1/128, 1/64, 1/32 and 1/16, and goodput at twice the capacity 100%, 99%,
+// 98.3%, 96.6% and 93.9% (as in TestHotCallerWithLongTasks, TestOverload). A pool
+// under 32 slots leaves none: one slot would be too much of it.
+const (
+	headroomPart  = 32
+	headroomLeast = 32
+)
+
+// leavesHeadroom reports whether the job has to leave the slots that are still
+// free to teams within their share. The running tasks bring the next decision.
+func (p *Pool) leavesHeadroom(b *batch) bool {
+	q := p.classes[b.class].lanes[b.lane()]
+	if b.class == job.UrgencyUrgent || p.opts.NoHeadroom || p.slots < headroomLeast || q.Teams() < 2 {
+		return false
+	}
+	if p.running == 0 || p.free > int(math.Ceil(p.slots/headroomPart)) {
+		return false
+	}
+	return !q.WithinShare(&b.item, p.slots)
+}
+
 func (p *Pool) start(now time.Time, b *batch, t *task, tg *target, probe bool, d *Decisions) {
 	b.pop()
 	if b.queued() == 0 {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -9,6 +9,8 @@
 	NoClasses bool
 	// NoJobOrder serves the jobs of one team in order of arrival.
 	NoJobOrder bool
+	// NoHeadroom lets teams above their share take the last free slots.
+	NoHeadroom bool
 	// NoAdmission accepts whatever the bounded queue still takes.
 	NoAdmission bool
 	// NoHealth never holds work back from a slow or failing target.
@@ -35,7 +37,7 @@
 // random placement, no admission.
 func Baseline() Options {
 	return Options{
-		NoFairness: true, NoClasses: true, NoJobOrder: true, NoAdmission: true,
+		NoFairness: true, NoHeadroom: true, NoClasses: true, NoJobOrder: true, NoAdmission: true,
 		NoHealth: true, NoReserve: true, NoEstimates: true, Placement: PlaceRandom,
 	}
 }
--- a/internal/scheduler/patterns_test.go
+++ b/internal/scheduler/patterns_test.go
@@ -66,9 +66,12 @@
 		t.Logf("%-17s %v", "long:", l)
 		return s.figures("short", 5*time.Second, 25*time.Second)
 	}
-	on, off, _ := compare(t, Options{NoReserve: true}, play)
+	// The headroom for quiet teams hides a part of what the reserve does, so
+	// both are off beside the run with all on.
+	on, off, _ := compare(t, Options{NoReserve: true, NoHeadroom: true}, play)
 	qt.Check(t, on.p99 < 1.25, qt.IsTrue)
 	qt.Check(t, off.p99 > 3*on.p99, qt.IsTrue)
+	qt.Check(t, play(Options{NoReserve: true}).p99 > 2*on.p99, qt.IsTrue)
 }
 
 // A team of thumbnails and a team of previews, eight times as long, both want
@@ -110,6 +113,25 @@
 	qt.Check(t, off.well < off.sent/2, qt.IsTrue)
 }
 
+// The hot team's tasks run for a second each, so slots come free slowly: a
+// quiet team's job would wait for several of them.
+func TestHotCallerWithLongTasks(t *testing.T) {
+	t.Parallel()
+	play := func(o Options) figures {
+		s := newSim(o, 50, 8, nil)
+		s.run(mix(
+			load{group: "quiet", team: "quiet", service: "thumb", until: 20 * time.Second, tasksPerSecond: rate(0.1), tasks: 8, run: usual},
+			load{group: "hot", team: "hot", service: "thumb", kind: "l", until: 20 * time.Second, tasksPerSecond: 2 * 400, tasks: 20, run: between(900*ms, 1100*ms)},
+		))
+		return s.figures("quiet", 3*time.Second, 20*time.Second)
+	}
+	on, off, _ := compare(t, Options{NoHeadroom: true, NoReserve: true}, play)
+	alone, _, _ := compare(t, Options{NoHeadroom: true}, play)
+	qt.Check(t, on.p99 < 1.1, qt.IsTrue)
+	qt.Check(t, alone.p99 < 1.1, qt.IsTrue)
+	qt.Check(t, off.p99 > 1.1, qt.IsTrue)
+}
+
 // Twice what the pool can do arrives for twenty seconds. Without admission
 // each answer is late; with it, the pool does as much useful work as ever, the
 // rest is refused at once, urgent work is on time, and after the overload
