Keep the cost of a decision flat with many targets to be tried

Since targets without a fit task for their probe are passed over, each decision looked at all of them; and there were hundreds, since all tasks ran equally long: then chance explains no difference, and targets that were measured against an older estimate counted as slow.

A target that was passed over is looked at again after 50 ms. Both tests are red without their change.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -285,6 +285,10 @@
 	// doubt is how many standard errors a target must be off before it counts
 	// as slow: with 130 targets, three leave one false alarm in five rounds.
 	doubt = 3
+	// leastExcess is the logarithm of 1.25, the resolution of the estimates.
+	// Where all tasks run equally long chance explains next to nothing, and an
+	// estimate that has moved a little since would make a target slow.
+	leastExcess = 0.223
 )
 
 // measure follows the speed of a target by one finished task.
@@ -349,5 +353,9 @@
 	if t.samples == 0 {
 		return 1
 	}
-	return max(1, math.Exp(t.speed-f.median-f.margin(t.samples)))
+	excess := t.speed - f.median
+	if excess < leastExcess {
+		return 1
+	}
+	return max(1, math.Exp(excess-f.margin(t.samples)))
 }
--- a/internal/policy/health/health_test.go
+++ b/internal/policy/health/health_test.go
@@ -195,6 +195,22 @@
 	}
 }
 
+// All tasks run equally long, so chance explains no difference, and one target
+// is slower by less than the estimates can tell. Held for slow, it would get
+// single probes only, for nothing.
+func TestSmallDifferenceIsNotSlow(t *testing.T) {
+	f := newFleet(5)
+	for range 200 {
+		for i := range f.targets {
+			f.done(start, i, "k", run, false)
+		}
+	}
+	for range 30 {
+		f.done(start, 0, "k", run*115/100, false)
+	}
+	qt.Assert(t, f.Slowness(f.targets[0]), qt.Equals, 1.0)
+}
+
 // A target answers "busy" to several tasks of one moment. That is one refusal:
 // counted as eight, it would be left alone for the longest time at once.
 func TestRefusalsOfOneMoment(t *testing.T) {
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -235,7 +235,7 @@
 		sooner(now.Add(longRecheck))
 	}
 	if p.probes.Len() > 0 {
-		sooner(p.nextProbe(now))
+		sooner(p.probes.Min().probeTime())
 	}
 	return at
 }
--- a/internal/scheduler/probe.go
+++ b/internal/scheduler/probe.go
@@ -10,41 +10,29 @@
 // may be sent again, before it takes any.
 const probePatience = 5 * time.Second
 
+// probeRecheck is when a target for which no task was fit is looked at again.
+// Looked at in each decision, a few hundred such targets would make each cost
+// as much as all of them.
+const probeRecheck = 50 * time.Millisecond
+
 // startProbes gives one task each to the targets that are due for a trial. A
 // target for which no task is fit is passed over: the next one may be due and
 // the task that waits may be fit for it alone.
 func (p *Pool) startProbes(now time.Time, d *Decisions) {
-	var unfit []*target
 	for p.probes.Len() > 0 && p.queued > 0 {
 		tg := p.probes.Min()
-		due, _ := tg.health.ProbeAt()
-		if due.After(now) {
-			break
+		if tg.probeTime().After(now) {
+			return
 		}
+		due, _ := tg.health.ProbeAt()
 		b := p.probeJob(now, tg, due)
 		if b == nil {
-			p.probes.Remove(tg)
-			unfit = append(unfit, tg)
+			tg.passedUntil = now.Add(probeRecheck)
+			p.probes.Fix(tg)
 			continue
 		}
 		p.start(now, b, b.peek(), tg, true, d)
 	}
-	for _, tg := range unfit {
-		p.probes.Push(tg)
-	}
-}
-
-// nextProbe returns when a probe is to be looked at again. One that is due
-// already found no fit task; it has to be one of those to come.
-func (p *Pool) nextProbe(now time.Time) time.Time {
-	next := now.Add(longRecheck)
-	for i := range p.probes.Len() {
-		due, _ := p.probes.At(i).health.ProbeAt()
-		if due.After(now) && due.Before(next) {
-			next = due
-		}
-	}
-	return next
 }
 
 // probeJob returns the job whose next task is risked on the target: of the
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -73,7 +73,9 @@
 	starts := p.Next(epoch).Starts
 	qt.Assert(t, starts, qt.HasLen, 2)
 	qt.Assert(t, p.Requeue(at(1), starts[0].Key), qt.IsTrue)
-	qt.Assert(t, p.Next(at(500)).Starts, qt.HasLen, 0)
+	d := p.Next(at(500))
+	qt.Assert(t, d.Starts, qt.HasLen, 0)
+	qt.Assert(t, d.Wake, qt.Equals, at(500).Add(probeRecheck))
 	p.Finished(at(600), starts[1].Key, ranFor(time.Second))
 	again := p.Next(at(600)).Starts
 	qt.Assert(t, again, qt.HasLen, 1)
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -38,6 +38,9 @@
 
 	ranked pq.Node // place among the targets that may be given work
 	probe  pq.Node // place among those that wait for a probe
+	// passedUntil is how long the target is passed over since no task was fit
+	// to try it.
+	passedUntil time.Time
 	// slots and free are what the target adds to the pool's sums.
 	slots float64
 	free  int
@@ -220,10 +223,18 @@
 }
 
 func probeLess(a, b *target) bool {
-	x, _ := a.health.ProbeAt()
-	y, _ := b.health.ProbeAt()
+	x, y := a.probeTime(), b.probeTime()
 	if !x.Equal(y) {
 		return x.Before(y)
 	}
 	return a.ID < b.ID
 }
+
+// probeTime is when the target is to be looked at for a probe.
+func (t *target) probeTime() time.Time {
+	due, _ := t.health.ProbeAt()
+	if due.Before(t.passedUntil) {
+		return t.passedUntil
+	}
+	return due
+}
