--- a/internal/policy/health/health_test.go
+++ b/internal/policy/health/health_test.go
@@ -207,6 +207,9 @@
 	}
 	for range 30 {
 		f.done(start, 0, "k", run*115/100, false)
+		for i := range 4 {
+			f.done(start, i+1, "k", run, false)
+		}
 	}
 	qt.Assert(t, f.Slowness(f.targets[0]), qt.Equals, 1.0)
 }
