--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -32,9 +32,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts++
-	_, inRecent := l.recent[key]
-	_, inOlder := l.older[key]
-	if inRecent || inOlder {
+	if l.knows(key) {
 		l.doubled++
 		return
 	}
@@ -58,3 +56,16 @@
 	defer l.mu.Unlock()
 	return l.doubled
 }
+
+// Started reports whether a task was started, as far as the ledger reaches.
+func (l *Ledger) Started(submission job.ID, index int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.knows(taskKey{submission, index})
+}
+
+func (l *Ledger) knows(key taskKey) bool {
+	_, inRecent := l.recent[key]
+	_, inOlder := l.older[key]
+	return inRecent || inOlder
+}
