--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -25,6 +25,8 @@
 services:
   - {name: thumbs, pool: desk, urgency: interactive, repeatable: true, deadline: 30s}
   - {name: alerts, pool: desk, urgency: urgent, repeatable: false, deadline: 30s}
+  - {name: spill, pool: desk, urgency: urgent, repeatable: false, keep: synced}
+  - {name: report, pool: desk, urgency: batch, repeatable: false, keep: replicated}
 `
 
 const testPool = "desk"
