Replace a lost voter by a command

The operators' interface had the request but no command, and a wrong name was answered as an unknown outcome. replace-voter OLD NEW does it; a name without a data folder is 404, one that is no voter 400.

--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -32,19 +32,20 @@
 
 // arguments lists the subcommands; each stands in a file of its own.
 type arguments struct {
-	Entry    *entryCmd    `arg:"subcommand:entry" help:"run an entry: the daemon on each entry VM"`
-	Target   *targetCmd   `arg:"subcommand:target" help:"run a stand-in target, for trials and tests"`
-	Check    *checkCmd    `arg:"subcommand:check" help:"check a declarative file offline"`
-	Apply    *applyCmd    `arg:"subcommand:apply" help:"apply a declarative file as a whole"`
-	Drain    *drainCmd    `arg:"subcommand:drain" help:"begin a planned stop of one entry"`
-	Submit   *submitCmd   `arg:"subcommand:submit" help:"send a job and print its answer"`
-	Demo     *demoCmd     `arg:"subcommand:demo" help:"run a whole fleet in this process and one job through it"`
-	Status   *statusCmd   `arg:"subcommand:status" help:"print what entries say of themselves and of the fleet"`
-	Timeline *timelineCmd `arg:"subcommand:timeline" help:"print the events of all entries in their order"`
-	Explain  *explainCmd  `arg:"subcommand:explain" help:"tell why a submission ended as it did"`
-	Load     *loadCmd     `arg:"subcommand:load" help:"send open-loop load and measure the answers"`
-	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure how costs grow and work out a size"`
-	LogLevel string       `arg:"--log-level,env:VANILLAGRADE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	Entry    *entryCmd        `arg:"subcommand:entry" help:"run an entry: the daemon on each entry VM"`
+	Target   *targetCmd       `arg:"subcommand:target" help:"run a stand-in target, for trials and tests"`
+	Check    *checkCmd        `arg:"subcommand:check" help:"check a declarative file offline"`
+	Apply    *applyCmd        `arg:"subcommand:apply" help:"apply a declarative file as a whole"`
+	Drain    *drainCmd        `arg:"subcommand:drain" help:"begin a planned stop of one entry"`
+	Replace  *replaceVoterCmd `arg:"subcommand:replace-voter" help:"give a lost voter's place to another disk"`
+	Submit   *submitCmd       `arg:"subcommand:submit" help:"send a job and print its answer"`
+	Demo     *demoCmd         `arg:"subcommand:demo" help:"run a whole fleet in this process and one job through it"`
+	Status   *statusCmd       `arg:"subcommand:status" help:"print what entries say of themselves and of the fleet"`
+	Timeline *timelineCmd     `arg:"subcommand:timeline" help:"print the events of all entries in their order"`
+	Explain  *explainCmd      `arg:"subcommand:explain" help:"tell why a submission ended as it did"`
+	Load     *loadCmd         `arg:"subcommand:load" help:"send open-loop load and measure the answers"`
+	Capacity *capacityCmd     `arg:"subcommand:capacity" help:"measure how costs grow and work out a size"`
+	LogLevel string           `arg:"--log-level,env:VANILLAGRADE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
 // Description is printed above the usage.
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -119,6 +119,10 @@
 			Error:    conflict.Error(),
 			Conflict: &Configuration{Number: conflict.Number, Digest: conflict.Digest, ChangeID: conflict.ChangeID},
 		})
+	case errors.Is(err, errors.NotFound):
+		writeJSON(w, http.StatusNotFound, problem{Error: err.Error()})
+	case errors.Is(err, errors.NotValid):
+		writeJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
 	case errors.Is(err, register.ErrUnavailable):
 		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error()})
 	default:
--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -95,7 +95,7 @@
 		return errors.Annotatef(err, "asking %s for its disk", updated)
 	}
 	_, err = r.carryOut(ctx, consensus.Command{Kind: consensus.Replace, Old: old, New: voter})
-	return errors.Trace(err)
+	return errors.Annotatef(err, "replacing %s by %s", old, updated)
 }
 
 func (r *Register) identify(ctx context.Context, entry job.EntryID) (consensus.Voter, error) {
@@ -107,7 +107,7 @@
 		}
 		r.mu.Unlock()
 	} else if err := r.mesh.Call(ctx, entry, peer.ConfigPull, pull{Version: r.held()}, &answer); err != nil {
-		return consensus.Voter{}, errors.Trace(err)
+		return consensus.Voter{}, errors.Annotatef(ErrUnavailable, "%v", err)
 	}
 	if answer.Self.Identity == "" {
 		return consensus.Voter{}, errors.NotFoundf("data folder of entry %s", entry)
@@ -155,7 +155,7 @@
 	case consensus.Conflicted, consensus.Reused:
 		return Accepted{}, &Conflict{Number: number, Digest: digest, ChangeID: o.Change.ID, Reused: o.Kind == consensus.Reused}
 	case consensus.NotVoting:
-		return Accepted{}, errors.NotValidf("replacement: the old entry is no voter or the new one is already, so it")
+		return Accepted{}, errors.NotValidf("the old entry is no voter, or the new one is already; the replacement")
 	}
 	return Accepted{}, ErrUnknown
 }
