Let default slots follow the configuration on targets already held

The holder filled in the slots that a target did not announce, so the scheduler took them for announced ones and a changed default never reached it. The test is red with the former code.

--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -352,6 +352,23 @@
 	})
 }
 
+// An operator changes the slots of targets that announce none. Targets that
+// are held already must follow, without a restart.
+func TestDefaultSlotsFollowTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		h := newHolder(f)
+		silent := announced("1")
+		silent.Slots = 0
+		h.SetTarget(silent)
+		h.Configure(&config.File{Number: 2, Services: file.Services, Targets: config.TargetDefaults{Slots: 3}})
+		h.Offer(batchOf("j", 5), func([]job.TaskOutcome) {})
+		synctest.Wait()
+		qt.Assert(t, f.given("1"), qt.Equals, 3)
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	})
+}
+
 func TestOfferIsRefusedWholeAndConfigurationActsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHolder(newFleet())
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -28,7 +29,6 @@
 
 func (p *pool) setTarget(t job.Target) {
 	p.change(func(now time.Time, e *effects) {
-		t = p.withDefaults(t)
 		l := p.links[t.ID]
 		if l != nil && l.target.Address != t.Address {
 			l.removed = true
@@ -36,7 +36,7 @@
 			l = nil
 		}
 		if l == nil {
-			l = &link{conn: p.holder.opts.Connect(t)}
+			l = &link{conn: p.connect(t)}
 			p.links[t.ID] = l
 		}
 		l.target = t
@@ -45,23 +45,15 @@
 	})
 }
 
-func (p *pool) withDefaults(t job.Target) job.Target {
+// connect opens the way to a target. Slots and connections that it does not
+// announce are the scheduler's to fill in, anew with each configuration.
+func (p *pool) connect(t job.Target) Connection {
 	var defaults config.TargetDefaults
 	if p.file != nil {
 		defaults = p.file.Targets
 	}
-	t.Slots = firstAbove0(t.Slots, defaults.Slots, config.DefaultSlots)
-	t.Connections = firstAbove0(t.Connections, defaults.Connections, config.DefaultConnections)
-	return t
-}
-
-func firstAbove0(values ...int) int {
-	for _, v := range values {
-		if v > 0 {
-			return v
-		}
-	}
-	return 0
+	t.Connections = cmp.Or(t.Connections, defaults.Connections, config.DefaultConnections)
+	return p.holder.opts.Connect(t)
 }
 
 func (p *pool) removeTarget(id job.TargetID) (running int) {
