--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -285,8 +285,9 @@
 	var all sync.WaitGroup
 	for i := range 50 {
 		all.Go(func() {
-			res := l.Start(t.Context(), Task{Submission: "x", Index: i, Payload: []byte(strconv.Itoa(i))})
-			qt.Check(t, string(res.Payload), qt.Equals, strconv.Itoa(i))
+			number := strings.Repeat("7", 1+4000*i) // up to three times readAhead
+			res := l.Start(t.Context(), Task{Submission: "x", Index: i, Payload: []byte(number)})
+			qt.Check(t, string(res.Payload) == number, qt.IsTrue, qt.Commentf("%+v", res.Detail))
 		})
 	}
 	all.Wait()
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -23,6 +23,10 @@
 	maxStale = 4
 	// maxDetail bounds how much of a failing answer is quoted, in bytes.
 	maxDetail = 200
+	// readAhead is how much memory an answer gets on the word of its header
+	// alone, in bytes; more only as it arrives. Otherwise targets that announce
+	// large answers and send nothing could take all of the memory.
+	readAhead = 64 << 10
 	// stopTimeout bounds one request to stop a task.
 	stopTimeout = 2 * time.Second
 )
@@ -207,10 +211,14 @@
 	switch n := resp.ContentLength; {
 	case n > l.opts.MaxAnswer:
 		return nil, errors.Errorf("the answer of %d bytes is over the bound of %d", n, l.opts.MaxAnswer)
-	case n >= 0:
+	case n >= 0 && n <= readAhead:
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, errors.Annotate(err, "the answer broke off")
+	case n >= 0:
+		body := &bytes.Buffer{}
+		_, err := io.CopyN(body, resp.Body, n)
+		return body.Bytes(), errors.Annotate(err, "the answer broke off")
 	case len(resp.TransferEncoding) == 0:
 		return nil, errors.New("the answer has neither a length nor chunks")
 	}
