Let the test's echo read its whole request before it answers

The server closes a request's body with the first bytes of a long answer, so the echo of large bodies failed, not the client.

--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -265,7 +265,10 @@
 	var mu sync.Mutex
 	open, most := 0, 0
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(w, r.Body)
+		// Read first: the server closes the request's body with the first
+		// bytes of a long answer.
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
 	}))
 	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		mu.Lock()
