--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -268,6 +268,7 @@
 		// Read first: the server closes the request's body with the first
 		// bytes of a long answer.
 		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
 	}))
 	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
