Fill an empty disk that a diskless entry helped first, and show disk problems

What it asks for now goes by its disk, and what it says by the identities in force. The new test fails without the first. The status names a disk that does not vote, and why.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -78,7 +78,7 @@
 		return status.Configuration{Number: e.config.Current().Number}
 	}
 	s := e.register.State()
-	return status.Configuration{Number: s.Number, Digest: s.Digest, Since: s.Since, Stale: s.Stale, StaleSince: s.StaleSince}
+	return status.Configuration{Number: s.Number, Digest: s.Digest, Since: s.Since, Stale: s.Stale, StaleSince: s.StaleSince, Problem: s.Problem}
 }
 
 func (e *Entry) wantedPools() []string {
--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -123,6 +123,7 @@
 		f.start("v3", &storagetest.FS{})
 		f.inForce(1, 4*time.Second, f.entries...)
 		qt.Assert(t, f.nodes["v3"].State().Voter, qt.IsFalse)
+		qt.Assert(t, f.nodes["v3"].State().Problem, qt.Matches, ".*replace-voter.*")
 		f.cut(true, "v2")
 		_, err := f.apply("v1", "two", fileOf(2, "two"))
 		qt.Assert(t, errors.Is(err, ErrUnavailable), qt.IsTrue, qt.Commentf("one vote and a forgetful disk are no majority"))
@@ -133,6 +134,7 @@
 		f.mustApply("v3", 3)
 		f.inForce(3, 4*time.Second, "v2", "v3", "l1")
 		qt.Assert(t, f.nodes["v3"].State().Voter, qt.IsTrue)
+		qt.Assert(t, f.nodes["v3"].State().Problem, qt.Equals, "")
 	})
 }
 
@@ -343,3 +345,22 @@
 		f.inForce(2, 0, f.voters...)
 	})
 }
+
+// An entry comes back with an empty disk while it reaches only an entry without
+// one, and has the configuration from there. Once it reaches the voters the whole
+// value must get onto its disk, or its next start would have nothing to serve by.
+func TestEmptyDiskIsFilledAfterALearnersHelp(t *testing.T) {
+	scenario(t, 3, 1, func(t *testing.T, f *fleet) {
+		f.crash("v3", storagetest.KeepAll)
+		f.cut(true, "v3", "l1")
+		f.start("v3", &storagetest.FS{})
+		f.inForce(1, 3*time.Second, "v3")
+		qt.Assert(t, f.nodes["v3"].State().Voter, qt.IsFalse)
+		f.cut(false, "v3", "l1")
+		time.Sleep(4 * time.Second)
+		f.cut(true, "v3")
+		m := f.start("v3", f.crash("v3", storagetest.KeepNone))
+		qt.Assert(t, m.Current(), qt.IsNotNil)
+		qt.Assert(t, m.Current().Number, qt.Equals, uint64(1))
+	})
+}
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answer pulled
-	req := pull{Version: r.held()}
+	req := pull{Version: r.kept()}
 	if err := r.mesh.Call(ctx, from, peer.ConfigPull, req, &answer); err != nil {
 		return
 	}
@@ -102,6 +102,18 @@
 	return r.hasDisk && r.problem == ""
 }
 
+// kept returns the version that this entry needs no more news of: that in
+// force, or the one on its disk where that is behind.
+func (r *Register) kept() uint64 {
+	version := r.held()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hasDisk && r.problem == "" {
+		version = min(version, r.node.Chosen.Version)
+	}
+	return version
+}
+
 // held returns the version in force.
 func (r *Register) held() uint64 {
 	if s := r.current.Load(); s != nil {
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -48,18 +48,23 @@
 	if out.Problem == "" {
 		out.Problem = r.foreign
 	}
+	var self consensus.Voter
 	if r.node != nil {
-		out.Voter = r.node.Voting()
-		out.Identity = string(r.node.Self.Identity)
+		self = r.node.Self
 	}
 	r.mu.Unlock()
+	out.Identity = string(self.Identity)
 	if s := r.current.Load(); s != nil {
+		out.Voter = slices.Contains(s.Voters, self)
 		out.Version, out.Voters = s.Version, s.Voters
 		out.Number, out.ChangeID, out.Since = s.Change.Number, s.Change.ID, s.since
 		if s.Change.Number > 0 {
 			out.Digest = s.Change.Digest.String()
 		}
 	}
+	if out.Problem == "" && out.Identity != "" && !out.Voter && slices.Contains(out.VoterEntries(), r.self) {
+		out.Problem = "the data folder is not the one that votes under this name; replace-voter gives it the place"
+	}
 	out.Serving = out.line()
 	return out
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -83,6 +83,8 @@
 	// and StaleSince from when on.
 	Stale      bool      `json:"stale"`
 	StaleSince time.Time `json:"stale_since,omitzero"`
+	// Problem says why this entry's disk does not take part in agreeing on it.
+	Problem string `json:"problem,omitempty"`
 }
 
 // Queue is the waiting work of one pool at this entry.
@@ -197,6 +199,9 @@
 	if st.Configuration.Stale {
 		say("the configuration may be stale since %s: no majority of the voters can be reached", st.Configuration.StaleSince.UTC().Format(time.RFC3339))
 	}
+	if p := st.Configuration.Problem; p != "" {
+		say("this entry's disk does not vote on configurations: %s", p)
+	}
 	for _, m := range st.Members {
 		switch m.State {
 		case Suspect, Dead:
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -67,6 +67,9 @@
 		"the configuration may be stale since 2026-01-02T03:04:05Z: no majority of the voters can be reached": func(s *Sources) {
 			s.Configuration = func() Configuration { return Configuration{Number: 1, Stale: true, StaleSince: since} }
 		},
+		"this entry's disk does not vote on configurations: no space": func(s *Sources) {
+			s.Configuration = func() Configuration { return Configuration{Number: 1, Problem: "no space"} }
+		},
 		"target w1 of pool p is quarantined: it fails what it starts": func(s *Sources) {
 			s.Pools = func() []scheduler.Stats {
 				return []scheduler.Stats{{Pool: "p", Slots: 8, Targets: []scheduler.TargetStats{{Target: job.Target{ID: "w1"}, State: quarantined}}}}
