--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -134,21 +134,33 @@
 const (
 	headroomPart  = 32
 	headroomLeast = 32
+	headroomQueue = 0.25
 )
 
 // leavesHeadroom reports whether the job has to leave the slots that are still
 // free to teams within their share. The running tasks bring the next decision.
 func (p *Pool) leavesHeadroom(b *batch) bool {
 	q := p.classes[b.class].lanes[b.lane()]
-	if b.class == job.UrgencyUrgent || p.opts.NoHeadroom || p.slots < headroomLeast || q.Teams() < 2 {
-		return false
-	}
-	if p.running == 0 || p.free > int(math.Ceil(p.slots/headroomPart)) {
+	if b.class == job.UrgencyUrgent || p.running == 0 || p.free > p.headroom(b.class) {
 		return false
 	}
 	return !q.WithinShare(&b.item, p.slots)
 }
 
+// headroom is how many free slots a class leaves. It leaves none while few of
+// its tasks wait: then slots come free soon enough, and leaving them would make
+// tasks wait that needn't.
+func (p *Pool) headroom(u job.Urgency) int {
+	c := &p.classes[u]
+	if p.opts.NoHeadroom || p.slots < headroomLeast || c.lanes[laneShort].Teams() < 2 {
+		return 0
+	}
+	if float64(c.queued) < headroomQueue*p.slots {
+		return 0
+	}
+	return int(math.Ceil(p.slots / headroomPart))
+}
+
 func (p *Pool) start(now time.Time, b *batch, t *task, tg *target, probe bool, d *Decisions) {
 	b.pop()
 	if b.queued() == 0 {
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -11,7 +11,10 @@
 // Load returns what owners are told of this pool. The entry fills in its name
 // and zone.
 func (p *Pool) Load(now time.Time) job.HolderLoad {
-	l := job.HolderLoad{Pool: p.name, Targets: p.ranked.Len(), Free: p.free}
+	// Slots that most work has to leave free are not offered to owners: they
+	// would send tasks that then queue beside them.
+	free := max(0, p.free-p.headroom(job.UrgencyInteractive))
+	l := job.HolderLoad{Pool: p.name, Targets: p.ranked.Len(), Free: free}
 	for i := range p.ranked.Len() {
 		t := p.ranked.At(i)
 		l.Largest = largest(l.Largest, t.Room())
@@ -21,7 +24,7 @@
 	}
 	slots := max(1, p.slots)
 	ahead := 0.0
-	if p.free == 0 {
+	if free == 0 {
 		ahead = p.book.PoolMean().Seconds()
 	}
 	for u := classes - 1; u >= 0; u-- {
