--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -155,6 +155,25 @@
 	qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 12, "b": 4})
 }
 
+// A hot team leaves the last slots to others. An owner that were told of them
+// as free would send the hot team's next tasks here, to queue beside them.
+func TestSlotsLeftFreeAreNotOffered(t *testing.T) {
+	p := smallPool(8, 8, Options{NoAdmission: true})
+	f := testFile()
+	f.Teams = []config.Team{{Name: "hot", Weight: 1}, {Name: "quiet", Weight: 1}}
+	p.Configure(epoch, f)
+	offer := func(team string, tasks int) int {
+		m := batchOf(team, "thumb", tasks)
+		m.Team = team
+		qt.Assert(t, p.Offer(epoch, m).Accepted, qt.IsTrue)
+		return len(p.Next(epoch).Starts)
+	}
+	qt.Assert(t, offer("hot", 100), qt.Equals, 62)
+	qt.Assert(t, p.Load(epoch).Free, qt.Equals, 0)
+	qt.Assert(t, p.Load(epoch).Wait[job.UrgencyInteractive] > 0, qt.IsTrue)
+	qt.Assert(t, offer("quiet", 2), qt.Equals, 2)
+}
+
 // A job of four tasks on idle targets in four racks: a rack that fails should
 // take one of its tasks, not all.
 func TestRackSpread(t *testing.T) {
