--- a/internal/scheduler/zone_test.go
+++ b/internal/scheduler/zone_test.go
@@ -19,6 +19,8 @@
 	pools    []*Pool
 	owners   []*split.Splitter
 	hop      time.Duration // one way between entries
+	every    time.Duration // between reports
+	apart    bool          // each holder is in a zone of its own
 	messages int
 	open     map[job.ID]bool // jobs without an answer
 	skewed   bool            // one entry owns all jobs
@@ -29,8 +31,31 @@
 // reportsEvery is the heartbeat of a zone's entries.
 const reportsEvery = 250 * ms
 
+// crossing is one way between zones, and crossReports the heartbeat there.
+const (
+	crossing     = 1500 * time.Microsecond
+	crossReports = time.Second
+)
+
+// newZones is holders that each stand in a zone of their own.
+func newZones(holders, targets int) *zone {
+	z := newZone(holders, targets)
+	z.hop, z.every, z.apart = crossing, crossReports, true
+	for h := range z.owners {
+		z.owners[h] = split.New(entryName(h), z.name(h), split.DefaultCosts(), uint64(h))
+	}
+	return z
+}
+
+func (z *zone) name(h int) job.Zone {
+	if z.apart {
+		return job.Zone(fmt.Sprint("z", h))
+	}
+	return "z"
+}
+
 func newZone(holders, targets int) *zone {
-	z := &zone{sim: newSim(Options{}, 0, 0, nil), hop: 300 * time.Microsecond, open: map[job.ID]bool{}}
+	z := &zone{sim: newSim(Options{}, 0, 0, nil), hop: 300 * time.Microsecond, every: reportsEvery, open: map[job.ID]bool{}}
 	z.slots = holders * targets * 8
 	for h := range holders {
 		p := New("render", uint64(h))
@@ -51,12 +76,12 @@
 
 func (z *zone) load(h int) job.HolderLoad {
 	l := z.pools[h].Load(z.now)
-	l.Entry, l.Zone = entryName(h), "z"
+	l.Entry, l.Zone = entryName(h), z.name(h)
 	return l
 }
 
 func (z *zone) report(h int) {
-	z.after(reportsEvery, func() {
+	z.after(z.every, func() {
 		l, at := z.load(h), z.now
 		for o, s := range z.owners {
 			if o != h && !z.alone {
@@ -191,3 +216,30 @@
 	qt.Check(t, unsplitJobs.p99 > 1.25*splitJobs.p99, qt.IsTrue)
 	qt.Check(t, uncorrected.p99 > 1.5*skewed.p99, qt.IsTrue)
 }
+
+// Most jobs of a morning arrive in one of three zones: more than its targets
+// can do, while the others have room. Without spilling over its callers are
+// refused or wait; spilling at every small wait would send work across for
+// nothing, and zones of like load would send it past each other.
+func TestSpillToOtherZones(t *testing.T) {
+	t.Parallel()
+	const end, slots = 15 * time.Second, 3 * 136
+	play := func(name string, share float64, skewed, alone bool) (figures, float64) {
+		z := newZones(3, 17)
+		z.skewed, z.alone = skewed, alone
+		z.play(mix(load{group: "a", team: "a", service: "thumb", until: end, tasksPerSecond: share * slots / meanUsual, tasks: 4, run: usual}))
+		f := z.figures("a", 3*time.Second, end)
+		crossed := float64(z.messages) / float64(len(z.answers))
+		t.Logf("%-28s %v; %.2f messages a job", name, f, crossed)
+		return f, crossed
+	}
+	spilled, _ := play("all in one zone", 0.6, true, false)
+	stayed, _ := play("all in one zone, no spill", 0.6, true, true)
+	even, crossed := play("even load", 0.7, false, false)
+	busy, _ := play("even load, busy", 0.9, false, false)
+	qt.Check(t, spilled.refused, qt.Equals, 0)
+	qt.Check(t, spilled.p99 < 1.5, qt.IsTrue)
+	qt.Check(t, stayed.refused > stayed.sent/4, qt.IsTrue)
+	qt.Check(t, even.p99 < 1.1 && crossed < 0.05, qt.IsTrue)
+	qt.Check(t, busy.p99 < 1.5, qt.IsTrue)
+}
