--- a/internal/storage/submissions.go
+++ b/internal/storage/submissions.go
@@ -58,7 +58,7 @@
 	// maxFinished and maxFinishedBytes bound the answers that are kept. The
 	// oldest goes first: its caller has had the longest time to come back.
 	maxFinished      = 8192
-	maxFinishedBytes = 32 << 20
+	maxFinishedBytes = 16 << 20
 )
 
 // SubmissionLog keeps submissions on disk from their acceptance until nobody
