Cancel batches that were handed out while their job ended

A job whose first batch failed while the second was still being handed out cancelled the second before its holder had it: the cancellation met nothing, and the tasks ran for nobody. Later batches are now held back, and one that was on its way is cancelled again after it. The test is red without it.

--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -157,10 +157,25 @@
 		return
 	}
 	for _, p := range parts {
+		if fl.over() {
+			return
+		}
 		fl.handOver(now, p, committed)
+		if fl.over() {
+			// The submission may have ended while this batch was on its way;
+			// the cancellation came before it then and met nothing.
+			fl.stage.Holders.Cancel(p.Holder, fl.stage.Self, fl.flow.Submission.ID)
+		}
 	}
 }
 
+// over reports whether the end of the submission is decided.
+func (fl *flight) over() bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.collector.Finished()
+}
+
 // unplaced meets tasks for which there is no holder at this moment.
 func (fl *flight) unplaced(now time.Time, tasks []int, reason job.Reason) {
 	fl.mu.Lock()
