Carry a cancellation out again when the batch was just being taken

A cancellation that arrived between the record of an offer and the holder's taking of its batch met nothing, and the tasks ran for nobody. It is noted on the record and carried out once more. The test is red without it.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -23,6 +23,8 @@
 	takes time.Duration
 	// fails is a task that fails at once.
 	fails int
+	// taking, when set, is called before a batch is taken.
+	taking func()
 
 	mu        sync.Mutex
 	starts    map[string]int
@@ -31,6 +33,9 @@
 }
 
 func (h *bench) Offer(b *job.Batch, report func([]job.TaskOutcome)) {
+	if h.taking != nil {
+		h.taking()
+	}
 	h.mu.Lock()
 	h.batches = append(h.batches, *b)
 	for i := range b.Tasks {
@@ -282,6 +287,21 @@
 	})
 }
 
+// A cancellation arrives while the holder is just taking the batch. It must be
+// carried out once more afterwards: the first time it met nothing.
+func TestCancellationWhileABatchIsTaken(t *testing.T) {
+	run(t, func(s *setting) {
+		s.holder.taking = func() {
+			s.remote.Cancel("holder", "a")
+			time.Sleep(10 * time.Millisecond)
+			s.cancelled("a")
+		}
+		s.offer(s.t.Context(), batch("a", 0))
+		time.Sleep(50 * time.Millisecond)
+		s.cancelled("a", "a")
+	})
+}
+
 // A holder forgets old reports to keep its memory bounded. When an owner that
 // was cut off for long asks for such a batch again, running it would be a
 // second start.
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -47,6 +47,8 @@
 	bytes      int
 	// asked is replaced and closed when the owner asks again.
 	asked chan struct{}
+	// cancelled is set when the owner took the batch back.
+	cancelled bool
 }
 
 // Server is the holder's side of the hand-over.
@@ -101,10 +103,21 @@
 	}
 	if isNew {
 		s.holder.Offer(&o.Batch, func(outcomes []job.TaskOutcome) { s.report(rec, outcomes) })
+		if s.wasCancelled(rec) {
+			// The cancellation may have come before the holder had the batch
+			// and then met nothing; the tasks would run for nobody.
+			s.holder.Cancel(from, o.Batch.Submission)
+		}
 	}
 	return s.await(ctx, rec)
 }
 
+func (s *Server) wasCancelled(rec *record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rec.cancelled
+}
+
 // admit finds or makes the record of an offer. Without a record the answer is
 // early.
 func (s *Server) admit(now time.Time, from job.Owner, o *offer) (rec *record, early report, isNew bool) {
@@ -227,7 +240,11 @@
 	s.mu.Lock()
 	for _, number := range c.Offers {
 		k := key{from.Entry, from.Incarnation, number}
-		if s.records[k] == nil && number > s.forgotten[from] {
+		if rec := s.records[k]; rec != nil {
+			rec.cancelled = true
+			continue
+		}
+		if number > s.forgotten[from] {
 			s.cancelled[k] = true
 			s.cancels = append(s.cancels, cancelledAt{k, time.Now()})
 		}
