--- a/cmd/vanillagrade/golden_test.go
+++ b/cmd/vanillagrade/golden_test.go
@@ -40,7 +40,7 @@
 	{regexp.MustCompile(`\b\d\d:\d\d:\d\d\.\d{3}\b`), "TIME"},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`"(ran_ms|retry_after_ms)":[\d.]+`), `"$1":N`},
-	{regexp.MustCompile(`(\+|after |wait of |over |since )(\d+h)?(\d+m)?\d+(\.\d+)?(ns|µs|ms|s)\b`), "${1}DURATION"},
+	{regexp.MustCompile(`(\+|after |wait of |over |since |silent for )(\d+h)?(\d+m)?\d+(\.\d+)?(ns|µs|ms|s)\b`), "${1}DURATION"},
 	{regexp.MustCompile(`DURATION +`), "DURATION "},
 	{regexp.MustCompile(` over DURATION`), ""},
 	{regexp.MustCompile(`"target":"[\w-]+"`), `"target":"ONE"`},
