--- /dev/null
+++ b/internal/registrar/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package registrar
+
+const raceDivisor = 1
