--- a/internal/holder/fleet_test.go
+++ b/internal/holder/fleet_test.go
@@ -28,27 +28,30 @@
 	most    map[job.TargetID]int
 	on      map[job.TargetID]int
 	stops   []string
-	closed  int
+	closed  map[string]bool // by address
+	at      map[string]int  // tasks given, by address
 	// answer decides how a task ends; nil is done after taskTime.
 	answer func(id job.TargetID, t target.Task) target.Result
 }
 
 type fakeTarget struct {
-	fleet *fleet
-	id    job.TargetID
+	fleet   *fleet
+	id      job.TargetID
+	address string
 }
 
 func newFleet() *fleet {
-	return &fleet{starts: map[string]int{}, running: map[job.TargetID]int{}, most: map[job.TargetID]int{}, on: map[job.TargetID]int{}}
+	return &fleet{starts: map[string]int{}, running: map[job.TargetID]int{}, most: map[job.TargetID]int{}, on: map[job.TargetID]int{}, closed: map[string]bool{}, at: map[string]int{}}
 }
 
-func (f *fleet) connect(t job.Target) Connection { return &fakeTarget{f, t.ID} }
+func (f *fleet) connect(t job.Target) Connection { return &fakeTarget{f, t.ID, t.Address} }
 
 func (c *fakeTarget) Start(_ context.Context, t target.Task) target.Result {
 	f := c.fleet
 	f.mu.Lock()
 	f.starts[target.TaskName(t.Submission, t.Index)]++
 	f.on[c.id]++
+	f.at[c.address]++
 	f.running[c.id]++
 	f.most[c.id] = max(f.most[c.id], f.running[c.id])
 	answer := f.answer
@@ -87,7 +90,7 @@
 func (c *fakeTarget) Close() {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	c.fleet.closed++
+	c.fleet.closed[c.address] = true
 }
 
 var file = &config.File{Number: 1, Services: []config.Service{
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -229,6 +230,28 @@
 	}
 }
 
+// Every request to a pool fails, its targets being cut off. Sent again without
+// bound, the requests would multiply the load just when nothing works.
+func TestRetriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.answer = func(job.TargetID, target.Task) target.Result {
+			time.Sleep(taskTime)
+			return erred()
+		}
+		h := newHolder(f, "1", "2", "3")
+		const requests = 200
+		for i := range requests {
+			b := batchOf(job.ID(fmt.Sprint(i)), 1)
+			b.Service, b.Single = "again", true
+			h.Offer(b, func([]job.TaskOutcome) {})
+		}
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+		retried := h.Stats().Retried
+		qt.Assert(t, retried > 0 && retried <= requests/10, qt.IsTrue, qt.Commentf("%d retries", retried))
+	})
+}
+
 // A target withdraws or moves to another holder under load. It must get
 // nothing new, its running tasks must count, and when it was the last one, the
 // queue must go back to the owner, who knows other holders.
@@ -292,6 +315,10 @@
 		h.Offer(batchOf("k", 20), func([]job.TaskOutcome) {})
 		synctest.Wait()
 		f.check(t, 8)
+		f.mu.Lock()
+		qt.Check(t, f.at, qt.DeepEquals, map[string]int{"10.0.0.1:1": 6, "10.0.0.2:1": 2})
+		qt.Check(t, f.closed, qt.DeepEquals, map[string]bool{"10.0.0.1:1": true})
+		f.mu.Unlock()
 		other := moved
 		other.Pool = "q"
 		h.SetTarget(other)
