--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -38,7 +38,7 @@
 
 // Parse reads and checks a whole file. name stands in the messages. Its error
 // is Problems with everything that is wrong; a wrong file gives no File, so
-// nothing of it can take effect.
+// no part of it can be applied.
 func Parse(name string, data []byte) (*File, error) {
 	d := &decoder{name: name}
 	tokens := d.tokens(data)
--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -84,9 +84,9 @@
 	})
 }
 
-// A voter is silently cut off, alone or with others of its zone. It must refuse
-// changes, serve on with its last file, say that it is stale and since when, and
-// catch up within seconds after the cut, without ever going back.
+// A network partition separates a voter, and a learner of its zone, for an hour.
+// They must refuse changes, keep serving by their last file, report it as stale
+// since the partition began, and catch up within seconds after the cut, without ever going back.
 func TestVoterCutOffForLong(t *testing.T) {
 	scenario(t, 3, 3, func(t *testing.T, f *fleet) {
 		f.cut(true, "v3", "l3")
