--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	mathrand "math/rand/v2"
 	"slices"
 	"time"
@@ -59,12 +60,12 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answer pulled
-	req := pull{Version: r.held()}
+	req := pull{Version: r.kept()}
 	if err := r.mesh.Call(ctx, from, peer.ConfigPull, req, &answer); err != nil {
 		return
 	}
 	r.contact(from)
-	if answer.Newer == nil {
+	if answer.Newer == nil || r.isForeign(from, answer.Newer) {
 		return
 	}
 	if r.diskWorks() && answer.Self.Identity != "" {
@@ -76,12 +77,43 @@
 	r.putAndTell(answer.Newer)
 }
 
+// isForeign reports whether a snapshot belongs to another fleet, and has State
+// say so: an entry with the data folder of another fleet would otherwise serve
+// by an old file for ever, and look well.
+func (r *Register) isForeign(from job.EntryID, s *snapshot) bool {
+	mine := r.current.Load()
+	foreign := ""
+	if mine != nil && mine.Lineage != s.Lineage {
+		foreign = fmt.Sprintf("entry %s belongs to another fleet than this data folder or configuration", from)
+	}
+	r.mu.Lock()
+	news := foreign != r.foreign
+	r.foreign = foreign
+	r.mu.Unlock()
+	if news && foreign != "" {
+		r.log.Error("two fleets share a network", "peer", from, "lineage", s.Lineage)
+	}
+	return foreign != ""
+}
+
 func (r *Register) diskWorks() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.hasDisk && r.problem == ""
 }
 
+// kept returns the version that this entry needs no more news of: that in
+// force, or the one on its disk where that is behind.
+func (r *Register) kept() uint64 {
+	version := r.held()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hasDisk && r.problem == "" {
+		version = min(version, r.node.Chosen.Version)
+	}
+	return version
+}
+
 // held returns the version in force.
 func (r *Register) held() uint64 {
 	if s := r.current.Load(); s != nil {
@@ -175,7 +207,7 @@
 	now := time.Now()
 	for _, v := range voters {
 		r.mu.Lock()
-		silent := now.Sub(r.heard[v]) >= probeInterval
+		silent := now.Sub(r.heard[v]) >= silentAfter
 		r.mu.Unlock()
 		if v != r.self && (silent || v == picked) {
 			r.startProbe(ctx, v)
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -28,7 +28,8 @@
 	// Identity names this entry's disk; empty without one.
 	Identity string
 	Voters   []consensus.Voter
-	// Problem says why a data folder is not used or not written.
+	// Problem says why a data folder is not used or not written, or that the
+	// entry met another fleet.
 	Problem string
 	// Serving says all this in one line.
 	Serving string
@@ -44,18 +45,26 @@
 	}
 	r.mu.Lock()
 	out.Problem = r.problem
+	if out.Problem == "" {
+		out.Problem = r.foreign
+	}
+	var self consensus.Voter
 	if r.node != nil {
-		out.Voter = r.node.Voting()
-		out.Identity = string(r.node.Self.Identity)
+		self = r.node.Self
 	}
 	r.mu.Unlock()
+	out.Identity = string(self.Identity)
 	if s := r.current.Load(); s != nil {
+		out.Voter = slices.Contains(s.Voters, self)
 		out.Version, out.Voters = s.Version, s.Voters
 		out.Number, out.ChangeID, out.Since = s.Change.Number, s.Change.ID, s.since
 		if s.Change.Number > 0 {
 			out.Digest = s.Change.Digest.String()
 		}
 	}
+	if out.Problem == "" && out.Identity != "" && !out.Voter && slices.Contains(out.VoterEntries(), r.self) {
+		out.Problem = "the data folder is not the one that votes under this name; replace-voter gives it the place"
+	}
 	out.Serving = out.line()
 	return out
 }
@@ -69,7 +78,7 @@
 		line += fmt.Sprintf("; stale: no majority of the voters heard since %s", s.StaleSince.UTC().Format(time.RFC3339))
 	}
 	if s.Problem != "" {
-		line += "; does not vote: " + s.Problem
+		line += "; problem: " + s.Problem
 	}
 	return line
 }
