--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -18,13 +18,14 @@
 	}
 	e.lives = lives{}
 	e.members = membership.New(membership.Options{
-		Mesh:   e.links,
-		Peers:  peers,
-		Log:    e.log,
-		Events: e.ring,
-		Config: e.register,
-		Loads:  e.holder.Loads,
-		Linked: e.links.Up,
+		Mesh:    e.links,
+		Peers:   peers,
+		Log:     e.log,
+		Events:  e.ring,
+		Config:  e.register,
+		Loads:   e.holder.Loads,
+		Linked:  e.links.Up,
+		Refused: e.links.Refused,
 	})
 }
 
