Keep a queue short when it stands

A deadline of two seconds let the queue of an overload grow to what fits in it, and everybody waited that long, though as much is refused with a short queue as with a long one. The bounds of urgent and interactive work now shrink to an eighth while the queue doesn't empty.

A burst after a quiet time may wait as before; batch work is left out, else it was refused beside urgent work (TestBatchIsNotStarved showed it).

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -52,6 +52,8 @@
 	// waited for LeastAfter, whatever more urgent work there is.
 	Least      float64
 	LeastAfter time.Duration
+	// Standing is for how long the class has had waiting tasks without a break.
+	Standing time.Duration
 }
 
 // Request is the job as far as admission goes.
@@ -102,7 +104,7 @@
 		return withDeadline(v, b, r)
 	}
 	// A job that runs for a second and more can wait for as long as it runs.
-	bound := Bound(r.Urgency) + finish - wait
+	bound := Bound(r.Urgency)/time.Duration(tightening(b, r)) + finish - wait
 	if wait <= bound {
 		v.Admit = true
 		return v
@@ -125,9 +127,33 @@
 // 255 jobs were answered in time with 2, 3, 4 and 6.
 const waitDoubt = 4
 
+// A queue that comes from a burst is worth its wait: it empties soon. One that
+// stands for seconds only makes everybody wait, since as much is refused with a
+// short queue as with a long one. So after standingFrom the bound shrinks, until
+// it is an eighth at eight times that.
+//
+// Measured at twice the capacity with a deadline of 2 s, goodput and median and
+// 99th-percentile stretch were 96.7%, 1.50 and 5.1 without it, 95.7%, 1.25 and
+// 3.2 with a half, 95.8%, 1.13 and 2.2 with a quarter, 97.7%, 1.07 and 1.9 with
+// an eighth, 97.6%, 1.04 and 1.9 with a sixteenth (TestOverload).
+const (
+	standingFrom  = time.Second
+	maxTightening = 8
+)
+
+// tightening is by how much the bound shrinks. Nobody sits waiting for batch
+// work, so there a standing queue is as good as any.
+func tightening(b Backlog, r Request) int {
+	if r.Urgency == job.UrgencyBatch {
+		return 1
+	}
+	return int(min(maxTightening, max(1, b.Standing/standingFrom)))
+}
+
 func withDeadline(v Verdict, b Backlog, r Request) Verdict {
 	alone := v.Finish - v.Wait
-	if alone+waitDoubt*v.Wait <= r.Remaining {
+	doubt := time.Duration(waitDoubt * tightening(b, r))
+	if alone+doubt*v.Wait <= r.Remaining {
 		v.Admit = true
 		return v
 	}
@@ -136,7 +162,7 @@
 		return v
 	}
 	v.Reason = job.Overloaded
-	v.RetryAfter = retryAfter(v.Wait - (r.Remaining-alone)/waitDoubt)
+	v.RetryAfter = retryAfter(v.Wait - (r.Remaining-alone)/doubt)
 	return v
 }
 
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -106,16 +106,16 @@
 		p.forget(b)
 		return false
 	}
-	p.putBack(b, t, tg)
+	p.putBack(now, b, t, tg)
 	return true
 }
 
-func (p *Pool) putBack(b *batch, t *task, refusedBy *target) {
+func (p *Pool) putBack(now time.Time, b *batch, t *task, refusedBy *target) {
 	t.avoid = append(t.avoid, refusedBy)
 	p.unqueue(b)
 	t.state = taskQueued
 	b.giveBack(t)
-	p.enqueue(b)
+	p.enqueue(now, b)
 	p.watchDeadline(b)
 }
 
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -41,7 +41,7 @@
 		return v
 	}
 	p.batches[key] = b
-	p.enqueue(b)
+	p.enqueue(now, b)
 	p.watchDeadline(b)
 	return Verdict{Accepted: true}
 }
@@ -147,7 +147,7 @@
 // leave.
 func (p *Pool) backlog(now time.Time, b *batch) admission.Backlog {
 	c := &p.classes[b.class]
-	out := admission.Backlog{Slots: int(p.slots), Free: p.free, Team: c.team(b.team).ahead(b.ownClass()), Share: c.lanes[b.lane()].Share(b.team)}
+	out := admission.Backlog{Slots: int(p.slots), Free: p.free, Team: c.team(b.team).ahead(b.ownClass()), Share: c.lanes[b.lane()].Share(b.team), Standing: c.standing(now)}
 	for u := int(b.class) + 1; u < classes; u++ {
 		out.Slots -= p.classes[u].running
 	}
--- a/internal/scheduler/patterns_test.go
+++ b/internal/scheduler/patterns_test.go
@@ -161,6 +161,7 @@
 	qt.Check(t, goodput(on) > 0.95, qt.IsTrue)
 	qt.Check(t, goodput(off) < 0.8*goodput(on), qt.IsTrue)
 	qt.Check(t, on.failed*20 < on.sent, qt.IsTrue)
+	qt.Check(t, on.p99 < 2.5, qt.IsTrue)
 	urgent := last.figures("urgent", 2*time.Second, end)
 	qt.Check(t, urgent.p99 < 1.5, qt.IsTrue)
 	qt.Check(t, urgent.inTime, qt.Equals, urgent.sent)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -34,6 +34,16 @@
 	queued   int
 	running  int
 	longRuns int
+	// since is when the class last had no waiting task.
+	since time.Time
+}
+
+// standing is for how long tasks of the class have waited without a break.
+func (c *class) standing(now time.Time) time.Duration {
+	if c.queued == 0 {
+		return 0
+	}
+	return now.Sub(c.since)
 }
 
 // teamWork is one team's queued work in seconds, by the size of its jobs.
@@ -189,7 +199,7 @@
 	p.hold(b, -b.running)
 	b.class = to
 	p.hold(b, b.running)
-	p.enqueue(b)
+	p.enqueue(now, b)
 }
 
 func (p *Pool) classOf(svc config.Service) job.Urgency {
@@ -220,11 +230,14 @@
 }
 
 // enqueue puts a batch's queued tasks before the scheduler.
-func (p *Pool) enqueue(b *batch) {
+func (p *Pool) enqueue(now time.Time, b *batch) {
 	if b.queued() == 0 {
 		return
 	}
 	c := &p.classes[b.class]
+	if c.queued == 0 {
+		c.since = now
+	}
 	c.lanes[b.lane()].Push(b.team, &b.item)
 	p.countQueued(b, b.queued(), b.queuedWork())
 }
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -155,6 +155,33 @@
 	qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 12, "b": 4})
 }
 
+// A burst comes after a quiet time, another while the queue has stood for
+// seconds. The first may wait, since the queue empties soon; the second would
+// only make everybody wait.
+func TestBurstMayWaitAStandingQueueMayNot(t *testing.T) {
+	p := smallPool(4, 8)
+	fill := func(at time.Time) (taken int) {
+		for ; ; taken++ {
+			if !p.Offer(at, batchOf(fmt.Sprint(at.UnixNano(), "-", taken), "thumb", 1)).Accepted {
+				return taken
+			}
+			p.Next(at)
+		}
+	}
+	qt.Assert(t, p.Offer(epoch, batchOf("early", "thumb", 1)).Accepted, qt.IsTrue)
+	p.Finished(epoch, p.Next(epoch).Starts[0].Key, ranFor(200*time.Millisecond))
+	first := fill(at(60_000)) - 32
+	for k := range p.batches {
+		for i := range p.batches[k].tasks {
+			p.Finished(at(68_000), Key{owner, k.id, i}, ranFor(200*time.Millisecond))
+		}
+	}
+	qt.Assert(t, p.queued, qt.Equals, first)
+	qt.Assert(t, p.Next(at(68_000)).Starts, qt.HasLen, 32)
+	qt.Assert(t, first > 60, qt.IsTrue, qt.Commentf("%d", first))
+	qt.Assert(t, fill(at(68_000)) < first/4, qt.IsTrue)
+}
+
 // A hot team leaves the last slots to others. An owner that were told of them
 // as free would send the hot team's next tasks here, to queue beside them.
 func TestSlotsLeftFreeAreNotOffered(t *testing.T) {
