--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -50,8 +50,6 @@
 	Entry job.EntryID `json:"entry"`
 	Zone  job.Zone    `json:"availability_zone"`
 	State MemberState `json:"state"`
-	// Configuration is the number that it last said is in force there.
-	Configuration uint64 `json:"configuration,omitempty"`
 }
 
 // Target is one target that this entry holds.
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -62,7 +62,7 @@
 	for want, change := range map[string]func(*Sources){
 		"this entry is draining: it takes no new work":             func(s *Sources) { s.Draining = func() bool { return true } },
 		"no configuration is in force: apply a first file":         func(s *Sources) { s.Configuration = nil },
-		"entry b1 in b is suspect":                                 func(s *Sources) { s.Members = func() []Member { return []Member{{"b1", "b", Suspect, 0}} } },
+		"entry b1 in b is suspect":                                 func(s *Sources) { s.Members = func() []Member { return []Member{{"b1", "b", Suspect}} } },
 		"no target of pool q is announced at any entry known here": func(s *Sources) { s.Holders = nil },
 		"the configuration may be stale since 2026-01-02T03:04:05Z: no majority of the voters can be reached": func(s *Sources) {
 			s.Configuration = func() Configuration { return Configuration{Number: 1, Stale: true, StaleSince: since} }
--- a/internal/status/write.go
+++ b/internal/status/write.go
@@ -70,13 +70,13 @@
 	if len(st.Members) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "member\tavailability zone\tstate\tvotes\tconfiguration")
+	fmt.Fprintln(w, "member\tavailability zone\tstate\tvotes")
 	for _, m := range st.Members {
 		votes := ""
 		if voters[string(m.Entry)] {
 			votes = "yes"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.Entry, m.Zone, m.State, votes, m.Configuration)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", m.Entry, m.Zone, m.State, votes)
 	}
 }
 
