Let the only entry of a zone serve on when the zone is cut off

Seven entry VMs over four zones leave a zone with one of them. An entry with no other configured in its zone has nobody there who could have taken its work over, so it goes on. What another zone may have started is still said to be unknown there. Zones with two and more entries decide as before.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -199,13 +199,25 @@
 	return m
 }
 
+// hasZoneMate reports whether another entry is configured in this one's zone.
+func (d *Detector) hasZoneMate() bool {
+	for _, p := range d.peers {
+		if p.Zone == d.self.Zone {
+			return true
+		}
+	}
+	return false
+}
+
 // isolated reports whether this entry was cut off: it has heard others in this
 // life, hears none now, and not all of them provably ended. With one other
 // entry in the whole fleet nothing tells a cut from the other's death, and
-// going on is worth more.
+// going on is worth more. Nor is an entry isolated that is the only one of its
+// zone: no other entry there could have taken its work over, and a zone that is
+// cut off has to go on serving.
 func (d *Detector) isolated(refused func(job.EntryID) bool) bool {
 	const fewest = 2
-	if len(d.peers) < fewest {
+	if len(d.peers) < fewest || !d.hasZoneMate() {
 		return false
 	}
 	met, away := false, false
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -68,8 +68,9 @@
 	Self    Member
 	// List holds all configured entries, this one included, by name.
 	List []Member
-	// Isolated is set while this entry hears nobody although it has: it is more
-	// likely cut off itself than the only one left.
+	// Isolated is set while this entry hears nobody although it has, and others
+	// are configured in its zone: it is more likely cut off itself than the only
+	// one left.
 	Isolated bool
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -158,6 +158,20 @@
 	})
 }
 
+// A zone has a single entry and is cut off from all others for long. Nobody
+// else can serve its callers and targets; if it took itself for the one that is
+// lost, they would all be refused until the link is back.
+func TestOnlyEntryOfZoneGoesOnWhenCutOff(t *testing.T) {
+	run(t, func(f *fleet) {
+		for _, other := range []job.EntryID{"a", "b", "c"} {
+			f.net.CutBoth("d", other, true)
+		}
+		f.pass(time.Minute)
+		qt.Assert(t, f.views("d", "a", "b", "c"), qt.Equals, "dead dead dead ")
+		qt.Assert(t, f.members["d"].View().Isolated, qt.IsFalse)
+	})
+}
+
 // An entry is stopped as planned. From the first moment it may not be given
 // targets, yet while it finishes its work it is no dead owner; after its last
 // word nobody waits for it.
