Don't let a restarted entry speak for its earlier life

Cause: an owner died and its next life was up before its peers had missed the first. A registrar's record named the old life; the entry that got the resubmission asked it whether the submission was its own, the new life, which knew nothing, said no, the record was dropped and the tasks were started a second time. Seen as 'no registrar' in the test of a synced job through a restart, and as a second start in TestOwnerRestartedBeforeItIsMissed. Ruled out: the keeper, whose grants were right throughout. Change: the question names the life that is meant, and another life refuses it; the asking entry waits until its view calls the old life over. Before: the new test's resubmission ran the job again. After: it is answered as taken over. Also: an answer that this entry's own keeper holds is given without asking registrars, whose memory a restart of the whole zone empties; and a refusal that says to come back later is 503.

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -60,6 +60,10 @@
 	if a.Outcome == job.Complete {
 		return http.StatusOK
 	}
+	if a.Outcome == job.Refused && a.Reason == job.OwnerLost {
+		// Whoever drives the submission on has the answer later.
+		return http.StatusServiceUnavailable
+	}
 	if code, ok := statusByReason[a.Reason]; ok {
 		return code
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -34,10 +34,20 @@
 // the time that its answer takes: a driver that is found is waited for.
 const findTime = 2 * time.Second
 
+// kept returns the answer of a kept submission that this entry's keeper has.
+func (e *Entry) kept(f *pipeline.Flow) (job.Answer, bool) {
+	s := f.Submission
+	a, digest, ok := e.keeper.Answer(s.ID)
+	if ok && digest != s.Digest {
+		return job.Refuse(s.ID, job.IDReused, "the id names a kept submission with other content", 0), true
+	}
+	return a, ok
+}
+
 // find asks the entries that could keep a submission for its answer.
 func (e *Entry) find(ctx context.Context, f *pipeline.Flow) (job.Answer, bool) {
 	id := f.Submission.ID
-	if a, _, ok := e.keeper.Answer(id); ok {
+	if a, ok := e.kept(f); ok {
 		return a, true
 	}
 	view := e.members.View()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,7 +214,7 @@
 		e.record,
 		e.check,
 		e.join,
-		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Find: e.find, Events: e.ring},
+		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Kept: e.kept, Find: e.find, Events: e.ring},
 		e.admit,
 		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.ring},
 		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
--- a/internal/fleet/keep_test.go
+++ b/internal/fleet/keep_test.go
@@ -21,19 +21,25 @@
 	return ""
 }
 
+// maxAttempts bounds how often a test's caller comes back.
+const maxAttempts = 100
+
 // untilAnswered sends later attempts to an entry until one has an outcome other
 // than "come back later".
 func untilAnswered(t *testing.T, address, body string) *reply {
 	t.Helper()
-	for n := 2; ; n++ {
+	for n := 2; n < maxAttempts; n++ {
 		r, err := send(http.DefaultClient, address, attempt(body, n))
 		qt.Assert(t, err, qt.IsNil)
 		if r.status != http.StatusServiceUnavailable {
 			return r
 		}
 		qt.Assert(t, r.other.Run, qt.Equals, "may have run")
-		time.Sleep(50 * time.Millisecond)
+		t.Logf("attempt %d: %+v", n, r.other)
+		time.Sleep(100 * time.Millisecond)
 	}
+	t.Fatal("no outcome after all attempts")
+	return nil
 }
 
 // The entry that accepted a spill forecast dies with its VM while targets held
--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -26,6 +26,9 @@
 	Owned func(job.ID)
 	// Collect waits a while for the results of a lost owner's tasks.
 	Collect func(ctx context.Context, lost job.Owner, id job.ID, tasks []int, held []job.TaskOutcome) []job.TaskOutcome
+	// Kept returns this entry's own kept answer of the submission, or the
+	// refusal of an id whose kept answer is of other content.
+	Kept func(f *Flow) (job.Answer, bool)
 	// Find asks the keepers for the answer of a kept submission whose owner is
 	// lost.
 	Find   func(ctx context.Context, f *Flow) (job.Answer, bool)
@@ -53,6 +56,11 @@
 		c.Owned(s.ID)
 		return next(ctx, f)
 	}
+	if f.Service.Keep != job.KeepMemory {
+		if a, ok := c.Kept(f); ok {
+			return a
+		}
+	}
 	pause := firstClaimPause
 	for began := time.Now(); time.Since(began) < claimBound; {
 		d, err := c.Registrar.Claim(ctx, s)
--- a/internal/registrar/drive.go
+++ b/internal/registrar/drive.go
@@ -182,7 +182,7 @@
 func (r *Registrar) askRival(ctx context.Context, a reply, sub *job.Submission, replies chan<- reply) {
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a.err = r.opts.Mesh.Call(call, a.asked.Entry, peer.RegistrarYield, yieldRequest{ID: sub.ID, Digest: sub.Digest}, &a.answer)
+	a.err = r.opts.Mesh.Call(call, a.asked.Entry, peer.RegistrarYield, yieldRequest{ID: sub.ID, Digest: sub.Digest, Of: a.asked}, &a.answer)
 	send(ctx, replies, a)
 }
 
--- a/internal/registrar/messages.go
+++ b/internal/registrar/messages.go
@@ -75,6 +75,8 @@
 	ID job.ID `cbor:"1,keyasint"`
 	// Digest is the content that the asking entry would start.
 	Digest job.Digest `cbor:"2,keyasint"`
+	// Of is the life of the entry that is meant.
+	Of job.Owner `cbor:"3,keyasint"`
 }
 
 // yieldVerdict is the owner's word.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -220,6 +220,13 @@
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "decoding a request to yield")
 	}
+	if req.Of != r.self {
+		// This life of the entry knows nothing of what an earlier one started.
+		// To say "not mine" would drop the record of it, and the submission
+		// would start a second time. The asking entry waits until its view
+		// calls the earlier life over.
+		return nil, errors.Errorf("entry %s of incarnation %d is asked about incarnation %d", r.self.Entry, r.self.Incarnation, req.Of.Incarnation)
+	}
 	s := r.shard(req.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -346,3 +346,30 @@
 	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{2}}).Verdict, qt.Equals, yieldMine)
 	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{1}}).Verdict, qt.Equals, yieldYours)
 }
+
+// pairs has two entries a zone: every record stands at both.
+var pairs = map[job.EntryID]job.Zone{"a": "z", "b": "z", "d": "y", "e": "y"}
+
+// An owner's process dies and its next life is up before anybody has missed the
+// first one. Its caller sends the id again at once. The new life knows nothing
+// of the submission; if its word counted for the old one, the record would be
+// dropped, and nobody could tell any more that its tasks were started.
+func TestOwnerRestartedBeforeItIsMissed(t *testing.T) {
+	withFleet(t, pairs, func(f *fleet) {
+		for _, id := range each("quick") {
+			f.entries["a"].send(submission(id, 1))
+			f.pass(f.takes / 10)
+			f.kill("a")
+			f.net.SetDrop(func(from, _ job.EntryID, kind peer.Kind, _ bool) bool { return from == "a" && kind == peer.Heartbeat })
+			f.start("a")
+			again := f.entries["b"].send(submission(id, 2))
+			f.pass(f.takes / 10)
+			f.net.SetDrop(nil)
+			qt.Assert(t, <-again, qt.Equals, taken)
+			for n, at := range []job.EntryID{"b", "d", "a", "e"} {
+				qt.Assert(t, f.entries[at].submit(submission(id, 2+n)), qt.Equals, taken, qt.Commentf("at %s", at))
+			}
+		}
+		f.check()
+	})
+}
