--- a/internal/scheduler/patterns_test.go
+++ b/internal/scheduler/patterns_test.go
@@ -132,6 +132,25 @@
 	qt.Check(t, off.p99 > 1.1, qt.IsTrue)
 }
 
+// A small pool, short tasks and a hot team at three times the capacity, as the
+// load tool plays it through entries. A wait of 30 ms is a third of such a task.
+func TestHotCallerWithShortTasks(t *testing.T) {
+	t.Parallel()
+	short := between(50*ms, 160*ms)
+	play := func(o Options) figures {
+		s := newSim(o, 12, 8, nil)
+		s.run(mix(
+			load{group: "quiet", team: "quiet1", service: "thumb", until: 12 * time.Second, tasksPerSecond: 100, tasks: 1, run: short, deadline: 2 * time.Second},
+			load{group: "quiet", team: "quiet2", service: "thumb", until: 12 * time.Second, tasksPerSecond: 100, tasks: 1, run: short, deadline: 2 * time.Second},
+			load{group: "hot", team: "hot", service: "thumb", until: 12 * time.Second, tasksPerSecond: 3 * 96 / 0.095, tasks: 1, run: short, deadline: 2 * time.Second},
+		))
+		return s.figures("quiet", 3*time.Second, 12*time.Second)
+	}
+	on, off, _ := compare(t, Options{NoHeadroom: true}, play)
+	qt.Check(t, on.p99 < 1.1, qt.IsTrue)
+	qt.Check(t, off.p99 > on.p99, qt.IsTrue)
+}
+
 // Twice what the pool can do arrives for twenty seconds. Without admission
 // each answer is late; with it, the pool does as much useful work as ever, the
 // rest is refused at once, urgent work is on time, and after the overload
