Take callers for one team where the file names none

With a new team name for each job a caller was never refused: each name had nothing waiting and so no wait to expect. The names also filled a map for as long as the queue did not empty. Without teams in the file all callers are one team now, as the configuration says, and a team of which nothing waits is forgotten. The test is red without the change.

The tests' file now names its teams.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -24,6 +24,7 @@
 	p := smallPool(targets, 8)
 	f := testFile()
 	f.Limits.MaxQueuedTasks = 1 << 20
+	f.Teams = nil
 	for i := range teams {
 		f.Teams = append(f.Teams, config.Team{Name: fmt.Sprint("t", i), Weight: 1 + i%3})
 	}
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -52,7 +52,9 @@
 		key: key, meta: m, team: m.Team, class: p.classOf(svc), arrived: now.Add(-m.Waited),
 		flagLate: svc.FlagLate, repeatable: svc.Repeatable,
 	}
-	if p.opts.NoFairness {
+	// Without teams in the file all callers are one team: names that callers
+	// make up would each be a quiet team with nothing waiting, and never refused.
+	if p.opts.NoFairness || p.file == nil || len(p.file.Teams) == 0 {
 		b.team = ""
 	}
 	if m.Remaining > 0 {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -52,21 +52,27 @@
 	bySize [ownClasses]float64
 }
 
-func (c *class) team(name string) *teamWork {
-	w := c.teams[name]
+// count adds to a team's queued work. A team of which none waits is forgotten:
+// where no team is configured callers choose the names.
+func (c *class) count(team string, size, tasks int, work float64) {
+	w := c.teams[team]
 	if w == nil {
 		w = &teamWork{}
-		c.teams[name] = w
+		c.teams[team] = w
 	}
-	return w
-}
-
-func (w *teamWork) add(size, tasks int, work float64) {
 	w.queued += tasks
 	w.bySize[size] = max(0, w.bySize[size]+work)
 	if w.queued == 0 {
-		*w = teamWork{}
+		delete(c.teams, team)
+	}
+}
+
+// team returns a team's queued work, to be read only.
+func (c *class) team(name string) *teamWork {
+	if w := c.teams[name]; w != nil {
+		return w
 	}
+	return &teamWork{}
 }
 
 // ahead is the work that goes before a job of the given size: that of jobs up
@@ -268,7 +274,7 @@
 	c.waiting[b.lane()] += tasks
 	p.queued += tasks
 	c.work[b.lane()] = max(0, c.work[b.lane()]+work)
-	c.team(b.team).add(b.ownClass(), tasks, work)
+	c.count(b.team, b.ownClass(), tasks, work)
 	if c.queued == 0 {
 		// The sums are of floating point numbers: an empty queue is exact.
 		c.work = [lanes]float64{}
