Look for and cancel submissions through any entry

Cause: GET and DELETE /v1/jobs/{id} answered 404 unless the balancer happened to pick the job's owner. Change: the asked entry asks all other live ones side by side; the one that drives the submission answers or takes it back. Only callers that come to another entry cost these messages.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -18,19 +18,6 @@
 	return e.chain(ctx, &pipeline.Flow{Submission: s})
 }
 
-// Look implements api.Dispatcher.
-func (e *Entry) Look(ctx context.Context, id job.ID) (api.JobStatus, bool) {
-	if e.join.Has(id) {
-		return api.JobStatus{ID: id, State: api.StateRunning, Owner: e.self.Entry}, true
-	}
-	return api.JobStatus{}, false
-}
-
-// Cancel implements api.Dispatcher.
-func (e *Entry) Cancel(ctx context.Context, id job.ID) bool {
-	return e.join.Cancel(id)
-}
-
 // Ready implements api.Dispatcher.
 func (e *Entry) Ready() error {
 	if e.check.Draining() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -210,6 +210,7 @@
 	e.join = &pipeline.Join{Events: e.ring}
 	e.admit = pipeline.NewAdmit(e.ring)
 	e.assembleClaims()
+	e.serveSearches()
 	e.chain = pipeline.Chain(
 		e.record,
 		e.check,
@@ -366,3 +367,6 @@
 
 // Load returns the load of the pool's targets that this entry holds.
 func (e *Entry) Load(pool string) job.HolderLoad { return e.holder.Load(pool) }
+
+// Driving returns how many submissions this entry drives.
+func (e *Entry) Driving() int { return e.join.Driving() }
--- /dev/null
+++ b/internal/entry/look.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+)
+
+// searchTime bounds the search for a submission at the other entries.
+const searchTime = 2 * time.Second
+
+// errNotHere is an entry's answer about a submission that it does not have.
+const errNotHere = errors.ConstError("the submission is not here")
+
+// serveSearches lets callers of other entries look for and cancel submissions
+// that this one drives.
+func (e *Entry) serveSearches() {
+	e.links.Handle(peer.SubmissionLook, func(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+		var id job.ID
+		if err := cbor.Unmarshal(body, &id); err != nil {
+			return nil, errors.Trace(err)
+		}
+		status, ok := e.lookHere(id)
+		if !ok {
+			return nil, errNotHere
+		}
+		return status, nil
+	})
+	e.links.Handle(peer.SubmissionCancel, func(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+		var id job.ID
+		if err := cbor.Unmarshal(body, &id); err != nil {
+			return nil, errors.Trace(err)
+		}
+		if !e.join.CancelOwned(id) {
+			return nil, errNotHere
+		}
+		return true, nil
+	})
+}
+
+// Look implements api.Dispatcher.
+func (e *Entry) Look(ctx context.Context, id job.ID) (api.JobStatus, bool) {
+	if status, ok := e.lookHere(id); ok {
+		return status, true
+	}
+	return search[api.JobStatus](ctx, e, peer.SubmissionLook, id)
+}
+
+func (e *Entry) lookHere(id job.ID) (api.JobStatus, bool) {
+	if e.join.HasOwned(id) {
+		return api.JobStatus{ID: id, State: api.StateRunning, Owner: e.self.Entry}, true
+	}
+	a, ok := e.registrar.Retained(id)
+	if !ok {
+		a, _, ok = e.keeper.Answer(id)
+	}
+	if !ok {
+		return api.JobStatus{}, false
+	}
+	return api.JobStatus{
+		ID: id, State: api.StateFinished, Owner: e.self.Entry,
+		Outcome: a.Outcome, Run: a.Run.String(), Reason: a.Reason,
+	}, true
+}
+
+// Cancel implements api.Dispatcher: the entry that drives the submission takes
+// it back, whichever entry was asked.
+func (e *Entry) Cancel(ctx context.Context, id job.ID) bool {
+	if e.join.CancelOwned(id) {
+		return true
+	}
+	_, ok := search[bool](ctx, e, peer.SubmissionCancel, id)
+	return ok
+}
+
+// search asks all other live entries side by side. Only a caller that comes to
+// another entry than its job's owner costs these messages.
+func search[T any](ctx context.Context, e *Entry, kind peer.Kind, id job.ID) (T, bool) {
+	ctx, cancel := context.WithTimeout(ctx, searchTime)
+	defer cancel()
+	view := e.members.View()
+	found := make(chan *T, len(view.List))
+	asked := 0
+	for _, m := range view.List {
+		if m.Entry == e.self.Entry || !m.Live() {
+			continue
+		}
+		asked++
+		go func() {
+			var answer T
+			if err := e.links.Call(ctx, m.Entry, kind, id, &answer); err != nil {
+				found <- nil
+				return
+			}
+			found <- &answer
+		}()
+	}
+	for range asked {
+		if answer := <-found; answer != nil {
+			return *answer, true
+		}
+	}
+	var none T
+	return none, false
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -220,3 +220,14 @@
 	qt.Assert(t, ledgers[0].Starts(), qt.Equals, before)
 	qt.Assert(t, f.Stop(), qt.IsNil)
 }
+
+// getJSON reads one JSON answer and returns its status.
+func getJSON(url string, into any) int {
+	response, err := http.Get("http://" + url)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(into)
+	return response.StatusCode
+}
--- a/internal/pipeline/join.go
+++ b/internal/pipeline/join.go
@@ -96,9 +96,10 @@
 	return job.Fail(id, job.CallerGone, "the caller hung up")
 }
 
-// Cancel takes a running submission back and reports whether it ran here.
-func (j *Join) Cancel(id job.ID) bool {
-	r := j.find(id)
+// CancelOwned takes a submission that this entry drives back and reports
+// whether there is one.
+func (j *Join) CancelOwned(id job.ID) bool {
+	r := j.findOwned(id)
 	if r == nil {
 		return false
 	}
@@ -133,8 +134,8 @@
 	}
 }
 
-// Has reports whether the submission runs here.
-func (j *Join) Has(id job.ID) bool { return j.find(id) != nil }
+// HasOwned reports whether this entry drives the submission.
+func (j *Join) HasOwned(id job.ID) bool { return j.findOwned(id) != nil }
 
 func (j *Join) findOwned(id job.ID) *running {
 	shard := j.shard(id)
@@ -146,20 +147,26 @@
 	return nil
 }
 
-func (j *Join) find(id job.ID) *running {
-	shard := j.shard(id)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	return shard.running[id]
+// Driving returns how many submissions this entry drives.
+func (j *Join) Driving() int {
+	return j.count(func(r *running) bool { return r.owned })
 }
 
 // Running returns how many submissions this entry works on.
 func (j *Join) Running() int {
+	return j.count(func(*running) bool { return true })
+}
+
+func (j *Join) count(counts func(*running) bool) int {
 	n := 0
 	for i := range j.shards {
 		shard := &j.shards[i]
 		shard.mu.Lock()
-		n += len(shard.running)
+		for _, r := range shard.running {
+			if counts(r) {
+				n++
+			}
+		}
 		shard.mu.Unlock()
 	}
 	return n
