--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -151,6 +151,9 @@
 	if former != nil && former != p {
 		former.removeTarget(t.ID)
 	}
+	if former == nil {
+		p.record(timeline.Event{Kind: timeline.TargetAnnounced, Target: t.ID, Cause: "held by this entry for pool " + t.Pool})
+	}
 	p.setTarget(t)
 }
 
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -84,7 +84,11 @@
 	}
 	switch ev.Kind {
 	case TaskQueued:
-		return fmt.Sprintf("%s queued%s", counted(ev.Count), why(ev))
+		owner := ""
+		if ev.Peer != "" && ev.Peer != ev.Entry {
+			owner = " for owner " + string(ev.Peer)
+		}
+		return fmt.Sprintf("%s queued%s%s", counted(ev.Count), owner, why(ev))
 	case TaskDropped:
 		return fmt.Sprintf("%s dropped before any start%s", counted(ev.Count), why(ev))
 	}
@@ -119,7 +123,6 @@
 	TargetLapsed:       "the lease of target %s lapsed",
 	TargetSuspect:      "target %s is suspected and gets only probes",
 	TargetHealthy:      "target %s is healthy again",
-	HolderChanged:      "targets change their holder to %s",
 	EntryAlive:         "entry %s is alive",
 	EntrySuspect:       "entry %s is suspected",
 	EntryDead:          "entry %s is taken for dead",
@@ -132,6 +135,9 @@
 }
 
 func fleetSentence(ev *Event) string {
+	if ev.Kind == HolderChanged {
+		return fmt.Sprintf("target %s goes to holder %s%s", ev.Target, ev.Peer, why(ev))
+	}
 	text, ok := fleetTexts[ev.Kind]
 	if !ok {
 		return string(ev.Kind) + why(ev)
--- a/internal/timeline/svg.go
+++ b/internal/timeline/svg.go
@@ -164,7 +164,8 @@
 func (p *svgPicture) receiptOf(sent int) *Event {
 	for i := sent + 1; i < len(p.events); i++ {
 		ev := &p.events[i]
-		if ev.Kind == BatchReceived && ev.Entry == p.events[sent].Peer && ev.Peer == p.events[sent].Entry {
+		received := ev.Kind == BatchReceived || ev.Kind == TaskQueued
+		if received && ev.Entry == p.events[sent].Peer && ev.Peer == p.events[sent].Entry {
 			return ev
 		}
 	}
