--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -33,3 +33,11 @@
 func (e *Entry) Apply(ctx context.Context, changeID string, body []byte) (register.Accepted, error) {
 	return e.register.Apply(ctx, changeID, body)
 }
+
+// Configuration returns the number of the configuration in force; 0 before any.
+func (e *Entry) Configuration() uint64 {
+	if file := e.config.Current(); file != nil {
+		return file.Number
+	}
+	return 0
+}
