Prove that a lost message is made up for and that an unknown disk does not vote

Switching off each rule once more showed two without a test of their own: the shorter silence after which a voter is probed, and the voter's side of counting by disk. Both tests fail without their code. A pull now also tells the asked entry that the asking one is ahead.

--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -121,6 +121,20 @@
 	qt.Assert(t, s.Attempt.Phase, qt.Equals, accepting)
 }
 
+// The other half of that rule: an empty disk that has caught up under a known
+// name must not answer as a voter either.
+func TestUnknownDiskDoesNotVote(t *testing.T) {
+	value := Value{Version: 1, Lineage: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	prepare := Message{Kind: MsgPrepare, From: value.Voters[0], To: "b", Version: 2, Ballot: Ballot{Round: 1, Entry: "a", Life: 1}}
+	for identity, replies := range map[Identity]int{"b#0": 1, "b#1": 0} {
+		s := Start(Record{Self: Voter{"b", identity}, Chosen: value}, nil, 1)
+		s, out := Step(s, Received{prepare})
+		s, after := Step(s, Synced{Seq: s.Issued})
+		qt.Assert(t, len(out.Messages)+len(after.Messages), qt.Equals, replies)
+		qt.Assert(t, s.Promised == prepare.Ballot, qt.Equals, replies == 1)
+	}
+}
+
 // An operator replaces a voter by an entry that can't be reached. Were it named
 // at once, the fleet would count on a copy that nobody has: the old voter must
 // stay until the new one holds everything.
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -53,3 +53,19 @@
 		})
 	}
 }
+
+// The one message that a voter needed is lost in a short cut, just after it had
+// heard from everybody. It must find out at its next probe, two seconds at most.
+func TestLostMessageIsMadeUpFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, 0)
+		defer f.stopAll()
+		time.Sleep(3 * time.Second)
+		for number := 1; number <= 20; number++ {
+			f.cut(true, "v1")
+			f.mustApply("v2", number)
+			f.cut(false, "v1")
+			f.inForce(uint64(number), probeInterval+50*time.Millisecond, f.entries...)
+		}
+	})
+}
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -152,10 +152,10 @@
 		return nil, errors.Annotate(err, "decoding a pull")
 	}
 	r.contact(from.Entry)
+	if req.Version > r.held() {
+		r.startPull(from.Entry)
+	}
 	if req.Hint {
-		if req.Version > r.held() {
-			r.startPull(from.Entry)
-		}
 		return nil, nil
 	}
 	var answer pulled
