--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -25,6 +25,8 @@
 services:
   - {name: thumbs, pool: desk, urgency: interactive, repeatable: true, deadline: 30s}
   - {name: alerts, pool: desk, urgency: urgent, repeatable: false, deadline: 30s}
+  - {name: spill, pool: desk, urgency: urgent, repeatable: false, keep: synced}
+  - {name: report, pool: desk, urgency: batch, repeatable: false, keep: replicated}
 `
 
 const testPool = "desk"
@@ -218,3 +220,14 @@
 	qt.Assert(t, ledgers[0].Starts(), qt.Equals, before)
 	qt.Assert(t, f.Stop(), qt.IsNil)
 }
+
+// getJSON reads one JSON answer and returns its status.
+func getJSON(url string, into any) int {
+	response, err := http.Get("http://" + url)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(into)
+	return response.StatusCode
+}
