Make the golden sessions give the same verdict every time

Three causes, each seen in a run of the check script or of the sessions: - The entry records a start before the task is on the wire, and scripts crashed the entry on that event: 'starts 1' saw 0. They now wait for the target's own count first; the check stays an equality. - Entries got ports that had been free a moment before, out of the range that the kernel gives to outgoing connections: one was taken meanwhile, and the session waited a minute for its entry.

--- a/cmd/vanillagrade/stage_test.go
+++ b/cmd/vanillagrade/stage_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/vanillagrade/vanillagrade/internal/fleet"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/standin"
 )
@@ -115,8 +115,9 @@
 	}
 }
 
+// freePort returns an address for an entry that is started later, as a process.
 func freePort(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := fleet.Listen()
 	ts.Check(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
@@ -291,6 +292,8 @@
 func (s *stage) starts(ts *testscript.TestScript, args []string) {
 	want, err := strconv.ParseUint(args[0], 10, 64)
 	ts.Check(err)
+	// The entry's event of a start comes before the target has the task.
+	s.await(ts, "starts "+args[0], func() bool { return s.ledger.Starts() >= want })
 	if got := s.ledger.Starts(); got != want {
 		ts.Fatalf("%d starts, expected %d", got, want)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -213,7 +213,7 @@
 
 func (m *member) open() error {
 	for _, l := range []*net.Listener{&m.listen.Caller, &m.listen.Peer, &m.listen.Operator} {
-		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		opened, err := Listen()
 		if err != nil {
 			return errors.Trace(err)
 		}
