--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -7,6 +7,11 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
+// maxResultBytes bounds the results of one job. A target may answer a task with
+// up to 16 MiB; without a bound on their sum one job of 1,900 tasks could end
+// the process, and with it every submission that it owns.
+const maxResultBytes = 64 << 20
+
 // Collector gathers the outcomes of one submission's tasks and decides what
 // its answer is. It is pure: outcomes and times in, a Verdict out; its owner
 // holds a lock.
@@ -18,6 +23,7 @@
 	submission *job.Submission
 	outcomes   []job.TaskOutcome
 	done       int
+	bytes      int
 	started    int
 	offered    bool
 	failure    *job.TaskOutcome
@@ -103,12 +109,16 @@
 		case o.Status == job.TaskDone:
 			c.outcomes[o.Index] = o
 			c.done++
+			c.bytes += len(o.Payload)
 		case o.Status == job.TaskNotStarted && again && mayGoElsewhere(o.Reason):
 			reoffer = append(reoffer, o.Index)
 		default:
 			c.fail(o)
 		}
 	}
+	if c.bytes > maxResultBytes && c.failure == nil {
+		c.failure = &job.TaskOutcome{Status: job.TaskErred, Reason: job.TooLarge, Detail: "the results of the job together are larger than one answer may be"}
+	}
 	return c.decide(reoffer)
 }
 
--- a/internal/pipeline/collect_test.go
+++ b/internal/pipeline/collect_test.go
@@ -114,3 +114,20 @@
 	c.Offered()
 	qt.Assert(t, c.Stop(job.Cancelled, job.CancelledByCall, "").Answer.Run.Proven(), qt.IsFalse)
 }
+
+// The targets of one job answer with far more than anybody expects. The job
+// must fail by itself, before its answer fills the memory of a small VM and
+// ends every other job there.
+func TestCollectorBoundsTheAnswer(t *testing.T) {
+	c := NewCollector(submission(3), nil, nil)
+	c.Offered()
+	big := job.TaskOutcome{Status: job.TaskDone, Payload: make(json.RawMessage, maxResultBytes/2)}
+	v := c.Add([]job.TaskOutcome{big})
+	qt.Assert(t, v.Finished, qt.IsFalse)
+	big.Index = 1
+	v = c.Add([]job.TaskOutcome{big, done(2, "1")})
+	qt.Assert(t, v.Finished, qt.IsTrue)
+	qt.Assert(t, v.Answer.Outcome, qt.Equals, job.Failed)
+	qt.Assert(t, v.Answer.Reason, qt.Equals, job.TooLarge)
+	qt.Assert(t, v.Answer.Run.Proven(), qt.IsFalse)
+}
