--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -92,37 +92,34 @@
 }
 
 func (c *Caller) postJob(w http.ResponseWriter, r *http.Request) {
-	body, release, refusal := c.readBody(w, r)
-	defer release()
-	if refusal != nil {
-		writeOther(w, refusal)
-		return
-	}
-	s, err := decodeJob(body, time.Now())
-	if err != nil {
-		refused := job.Refuse("", job.Malformed, err.Error(), 0)
-		writeOther(w, &refused)
-		return
-	}
-	answer := c.Dispatcher.Submit(r.Context(), s)
-	writeAnswer(w, &answer)
+	c.post(w, r, decodeJob, writeAnswer)
 }
 
 func (c *Caller) postService(w http.ResponseWriter, r *http.Request) {
+	c.post(w, r, decodeSingle, writeSingle)
+}
+
+// post reads a submission, has it dispatched and writes its answer.
+func (c *Caller) post(
+	w http.ResponseWriter,
+	r *http.Request,
+	decode func(*http.Request, []byte, time.Time) (*job.Submission, error),
+	write func(http.ResponseWriter, *job.Answer),
+) {
 	body, release, refusal := c.readBody(w, r)
 	defer release()
 	if refusal != nil {
 		writeOther(w, refusal)
 		return
 	}
-	s, err := decodeSingle(r, body, time.Now())
+	s, err := decode(r, body, time.Now())
 	if err != nil {
 		refused := job.Refuse("", job.Malformed, err.Error(), 0)
 		writeOther(w, &refused)
 		return
 	}
 	answer := c.Dispatcher.Submit(r.Context(), s)
-	writeSingle(w, &answer)
+	write(w, &answer)
 }
 
 func (c *Caller) getJob(w http.ResponseWriter, r *http.Request) {
@@ -193,7 +190,7 @@
 	return body, nil
 }
 
-func decodeJob(body []byte, now time.Time) (*job.Submission, error) {
+func decodeJob(_ *http.Request, body []byte, now time.Time) (*job.Submission, error) {
 	var req JobRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "the body is not a job")
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -51,16 +51,7 @@
 
 // observe takes in the loads that other holders report, until ctx ends.
 func (h *holders) observe(ctx context.Context) error {
-	tick := time.NewTicker(observeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			h.takeIn(now, h.members.AgedLoads())
-		}
-	}
+	return every(ctx, observeEvery, func(now time.Time) { h.takeIn(now, h.members.AgedLoads()) })
 }
 
 // takeIn reports each load once: a second report of the same one would forget
--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -82,24 +82,17 @@
 }
 
 // driveEvery is how often kept submissions without a living owner are looked
-// for, besides at each change of the view.
+// for. It adds at most this to the seconds in which an entry is called dead.
 const driveEvery = time.Second
 
 // driveOn finishes kept submissions whose owner's life has ended, until ctx
 // ends.
 func (e *Entry) driveOn(ctx context.Context) error {
-	tick := time.NewTicker(driveEvery)
-	defer tick.Stop()
-	for {
+	return every(ctx, driveEvery, func(time.Time) {
 		if e.config.Current() != nil && !e.check.Draining() {
 			e.driveOrphans(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+	})
 }
 
 func (e *Entry) driveOrphans(ctx context.Context) {
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -229,16 +229,7 @@
 
 // expire ends leases that ran out, until ctx ends.
 func (t *targets) expire(ctx context.Context) error {
-	tick := time.NewTicker(expireEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			t.lapse(now)
-		}
-	}
+	return every(ctx, expireEvery, t.lapse)
 }
 
 func (t *targets) lapse(now time.Time) {
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -86,11 +86,7 @@
 	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 3, TargetsPerZone: 2})
 	owner := f.entryWithoutTargets()
 	body := jobBody("orphan", "alerts", 4, 700)
-	go func() { _, _ = send(http.DefaultClient, f.member(owner).listen.Caller.Addr().String(), body) }()
-	for f.Ledger.Starts() < 4 {
-		time.Sleep(time.Millisecond)
-	}
-	f.Kill(owner)
+	f.killOnceStarted(owner, body, 4)
 	for _, m := range f.entries {
 		if m.name == owner {
 			continue
@@ -104,6 +100,17 @@
 	qt.Assert(t, f.Stop(), qt.IsNil)
 }
 
+// killOnceStarted sends a job to an entry and kills the entry once targets run
+// that many tasks. The caller's broken connection is of no interest.
+func (f *Fleet) killOnceStarted(owner job.EntryID, body string, tasks uint64) {
+	address := f.member(owner).listen.Caller.Addr().String()
+	go func() { _, _ = send(http.DefaultClient, address, body) }()
+	for f.Ledger.Starts() < tasks {
+		time.Sleep(time.Millisecond)
+	}
+	f.Kill(owner)
+}
+
 // entryWithoutTargets returns an entry that holds no target.
 func (f *Fleet) entryWithoutTargets() job.EntryID {
 	for _, m := range f.entries {
