Let the word of others outweigh a refused connection

Cause: an entry whose way to another one is refused, as by a proxy, would have declared it dead although a third one hears it, and alive again at its word.

Change: a refused connection counts only where nobody in reach hears the entry.

Seen red with the code switched off.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -155,11 +155,12 @@
 	var changes []Change
 	for _, p := range d.peers {
 		silent := now.Sub(p.heard)
+		vouched := now.Sub(p.vouched) <= vouchHold
 		switch {
 		case p.State == Left, p.State == Dead:
-		case silent > refusedAfter && refused(p.Entry):
+		case silent > refusedAfter && !vouched && refused(p.Entry):
 			changes = d.set(p, now, Dead, p.Incarnation, "its machine refuses connections", changes)
-		case silent > p.timings.DeadAfter && now.Sub(p.vouched) > vouchHold:
+		case silent > p.timings.DeadAfter && !vouched:
 			changes = d.set(p, now, Dead, p.Incarnation, fmt.Sprintf("silent for %s and heard by nobody", silent), changes)
 		case silent > p.timings.SuspectAfter && p.State == Alive:
 			changes = d.set(p, now, Suspect, p.Incarnation, fmt.Sprintf("silent for %s", silent), changes)
