Let a live owner's record outweigh those of lost claims

Cause: with records of several claimants side by side, the record of a claim that died before it started could be the first that a resubmission heard of, and the job counted as lost while its owner ran it (a test in virtual time, 2 of 30 runs). A planned stop could also end before the ends of the last 50 ms were told.

Change: a registrar names all other claimants; an answer or a live owner decides before a lost one, and a lost one only when no answer is outstanding. An entry that stops as planned tells what has ended before it leaves.

Seen red with the code switched off: the message that a planned stop sends.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -342,6 +342,7 @@
 		return errors.Trace(err)
 	}
 	<-linger.C
+	e.registrar.Flush()
 	e.members.Leave(context.Background())
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
--- a/internal/registrar/claim.go
+++ b/internal/registrar/claim.go
@@ -22,7 +22,7 @@
 type ask struct {
 	state    askState
 	standing Standing
-	held     Record
+	held     []Record
 }
 
 // claim is the owner's side of asking registrars. It is pure: replies and the
@@ -49,22 +49,24 @@
 // verdictKind is what the replies so far mean.
 type verdictKind uint8
 
+// The verdicts; of those that records of others give, the one that says most
+// comes first.
 const (
-	// verdictWait: more replies are needed; reason says which, for the case that
-	// they never come.
-	verdictWait verdictKind = iota + 1
-	// verdictStart: nothing of the submission was started before.
-	verdictStart
-	// verdictRival: by, found in a record, must be asked.
-	verdictRival
+	// verdictAnswered: the submission has ended with answer.
+	verdictAnswered verdictKind = iota + 1
 	// verdictJoin: owner has the submission.
 	verdictJoin
-	// verdictAnswered: the submission has ended with answer.
-	verdictAnswered
-	// verdictTakeOver: owner had the submission and is lost.
-	verdictTakeOver
+	// verdictRival: by, found in a record, must be asked.
+	verdictRival
 	// verdictConflict: the id names other content.
 	verdictConflict
+	// verdictTakeOver: owner had the submission and is lost.
+	verdictTakeOver
+	// verdictStart: nothing of the submission was started before.
+	verdictStart
+	// verdictWait: more replies are needed; reason says which, for the case that
+	// they never come.
+	verdictWait
 	// verdictUnknown: no reply can make it certain; reason says why.
 	verdictUnknown
 )
@@ -135,8 +137,10 @@
 // request returns the question for one registrar.
 func (c *claim) request(entry job.EntryID, digest job.Digest) *claimRequest {
 	req := &claimRequest{ID: c.id, Digest: digest, By: c.by}
-	if held := c.ask(entry).held; c.given[held.By] {
-		req.Replace = &held.By
+	for _, held := range c.ask(entry).held {
+		if c.given[held.By] {
+			req.Replace = append(req.Replace, held.By)
+		}
 	}
 	return req
 }
@@ -144,13 +148,14 @@
 func (c *claim) replied(from job.EntryID, r *claimReply) {
 	a := c.ask(from)
 	a.standing = r.Standing
-	if r.Held == nil {
-		a.state, a.held = askGranted, Record{}
-		return
-	}
-	a.state, a.held = askHeld, *r.Held
-	if c.given[a.held.By] {
+	a.held = r.Held
+	switch {
+	case len(r.Held) == 0:
+		a.state = askGranted
+	case slices.ContainsFunc(r.Held, func(held Record) bool { return c.given[held.By] }):
 		a.state = askOpen
+	default:
+		a.state = askHeld
 	}
 }
 
@@ -170,7 +175,7 @@
 func (c *claim) gaveUp(by Claimant) {
 	c.given[by] = true
 	for _, a := range c.asks {
-		if a.state == askHeld && a.held.By == by {
+		if a.state == askHeld && slices.ContainsFunc(a.held, func(held Record) bool { return held.By == by }) {
 			a.state = askOpen
 		}
 	}
@@ -213,15 +218,8 @@
 	if !yielded.IsZero() {
 		return claimVerdict{kind: verdictJoin, owner: yielded}
 	}
-	var held *Record
-	for _, entry := range c.order() {
-		// An ended submission tells most; else any record will do.
-		if a := c.asks[entry]; a.state == askHeld && (held == nil || a.held.Answer != nil) {
-			held = &a.held
-		}
-	}
-	if held != nil {
-		return c.rivalVerdict(view, digest, held)
+	if v, found := c.rivals(view, digest); found {
+		return v
 	}
 	if view.Isolated {
 		return claimVerdict{kind: verdictUnknown, reason: job.NoRegistrar}
@@ -242,6 +240,30 @@
 // verdicts.
 func (c *claim) order() []job.EntryID { return slices.Sorted(maps.Keys(c.asks)) }
 
+// rivals says what the records of other claimants mean together. A lost
+// claimant's record may be of a claim that never started beside one of a job
+// that runs, so it decides only when all have answered and none says more.
+func (c *claim) rivals(view *membership.Members, digest job.Digest) (best claimVerdict, found bool) {
+	open := false
+	for _, entry := range c.order() {
+		a := c.asks[entry]
+		member, _ := view.Get(entry)
+		open = open || a.state == askSent && member.State != membership.Suspect
+		if a.state != askHeld {
+			continue
+		}
+		for i := range a.held {
+			if v := c.rivalVerdict(view, digest, &a.held[i]); !found || v.kind < best.kind {
+				best, found = v, true
+			}
+		}
+	}
+	if found && open && (best.kind == verdictTakeOver || best.kind == verdictConflict) {
+		best.kind = verdictWait
+	}
+	return best, found
+}
+
 // rivalVerdict says what a record of another owner means.
 func (c *claim) rivalVerdict(view *membership.Members, digest job.Digest, held *Record) claimVerdict {
 	v := claimVerdict{owner: held.By.Owner, by: held.By, reason: job.OwnerLost}
--- a/internal/registrar/explore_test.go
+++ b/internal/registrar/explore_test.go
@@ -425,9 +425,9 @@
 	kind := fmt.Sprint("settle ", m.settle != nil)
 	switch {
 	case m.claim != nil:
-		kind = fmt.Sprint("claim ", m.claim.By.Number, claimantName(m.claim.Replace))
+		kind = fmt.Sprint("claim ", m.claim.By.Number, len(m.claim.Replace), m.claim.Replace)
 	case m.reply != nil:
-		kind = fmt.Sprint("reply ", m.reply.Standing, recordName(m.reply.Held))
+		kind = fmt.Sprint("reply ", m.reply.Standing, recordNames(m.reply.Held))
 	case m.yielded != nil:
 		kind = fmt.Sprint("yielded ", m.yielded.Verdict, m.yielded.To.Entry, claimantName(m.yield))
 	case m.yield != nil:
@@ -443,11 +443,13 @@
 	return fmt.Sprintf("%s/%d.%d", c.Owner.Entry, c.Owner.Incarnation, c.Number)
 }
 
-func recordName(r *Record) string {
-	if r == nil {
-		return "-"
+func recordNames(records []Record) string {
+	names := make([]string, len(records))
+	for i := range records {
+		names[i] = claimantName(&records[i].By)
 	}
-	return claimantName(&r.By)
+	slices.Sort(names)
+	return strings.Join(names, ",")
 }
 
 // key is the state in a canonical form.
@@ -465,7 +467,7 @@
 		fmt.Fprint(&b, "|", n.alive, n.owner.Incarnation, n.memory.bases, n.memory.lives, n.memory.synced, n.memory.deaths, n.memory.losses, n.pulled)
 		var records []string
 		for _, k := range n.table.records[w.bounds.id] {
-			records = append(records, recordName(&k.Record))
+			records = append(records, claimantName(&k.By))
 		}
 		slices.Sort(records)
 		fmt.Fprint(&b, records)
@@ -476,7 +478,7 @@
 			fmt.Fprint(&b, " claim", c.open, c.asking, c.retries, c.own.state, c.own.yielded, c.decided.kind, c.decided.owner)
 			for _, entry := range c.claim.order() {
 				a := c.claim.asks[entry]
-				fmt.Fprint(&b, entry, a.state, a.standing, recordName(&a.held))
+				fmt.Fprint(&b, entry, a.state, a.standing, recordNames(a.held))
 			}
 			fmt.Fprint(&b, c.claim.given, c.claim.moved, c.claim.joined)
 		}
--- a/internal/registrar/messages.go
+++ b/internal/registrar/messages.go
@@ -42,19 +42,19 @@
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
-// claimRequest asks a registrar to record a claimant. Replace names one that
-// gave the submission up, whose record the new one takes over.
+// claimRequest asks a registrar to record a claimant. Replace names those
+// that gave the submission up, whose records the new one takes over.
 type claimRequest struct {
 	ID      job.ID     `cbor:"1,keyasint"`
 	Digest  job.Digest `cbor:"2,keyasint"`
 	By      Claimant   `cbor:"3,keyasint"`
-	Replace *Claimant  `cbor:"4,keyasint,omitempty"`
+	Replace []Claimant `cbor:"4,keyasint,omitempty"`
 }
 
-// claimReply grants the claim when Held is nil, and names the earlier record
-// otherwise.
+// claimReply grants the claim when Held is empty, and names the records of all
+// other claimants otherwise.
 type claimReply struct {
-	Held     *Record  `cbor:"1,keyasint,omitempty"`
+	Held     []Record `cbor:"1,keyasint,omitempty"`
 	Standing Standing `cbor:"2,keyasint"`
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -293,8 +293,9 @@
 	}
 }
 
-// flush sends the ends that wait, one message to each registrar.
-func (r *Registrar) flush() {
+// Flush sends the ends that wait, one message to each registrar. A planned stop
+// calls it while the links still stand.
+func (r *Registrar) Flush() {
 	r.outMu.Lock()
 	out := r.out
 	r.out = map[job.EntryID][]settleMessage{}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -346,3 +346,21 @@
 	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{2}}).Verdict, qt.Equals, yieldMine)
 	qt.Assert(t, o.asked(smaller, &yieldRequest{ID: "id", Digest: job.Digest{1}}).Verdict, qt.Equals, yieldYours)
 }
+
+// An entry is stopped as planned right after a job ended, before its end was
+// told. The caller that comes back must still get the short answer.
+func TestPlannedStopTellsWhatEnded(t *testing.T) {
+	withFleet(t, twoZones, func(f *fleet) {
+		for _, id := range each("id") {
+			qt.Assert(t, f.entries["a"].submit(submission(id, 1)), qt.Equals, ran)
+		}
+		f.entries["a"].registrar.Flush()
+		f.entries["a"].members.Leave(f.entries["a"].ctx)
+		f.pass(2 * time.Millisecond)
+		f.kill("a")
+		for _, id := range each("id") {
+			qt.Assert(t, f.entries["b"].submit(submission(id, 2)), qt.Equals, answered)
+		}
+		f.check()
+	})
+}
--- a/internal/registrar/sync.go
+++ b/internal/registrar/sync.go
@@ -51,10 +51,10 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.flush()
+			r.Flush()
 			return
 		case <-tick.C:
-			r.flush()
+			r.Flush()
 		}
 	}
 }
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -45,25 +45,24 @@
 	return n
 }
 
-// claim records a claimant unless another one is recorded. It returns the record
-// that stands in the way.
-func (t *table) claim(now time.Time, req *claimRequest) *Record {
-	t.records[req.ID] = slices.DeleteFunc(t.records[req.ID], func(k *kept) bool {
-		void := mayReplace(&k.Record, req)
-		if void {
-			t.bytes -= k.size()
+// claim records a claimant unless others are recorded; it returns their records.
+func (t *table) claim(now time.Time, req *claimRequest) (held []Record) {
+	for _, k := range slices.Clone(t.records[req.ID]) {
+		if mayReplace(&k.Record, req) {
+			t.remove(k)
 		}
-		return void
-	})
-	if held := t.other(req.ID, req.By); held != nil {
-		r := held.Record
-		r.Age = now.Sub(held.at)
-		return &r
 	}
-	if t.find(req.ID, req.By) == nil {
+	for _, k := range t.records[req.ID] {
+		if k.By != req.By {
+			r := k.Record
+			r.Age = now.Sub(k.at)
+			held = append(held, r)
+		}
+	}
+	if len(held) == 0 && t.find(req.ID, req.By) == nil {
 		t.add(now, Record{ID: req.ID, Digest: req.Digest, By: req.By})
 	}
-	return nil
+	return held
 }
 
 // mayReplace reports whether a claim makes a record void: an earlier one of its
@@ -73,18 +72,7 @@
 	if r.By.Owner == req.By.Owner {
 		return r.By.Number < req.By.Number
 	}
-	return req.Replace != nil && r.By == *req.Replace
-}
-
-// other returns a record of another claimant, one with an answer first.
-func (t *table) other(id job.ID, by Claimant) *kept {
-	var found *kept
-	for _, k := range t.records[id] {
-		if k.By != by && (found == nil || k.Answer != nil) {
-			found = k
-		}
-	}
-	return found
+	return slices.Contains(req.Replace, r.By)
 }
 
 func (t *table) find(id job.ID, by Claimant) *kept {
--- a/internal/registrar/table_test.go
+++ b/internal/registrar/table_test.go
@@ -21,12 +21,12 @@
 	now := time.Unix(1000, 0)
 	for _, withdrawn := range []Claimant{claimant("a", 1), claimant("b", 1)} {
 		table := newTable()
-		qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1)}), qt.IsNil)
+		qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1)}), qt.HasLen, 0)
 		table.take(now, Record{ID: "x", By: claimant("a", 1)})
 		table.settle("x", withdrawn, nil)
 		held := table.claim(now, &claimRequest{ID: "x", By: claimant("c", 1)})
-		qt.Assert(t, held, qt.IsNotNil)
-		qt.Assert(t, held.By, qt.Not(qt.Equals), withdrawn)
+		qt.Assert(t, held, qt.HasLen, 1)
+		qt.Assert(t, held[0].By, qt.Not(qt.Equals), withdrawn)
 	}
 }
 
@@ -37,15 +37,15 @@
 	now := time.Unix(1000, 0)
 	table := newTable()
 	first, second := claimant("a", 1), claimant("a", 2)
-	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: first}), qt.IsNil)
-	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: second}), qt.IsNil)
-	held := table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1), Replace: &first})
-	qt.Assert(t, held, qt.IsNotNil)
-	qt.Assert(t, held.By, qt.Equals, second)
-	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: first}), qt.IsNotNil)
+	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: first}), qt.HasLen, 0)
+	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: second}), qt.HasLen, 0)
+	held := table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1), Replace: []Claimant{first}})
+	qt.Assert(t, held, qt.HasLen, 1)
+	qt.Assert(t, held[0].By, qt.Equals, second)
+	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: first}), qt.HasLen, 1)
 	table.settle("x", first, nil) // the end of the first claim arrives late
 	qt.Assert(t, table.records["x"][0].By, qt.Equals, second)
-	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1), Replace: &second}), qt.IsNil)
+	qt.Assert(t, table.claim(now, &claimRequest{ID: "x", By: claimant("b", 1), Replace: []Claimant{second}}), qt.HasLen, 0)
 }
 
 // Three claims of one id meet. The entry in the middle has given it up to one
