Let a stopping holder's queue end whole

Cause: a stopping entry passed its targets on at once. The last entry of a zone has nobody to pass them to and dropped them, so that accepted jobs in its queue were refused with no_target; beside another entry, jobs of which nothing ran elsewhere were refused on the second look, 50 ms later, before the next holder was known. Change: the last entry keeps its targets until it ends; tasks that come back because targets change hands wait up to a lease, while a refusal for load is still final at once.

--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -170,7 +170,12 @@
 // setView passes the targets on that another entry now holds: those held here,
 // and those that announced themselves here and whose holder is gone.
 func (t *targets) setView(view membership.Members) {
-	keep := func(held *job.Target) bool { return holderOf(&view, held) == t.self.Entry }
+	// The last entry of a zone keeps its targets while it stops: there is nobody
+	// to pass them to, and its queue must end on them.
+	keep := func(held *job.Target) bool {
+		holder := holderOf(&view, held)
+		return holder == t.self.Entry || holder == ""
+	}
 	for _, released := range t.release(keep) {
 		t.events.Record(timeline.Event{Kind: timeline.HolderChanged, Target: released.ID, Peer: holderOf(&view, &released), Cause: "the entries of the availability zone changed"})
 		go t.passOn(released)
--- /dev/null
+++ b/internal/fleet/drain_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// A stop comes while jobs still wait in the queue of the entry that stops, once
+// with another entry in the zone that takes the targets over and once without.
+// Jobs that were accepted must end whole in both cases.
+func TestPlannedStopFinishesWhatWaits(t *testing.T) {
+	for _, entries := range []int{1, 2} {
+		t.Run(fmt.Sprintf("entries=%d", entries), func(t *testing.T) {
+			f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: entries, TargetsPerZone: 1})
+			holder := f.entries[0]
+			for _, m := range f.entries {
+				if m.entry.Load(testPool).Slots > 0 {
+					holder = m
+				}
+			}
+			const jobs = 6
+			var wg sync.WaitGroup
+			for i := range jobs {
+				wg.Go(func() {
+					id := fmt.Sprintf("wait-%d", i)
+					r, err := send(http.DefaultClient, holder.listen.Caller.Addr().String(), jobBody(id, "thumbs", 8, 150))
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%s: %+v", id, r.other))
+					qt.Check(t, whole(r, id, 8), qt.IsTrue)
+				})
+			}
+			f.untilRunning(jobs)
+			for f.Ledger.Starts() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			qt.Assert(t, f.StopEntry(holder.name), qt.IsNil)
+			wg.Wait()
+			qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(8*jobs))
+			qt.Assert(t, f.Ledger.DoubledStarts(), qt.Equals, uint64(0))
+			qt.Assert(t, f.Stop(), qt.IsNil)
+		})
+	}
+}
--- a/internal/pipeline/placing.go
+++ b/internal/pipeline/placing.go
@@ -93,7 +93,7 @@
 	if len(p.open) > 0 {
 		return end, true
 	}
-	if !p.committed(done) && (p.refusals >= maxRefusals || len(p.refused) == 0) {
+	if !p.committed(done) && !p.inFlux() {
 		return end, false
 	}
 	// Holders that refused may have room by the next try.
@@ -101,6 +101,17 @@
 	return end, now.Sub(p.since) < placeBound
 }
 
+// inFlux reports whether tasks came back because targets or holders are just
+// changing hands, which is over in moments. A refusal for load is not: its caller
+// is told at once when to come back.
+func (p *placing) inFlux() bool {
+	switch p.refusal.Reason {
+	case job.NoTarget, job.Draining, job.HolderLost, job.TargetRefused:
+		return p.refusals < maxRefusals
+	}
+	return false
+}
+
 // ending words the end of tasks that found no holder: by the last holder's
 // refusal, if there was one.
 func (p *placing) ending(reason job.Reason) job.TaskOutcome {
--- a/internal/pipeline/placing_test.go
+++ b/internal/pipeline/placing_test.go
@@ -33,6 +33,27 @@
 	end, wait = p.unplaced(noon, job.NoTarget, 0)
 	qt.Assert(t, wait, qt.IsFalse)
 	qt.Assert(t, end.Reason, qt.Equals, job.NoTarget)
+
+	p = newPlacing()
+	p.offered([]Part{{Holder: "a"}})
+	p.reported("a", refusal(job.Overloaded))
+	_, wait = p.unplaced(noon, job.NoTarget, 0)
+	qt.Assert(t, wait, qt.IsFalse)
+}
+
+// A holder stops and gives queued tasks back before anybody has heard of the
+// next holder of its targets. The job waits some heartbeats for it in place of
+// failing, though nothing of it was accepted elsewhere.
+func TestPlacingWaitsWhileTargetsChangeHands(t *testing.T) {
+	p := newPlacing()
+	p.offered([]Part{{Holder: "a"}})
+	p.reported("a", refusal(job.NoTarget))
+	for i := range 3 {
+		_, wait := p.unplaced(noon.Add(time.Duration(i)*placeAgainAfter), job.NoTarget, 0)
+		qt.Assert(t, wait, qt.IsTrue)
+	}
+	_, wait := p.unplaced(noon.Add(placeBound), job.NoTarget, 0)
+	qt.Assert(t, wait, qt.IsFalse)
 }
 
 // One of two holders refuses its share while the other works on the rest. The
