Drive a kept submission again when a caller's attempt was in its way

Cause: TestReplicatedJobOutlivesItsOwner failed now and then: the caller that came back was sent away with 'owner lost' for ever. The entry that keeps the copy drives it through its own path; if a caller's attempt for the same id is under way there, the driven one joins it, gets its refusal, and is never driven again.

Ruled out: results that were lost with the owner (all four were collected in the failing runs).

Change: a driven submission that was given such a refusal is driven again; that refusal is said only before anything starts.

--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -113,7 +113,17 @@
 	}
 	f.Held = e.collect(ctx, kept.Owner, kept.Submission.ID, kept.Granted, e.fetch(ctx, kept.Owner, kept.Submission.ID))
 	e.log.Info("a kept submission is driven on", "submission", kept.Submission.ID, "lost_owner", kept.Owner.Entry, "started", len(f.Started), "results", len(f.Held))
-	e.chain(ctx, f)
+	for ctx.Err() == nil && joinedACaller(e.chain(ctx, f)) {
+		time.Sleep(collectEvery)
+	}
+}
+
+// joinedACaller reports whether a driven submission met a caller's own attempt
+// on its way through this entry and was given that one's answer, "its owner is
+// lost", in place of being driven. Left at that, nobody would drive it any more
+// and its callers would be sent away for ever.
+func joinedACaller(a job.Answer) bool {
+	return a.Outcome == job.Refused && a.Reason == job.OwnerLost
 }
 
 // Tasks of a lost owner may still run at holders. Their results are asked for
