Never call a resubmission 'not run' before its id was looked up

Cause: the check stage refused before the claim and called every refusal 'not run'. A caller that came back for its answer while its entry drained, or after its service had left the file, was told that its job had not run although it had. Change: such a refusal goes on to the claim, and is given once no registrar knows the id; otherwise the caller gets its job's answer.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,6 +19,22 @@
 	return e.chain(ctx, &pipeline.Flow{Submission: s})
 }
 
+// settleTime is how long a new life waits for the first heartbeats of holders,
+// which come within a second, before it lets the balancer send callers. Without
+// it each restart would refuse some submissions with no_target. It is bounded,
+// since a fleet that has no target at all must say so itself.
+const settleTime = 2 * time.Second
+
+// knowsTargets reports whether tasks of any service could be placed.
+func (e *Entry) knowsTargets() bool {
+	for _, pool := range e.wantedPools() {
+		if e.holders.knownSlots(pool) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready implements api.Dispatcher.
 func (e *Entry) Ready() error {
 	if e.check.Draining() {
@@ -26,6 +43,9 @@
 	if e.config.Current() == nil {
 		return errors.New("no configuration has been accepted yet")
 	}
+	if time.Since(e.started) < settleTime && !e.knowsTargets() {
+		return errors.New("just started, no target is known yet")
+	}
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,6 +91,7 @@
 
 	// stopping is closed when an operator asks for a planned stop.
 	stopping chan struct{}
+	started  time.Time
 	stopOnce sync.Once
 	killed   chan struct{}
 	killOnce sync.Once
@@ -135,6 +136,7 @@
 		memory: api.NewByteBudget(bodyMemory),
 
 		stopping: make(chan struct{}),
+		started:  time.Now(),
 		killed:   make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, o.Events)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -151,7 +151,7 @@
 		return errors.Annotate(err, "applying the first file")
 	}
 	for _, m := range f.entries {
-		if err := wait(ctx, func() bool { return m.entry.Ready() == nil }); err != nil {
+		if err := wait(ctx, func() bool { return m.entry.Configuration() > 0 }); err != nil {
 			return errors.Annotatef(err, "entry %s has no configuration", m.name)
 		}
 	}
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -143,3 +143,35 @@
 	qt.Assert(t, f.Ledger.Starts(), qt.Equals, uint64(2))
 	qt.Assert(t, f.Stop(), qt.IsNil)
 }
+
+// A caller comes back for its answer after its job's service was dropped from
+// the file. The job did run, so it gets the answer and not a refusal that calls
+// it "not run". An id that nobody knows is refused, and that is "not run", unless its
+// caller says that it sent it before and the fleet is too young to know.
+func TestResubmissionAfterItsServiceWasDropped(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a", "b"}, EntriesPerZone: 1, TargetsPerZone: 1})
+	body := jobBody("dropped", "alerts", 2, 1)
+	addresses := f.CallerAddresses("")
+	r, err := send(http.DefaultClient, addresses[0], body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	second := strings.Replace(strings.Replace(testFile, "number: 1", "number: 2", 1), "name: alerts", "name: alarms", 1)
+	_, err = f.entries[0].entry.Apply(t.Context(), "second", []byte(second))
+	qt.Assert(t, err, qt.IsNil)
+	for i, address := range addresses {
+		qt.Assert(t, wait(t.Context(), func() bool { return f.entries[i].entry.Configuration() == 2 }), qt.IsNil)
+		r, err = send(http.DefaultClient, address, attempt(body, 2))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r.other))
+		qt.Assert(t, whole(r, "dropped", 2), qt.IsTrue)
+		r, err = send(http.DefaultClient, address, strings.Replace(jobBody("never", "alerts", 1, 1), `"attempt":1,`, "", 1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.other.Reason, qt.Equals, job.UnknownService)
+		qt.Assert(t, r.other.Run, qt.Equals, "not run")
+		r, err = send(http.DefaultClient, address, attempt(jobBody("young", "alerts", 1, 1), 2))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.other.Reason, qt.Equals, job.UnknownService)
+		qt.Assert(t, r.other.Run, qt.Equals, "may have run")
+	}
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
--- a/internal/pipeline/check.go
+++ b/internal/pipeline/check.go
@@ -16,8 +16,13 @@
 // reaches another one.
 const drainRetryAfter = 500 * time.Millisecond
 
-// Check refuses what the configuration in force does not allow. Nothing has
-// been handed out at this stage, so all that it says is provably "not run".
+// Check refuses what the configuration in force does not allow. Nothing is
+// handed out by a refused submission, so a first sending is provably "not run".
+// A caller that sends an id again, or does not say whether it does, may have had
+// it run by the sending before: a job whose entry drains, or whose service left
+// the file meanwhile, must not be called "not run" for that. Its refusal goes on
+// to the claim, which knows: it is given if nothing ever ran, and else the job's
+// own answer.
 type Check struct {
 	Config config.View
 	Events timeline.Sink
@@ -36,6 +41,10 @@
 	s := f.Submission
 	c.Events.Record(timeline.Event{Kind: timeline.SubmissionReceived, Submission: s.ID, Count: len(s.Tasks), Cause: s.Service})
 	if refusal, ok := c.check(f); !ok {
+		if s.CallerID && s.Attempt != 1 {
+			f.Refusal = &refusal
+			return next(ctx, f)
+		}
 		c.Events.Record(timeline.Event{Kind: timeline.SubmissionRefused, Submission: s.ID, Reason: refusal.Reason, Cause: refusal.Detail})
 		return refusal
 	}
--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -68,8 +68,7 @@
 			return job.Fail(s.ID, job.CallerGone, err.Error())
 		}
 		if d.Kind == registrar.Own {
-			c.Owned(s.ID)
-			a := next(ctx, f)
+			a := c.own(ctx, f, next)
 			c.Registrar.Settle(context.WithoutCancel(ctx), s.ID, a)
 			return a
 		}
@@ -86,6 +85,16 @@
 	return c.unknown(s.ID, job.OwnerLost, "the entries that had the submission were lost one after the other, or can't be reached")
 }
 
+// own answers a submission of which nothing ever started.
+func (c *Claim) own(ctx context.Context, f *Flow, next Next) job.Answer {
+	if f.Refusal != nil {
+		c.Events.Record(timeline.Event{Kind: timeline.SubmissionRefused, Submission: f.Submission.ID, Reason: f.Refusal.Reason, Cause: f.Refusal.Detail})
+		return *f.Refusal
+	}
+	c.Owned(f.Submission.ID)
+	return next(ctx, f)
+}
+
 // elsewhere answers a submission that this entry may not start. decided is
 // false when its owner was lost meanwhile.
 func (c *Claim) elsewhere(ctx context.Context, f *Flow, d *registrar.Decision) (a job.Answer, decided bool) {
@@ -109,6 +118,14 @@
 	case registrar.TakeOver:
 		return c.takeOver(ctx, f, d), true
 	}
+	if f.Refusal != nil {
+		// The refusal stands whether or not an earlier sending ran.
+		a := *f.Refusal
+		if !d.NotRun {
+			a.Run = job.MayHaveRun
+		}
+		return a, true
+	}
 	if d.NotRun {
 		return job.Refuse(id, d.Reason, d.Detail, time.Second), true
 	}
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -31,6 +31,8 @@
 	// Resumed is set for a kept submission that is driven on after its owner
 	// was lost: it was checked, claimed and admitted before.
 	Resumed bool
+	// Refusal is what the claim answers if nothing of the submission ever ran.
+	Refusal *job.Answer
 	// Journal is the keeper of a kept submission, nil for others.
 	Journal keep.Journal
 }
