Let a target withdraw through any entry of its zone

Cause: a withdrawal was only passed on by the entry that had the target's announcements. Behind a balancer it reached another one, was refused with 400, and the target got new work until its lease lapsed; and the entry that remembered the announcement would have passed it on to a next holder. Change: every entry of the zone drops the target. Also: two kinds of messages that nothing used are gone, and the two of searches have names in the counters.

--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
@@ -30,6 +31,7 @@
 	holder   *holder.Holder
 	members  *membership.Membership
 	forward  *handover.Targets
+	mesh     peer.Mesh
 	events   timeline.Sink
 	log      *slog.Logger
 
@@ -69,6 +71,7 @@
 		registry: target.NewRegistry(e.self.Zone, e.config),
 		holder:   e.holder,
 		members:  e.members,
+		mesh:     e.links,
 		events:   e.ring,
 		log:      e.log,
 		passed:   map[job.TargetID]passedOn{},
@@ -77,6 +80,7 @@
 		view := t.members.View()
 		return holderOf(&view, announced)
 	}, heldHere{t})
+	t.mesh.Handle(peer.TargetWithdraw, t.handleWithdraw)
 	return t
 }
 
@@ -87,7 +91,7 @@
 // Announce implements api.Announcer: the announcement goes to the target's
 // holder, which may be this entry.
 func (t *targets) Announce(ctx context.Context, announced job.Target) (lease, renew time.Duration, err error) {
-	lease, err = t.forward.ForwardTarget(ctx, announced, false)
+	lease, err = t.forward.ForwardTarget(ctx, announced)
 	switch {
 	case errors.Is(err, handover.ErrNoHolder) || errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrNoAnswer):
 		return 0, 0, errors.Annotate(api.ErrNoHolder, err.Error())
@@ -104,36 +108,45 @@
 	t.passed[announced.ID] = passedOn{announced, time.Now().Add(lease)}
 }
 
-// known returns what a target last announced here or, if it is held here,
-// anywhere.
-func (t *targets) known(id job.TargetID) (job.Target, bool) {
-	t.mu.Lock()
-	p, ok := t.passed[id]
-	delete(t.passed, id)
-	t.mu.Unlock()
-	if ok {
-		return p.target, true
-	}
-	for _, held := range t.registry.Held() {
-		if held.ID == id {
-			return held, true
+// Withdraw implements api.Announcer. The request names the target only, and a
+// balancer may bring it to another entry than the announcements, so every entry
+// of the zone drops the target: whoever holds it, and whoever would pass its
+// last announcement on to a next holder. An entry that can't be reached drops
+// it when its lease lapses.
+func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
+	t.drop(id)
+	ctx, cancel := context.WithTimeout(ctx, withdrawTime)
+	defer cancel()
+	view := t.members.View()
+	var wg sync.WaitGroup
+	for _, m := range view.List {
+		if m.Entry == t.self.Entry || m.Zone != t.self.Zone || !m.Live() {
+			continue
 		}
+		wg.Go(func() { _ = t.mesh.Call(ctx, m.Entry, peer.TargetWithdraw, id, nil) })
 	}
-	return job.Target{}, false
+	wg.Wait()
+	return nil
 }
 
-// errNotAnnounced is the answer to a withdrawal that can't be passed on.
-const errNotAnnounced = errors.ConstError("the target has not announced itself through this entry; withdraw where it announced")
+// withdrawTime bounds how long a withdrawing target waits for the entries.
+const withdrawTime = time.Second
 
-// Withdraw implements api.Announcer. The request names the target only; what it
-// announced through this entry says who holds it.
-func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
-	announced, ok := t.known(id)
-	if !ok {
-		return errNotAnnounced
+// drop forgets a target that withdrew and stops new work on it at once.
+func (t *targets) drop(id job.TargetID) {
+	t.mu.Lock()
+	delete(t.passed, id)
+	t.mu.Unlock()
+	t.withdraw(id)
+}
+
+func (t *targets) handleWithdraw(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+	var id job.TargetID
+	if err := cbor.Unmarshal(body, &id); err != nil {
+		return nil, errors.Trace(err)
 	}
-	_, err := t.forward.ForwardTarget(ctx, announced, true)
-	return errors.Trace(err)
+	t.drop(id)
+	return true, nil
 }
 
 // heldHere is the part of the targets that this entry holds, as the hand-over
@@ -152,8 +165,8 @@
 	return lease, nil
 }
 
-// Withdraw implements handover.Registry: no new work from now on.
-func (t heldHere) Withdraw(id job.TargetID) {
+// withdraw stops new work on a target from now on.
+func (t *targets) withdraw(id job.TargetID) {
 	t.changing.Lock()
 	defer t.changing.Unlock()
 	if _, held := t.registry.Withdraw(time.Now(), id); !held {
@@ -227,7 +240,7 @@
 func (t *targets) passOn(released job.Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), passOnTime)
 	defer cancel()
-	if _, err := t.forward.ForwardTarget(ctx, released, false); err != nil {
+	if _, err := t.forward.ForwardTarget(ctx, released); err != nil {
 		t.log.Info("a target was not passed on; its next announcement reaches its holder", "target", released.ID, "error", err)
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -231,3 +231,53 @@
 	_ = json.NewDecoder(response.Body).Decode(into)
 	return response.StatusCode
 }
+
+// A target withdraws behind a balancer, which brings its request to another
+// entry than its announcements. It must get nothing new from then on, also once
+// the entry that holds its pool is lost and another one takes the pool over from
+// the announcements that it remembers.
+func TestWithdrawalAtAnyEntry(t *testing.T) {
+	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 3, TargetsPerZone: 2, Change: func(_ int, o *standin.Options) {
+		o.Entries = o.Entries[:1]
+	}})
+	ledger := standin.NewLedger()
+	leaving, err := standin.New(standin.Options{ID: "leaving", Service: testPool, Zone: "a", Ledger: ledger})
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = leaving.Kill() }()
+	addresses := f.CallerAddresses("")
+	announcement := fmt.Sprintf(`{"service":%q,"address":%q,"availability_zone":"a","slots":8,"connections":64}`, testPool, leaving.Addr())
+	qt.Assert(t, do(http.MethodPut, addresses[0]+"/v1/targets/leaving", announcement), qt.Equals, http.StatusOK)
+	qt.Assert(t, do(http.MethodDelete, addresses[2]+"/v1/targets/leaving", ""), qt.Equals, http.StatusNoContent)
+	holder := ""
+	for _, m := range f.entries {
+		if m.entry.Load(testPool).Targets > 0 {
+			holder = string(m.name)
+			qt.Assert(t, m.entry.Load(testPool).Targets, qt.Equals, 2)
+		}
+	}
+	qt.Assert(t, f.StopEntry(job.EntryID(holder)), qt.IsNil)
+	for _, m := range f.entries {
+		if m.dead {
+			continue
+		}
+		r, err := send(http.DefaultClient, m.listen.Caller.Addr().String(), jobBody("at-"+string(m.name), "alerts", 16, 5))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r.other))
+	}
+	qt.Assert(t, ledger.Starts(), qt.Equals, uint64(0))
+	qt.Assert(t, f.Stop(), qt.IsNil)
+}
+
+// do sends a request and returns its status.
+func do(method, url, body string) int {
+	request, err := http.NewRequest(method, "http://"+url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
--- a/internal/handover/targets.go
+++ b/internal/handover/targets.go
@@ -22,8 +22,6 @@
 type Registry interface {
 	// Announce makes a target known, or renews it, and returns its lease.
 	Announce(t job.Target) (lease time.Duration, err error)
-	// Withdraw ends a target's lease: it gets no new work.
-	Withdraw(id job.TargetID)
 }
 
 // HolderOf names the entry that holds a target; empty for none.
@@ -31,8 +29,7 @@
 
 // forward is the request of peer.TargetForward.
 type forward struct {
-	Target  job.Target `cbor:"1,keyasint"`
-	Leaving bool       `cbor:"2,keyasint,omitempty"`
+	Target job.Target `cbor:"1,keyasint"`
 }
 
 // forwarded is its answer. Holder is set when the asked entry takes another
@@ -61,9 +58,9 @@
 	return t
 }
 
-// ForwardTarget makes a target known to its holder, or withdraws it, and
-// returns the lease that the holder gave.
-func (t *Targets) ForwardTarget(ctx context.Context, target job.Target, leaving bool) (time.Duration, error) {
+// ForwardTarget makes a target known to its holder and returns the lease that
+// the holder gave.
+func (t *Targets) ForwardTarget(ctx context.Context, target job.Target) (time.Duration, error) {
 	to := t.holderOf(&target)
 	for range maxForwards {
 		if to == t.mesh.Self().Entry {
@@ -74,10 +71,10 @@
 		case "":
 			return 0, errors.Annotatef(ErrNoHolder, "target %s, zone %s", target.ID, target.Zone)
 		case t.mesh.Self().Entry:
-			return t.local(target, leaving)
+			return t.local(target)
 		}
 		var answer forwarded
-		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{target, leaving}, &answer); err != nil {
+		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{target}, &answer); err != nil {
 			return 0, errors.Annotatef(err, "holder %s of target %s", to, target.ID)
 		}
 		if answer.Holder == "" {
@@ -88,11 +85,7 @@
 	return 0, errors.Annotatef(ErrNoHolder, "the entries of zone %s disagree for the moment on target %s", target.Zone, target.ID)
 }
 
-func (t *Targets) local(target job.Target, leaving bool) (time.Duration, error) {
-	if leaving {
-		t.registry.Withdraw(target.ID)
-		return 0, nil
-	}
+func (t *Targets) local(target job.Target) (time.Duration, error) {
 	lease, err := t.registry.Announce(target)
 	return lease, errors.Trace(err)
 }
@@ -108,7 +101,7 @@
 		}
 		return forwarded{Holder: holder}, nil
 	}
-	lease, err := t.local(f.Target, f.Leaving)
+	lease, err := t.local(f.Target)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -5,12 +5,14 @@
 var kindNames = map[Kind]string{
 	Heartbeat:        "heartbeat",
 	TargetForward:    "target_forward",
-	TargetSnapshot:   "target_snapshot",
+	TargetWithdraw:   "target_withdraw",
 	RegistrarClaim:   "registrar_claim",
 	RegistrarSettle:  "registrar_settle",
 	RegistrarSync:    "registrar_sync",
 	RegistrarYield:   "registrar_yield",
 	SubmissionJoin:   "submission_join",
+	SubmissionLook:   "submission_look",
+	SubmissionCancel: "submission_cancel",
 	BatchOffer:       "batch_offer",
 	BatchCancel:      "batch_cancel",
 	BatchFetch:       "batch_fetch",
@@ -19,7 +21,6 @@
 	ConfigPull:       "config_pull",
 	ConfigApply:      "config_apply",
 	TimelineRead:     "timeline_read",
-	StatusRead:       "status_read",
 }
 
 // String returns the name under which the kind is counted.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,7 +19,7 @@
 const (
 	Heartbeat        Kind = 1
 	TargetForward    Kind = 2
-	TargetSnapshot   Kind = 3
+	TargetWithdraw   Kind = 3
 	RegistrarClaim   Kind = 10
 	RegistrarSettle  Kind = 11
 	RegistrarSync    Kind = 12
@@ -35,7 +35,6 @@
 	ConfigPull       Kind = 31
 	ConfigApply      Kind = 32
 	TimelineRead     Kind = 40
-	StatusRead       Kind = 41
 )
 
 // Errors of a call. Their difference is what at-most-once rests on.
