Cancel a finished submission only where tasks of it are left

Cause: the end of a submission was told to holders that had refused it too, which had nothing left of it. Change: only holders with an open batch are told.

--- a/internal/pipeline/placing.go
+++ b/internal/pipeline/placing.go
@@ -41,12 +41,18 @@
 	return placing{open: map[job.EntryID]bool{}, refused: map[job.EntryID]bool{}}
 }
 
-// without returns the holders that can't be offered tasks now.
-func (p *placing) without() []job.EntryID {
+// working returns the holders that have tasks of the submission.
+func (p *placing) working() []job.EntryID {
 	var out []job.EntryID
 	for h := range p.open {
 		out = append(out, h)
 	}
+	return out
+}
+
+// without returns the holders that can't be offered tasks now.
+func (p *placing) without() []job.EntryID {
+	out := p.working()
 	for h := range p.refused {
 		if !p.open[h] {
 			out = append(out, h)
--- a/internal/pipeline/placing_test.go
+++ b/internal/pipeline/placing_test.go
@@ -65,6 +65,7 @@
 	p.offered([]Part{{Holder: "a"}, {Holder: "b"}})
 	p.reported("b", refusal(job.Overloaded))
 	qt.Assert(t, p.committed(0), qt.IsTrue)
+	qt.Assert(t, p.working(), qt.DeepEquals, []job.EntryID{"a"})
 	qt.Assert(t, p.without(), qt.ContentEquals, []job.EntryID{"a", "b"})
 	for i := range 3 {
 		_, wait := p.unplaced(noon.Add(time.Duration(i)*time.Hour), job.NoTarget, 0)
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -302,7 +302,7 @@
 func (fl *flight) finish(a job.Answer) {
 	fl.done <- a
 	fl.mu.Lock()
-	holders := fl.placing.without()
+	holders := fl.placing.working()
 	fl.mu.Unlock()
 	for _, h := range holders {
 		fl.stage.Holders.Cancel(h, fl.stage.Self, fl.flow.Submission.ID)
