Forget a target's announcement with its lease

Cause: what an entry remembered of announcements that it had passed on went only when the view of the entries changed. Found by reading; the test kept all 100 of its announcements without the change. Change: the scan for lapsed leases, four times a second, forgets them.

--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -217,15 +217,22 @@
 func (t *targets) stillAnnounced(now time.Time) []job.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetLapsed(now)
 	var out []job.Target
+	for _, p := range t.passed {
+		out = append(out, p.target)
+	}
+	return out
+}
+
+// forgetLapsed drops announcements whose lease has run out, so that targets that
+// are replaced every day don't fill the memory; the caller holds t.mu.
+func (t *targets) forgetLapsed(now time.Time) {
 	for id, p := range t.passed {
 		if now.After(p.until) {
 			delete(t.passed, id)
-			continue
 		}
-		out = append(out, p.target)
 	}
-	return out
 }
 
 // noteHolders remembers who holds each pool in this view.
@@ -251,6 +258,9 @@
 }
 
 func (t *targets) lapse(now time.Time) {
+	t.mu.Lock()
+	t.forgetLapsed(now)
+	t.mu.Unlock()
 	t.changing.Lock()
 	defer t.changing.Unlock()
 	for _, lapsed := range t.registry.Expire(now) {
--- a/internal/entry/targets_test.go
+++ b/internal/entry/targets_test.go
@@ -69,3 +69,18 @@
 func (busy) Stop(context.Context, job.ID, int) error { return nil }
 
 func (busy) Close() {}
+
+// Hundreds of workers are replaced each day, each under a new name. What an
+// entry remembers of their announcements must go with their leases; it would
+// fill the memory of an entry that runs for a year.
+func TestAnnouncementsAreForgottenWithTheirLease(t *testing.T) {
+	h := holder.New(holder.Options{Config: config.Fixed{}, Client: target.NewClient(target.ClientOptions{})})
+	ts := &targets{registry: target.NewRegistry("a", config.Fixed{}), holder: h, events: timeline.Discard{}, passed: map[job.TargetID]passedOn{}}
+	for i := range 100 {
+		ts.remember(job.Target{ID: job.TargetID(strconv.Itoa(i))}, time.Minute)
+	}
+	ts.lapse(time.Now())
+	qt.Assert(t, ts.passed, qt.HasLen, 100)
+	ts.lapse(time.Now().Add(2 * time.Minute))
+	qt.Assert(t, ts.passed, qt.HasLen, 0)
+}
