Bound how long a caller may take to read its answer

Cause: an answer had no write deadline, since a job may take long; a caller that reads nothing held its answer's memory for ever, and a planned stop only ended by its last bound. Found by reading; the test's body budget stayed taken without the change. Change: the deadline is set when the answer is there, for 20 s, and lifted for the connection's next request.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -26,6 +26,9 @@
 	// bodyTime bounds how long a caller may take to send one body, so that one
 	// that trickles bytes can't hold memory and a connection for ever.
 	bodyTime = 20 * time.Second
+	// answerTime bounds how long a caller may take to read its answer. One that
+	// reads nothing would hold the answer's memory, and a planned stop, for ever.
+	answerTime = 20 * time.Second
 	// maxDeadline bounds the deadline that a caller may ask for.
 	maxDeadline = 24 * time.Hour
 )
@@ -119,7 +122,10 @@
 		return
 	}
 	answer := c.Dispatcher.Submit(r.Context(), s)
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(time.Now().Add(answerTime))
 	write(w, &answer)
+	_ = conn.SetWriteDeadline(time.Time{})
 }
 
 func (c *Caller) getJob(w http.ResponseWriter, r *http.Request) {
--- a/internal/api/caller_test.go
+++ b/internal/api/caller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -171,6 +172,32 @@
 	}
 }
 
+// A caller sends a job and never reads its answer. Without a bound some
+// hundreds of these hold the memory of their answers, and no planned stop ends.
+func TestCallersThatDoNotReadAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCaller(&echo{})
+		l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		ctx, stop := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() {
+			served <- Serve(ctx, Server(c.Handler(), slog.New(slog.DiscardHandler)), l, time.Hour)
+		}()
+		payload := strings.Repeat("x", 900<<10)
+		conn := l.dial()
+		_, err := fmt.Fprintf(conn, "POST /v1/services/s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(payload), payload)
+		qt.Assert(t, err, qt.IsNil)
+		synctest.Wait()
+		qt.Assert(t, c.Memory.Used() > 0, qt.IsTrue)
+		time.Sleep(answerTime + time.Second)
+		synctest.Wait()
+		qt.Assert(t, c.Memory.Used(), qt.Equals, int64(0))
+		stop()
+		qt.Assert(t, <-served, qt.IsNil)
+		conn.Close()
+	})
+}
+
 // A planned stop comes while a job runs. The caller must still get its whole
 // answer over the connection that it has.
 func TestServeCutsNoRequest(t *testing.T) {
