Look at the newest loads before saying that there is no target

Cause: loads that heartbeats bring are taken in each 25 ms, and a submission in between was refused with no_target although status already showed the holder. Change: a plan without any holder is made again from the loads of this moment; the refusal's path alone pays for it.

--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -97,10 +97,13 @@
 	for i, task := range tasks {
 		batch[i] = job.BatchTask{Index: task, TaskSpec: f.Submission.Tasks[task]}
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.splitter.Report(now, own)
-	plan := h.splitter.Split(now, f.Service.Pool, f.Service.Urgency, batch, without...)
+	plan := h.split(now, own, f, batch, without)
+	if len(plan.Parts) == 0 {
+		// A heartbeat may have named a holder since loads were last taken in. A
+		// refusal for want of a target must not rest on that moment.
+		h.takeIn(now, h.members.AgedLoads())
+		plan = h.split(now, own, f, batch, without)
+	}
 	parts := make([]pipeline.Part, len(plan.Parts))
 	for i, p := range plan.Parts {
 		parts[i] = pipeline.Part{Holder: p.Entry, Tasks: indices(p.Tasks)}
@@ -108,6 +111,13 @@
 	return parts, plan.Reason
 }
 
+func (h *holders) split(now time.Time, own job.HolderLoad, f *pipeline.Flow, batch []job.BatchTask, without []job.EntryID) split.Plan {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.splitter.Report(now, own)
+	return h.splitter.Split(now, f.Service.Pool, f.Service.Urgency, batch, without...)
+}
+
 func indices(tasks []job.BatchTask) []int {
 	out := make([]int, len(tasks))
 	for i := range tasks {
