Drop what only a trial used; set the keeper's tests up in one place

Fleet.Events, Fleet.Pooling and Entry.Ring served a measurement that is over, and nothing calls them. Three tests of the keeper built the same network.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -365,9 +365,6 @@
 // here or elsewhere.
 func (e *Entry) Slots(pool string) int { return e.holders.knownSlots(pool) }
 
-// Ring returns the events of this entry.
-func (e *Entry) Ring() *timeline.Ring { return e.ring }
-
 // Load returns the load of the pool's targets that this entry holds.
 func (e *Entry) Load(pool string) job.HolderLoad { return e.holder.Load(pool) }
 
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -6,7 +6,6 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
-	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 func (f *Fleet) member(name job.EntryID) *member {
@@ -60,27 +59,3 @@
 		}
 	}
 }
-
-// Events returns the events that the rings of all entries hold.
-func (f *Fleet) Events() []timeline.Event {
-	var pages []timeline.Page
-	for _, m := range f.entries {
-		pages = append(pages, m.entry.Ring().Read(timeline.Query{}))
-	}
-	return timeline.Merge(pages, nil).Events
-}
-
-// Pooling returns the free slots and the waiting tasks of all holders.
-func (f *Fleet) Pooling() (free, queued, same int) {
-	for _, m := range f.entries {
-		l := m.entry.Load(f.opts.Pool)
-		free += l.Free
-		here := 0
-		for _, n := range l.Queued {
-			here += n
-		}
-		queued += here
-		same += min(l.Free, here)
-	}
-	return free, queued, same
-}
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -27,6 +27,18 @@
 
 func everybody(job.Owner) bool { return true }
 
+// network joins a keeper without a disk and an owner, and returns the owner's
+// side. It is used under virtual time.
+func network(t *testing.T) (*peertest.Network, *Keeper, *peertest.Node) {
+	t.Helper()
+	net := &peertest.Network{Delay: time.Millisecond}
+	keeperSide, ownerSide := net.Join(other), net.Join(lost)
+	k, err := New(nil)
+	qt.Assert(t, err, qt.IsNil)
+	Serve(keeperSide, k)
+	return net, k, ownerSide
+}
+
 func openLog(t *testing.T, dir string) (*Keeper, *storage.SubmissionLog) {
 	t.Helper()
 	log, err := storage.OpenSubmissionLog(dir, storage.OS{})
@@ -89,11 +101,7 @@
 // each task must be granted to one of them only.
 func TestTwoDriversAreGrantedEachTaskOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		net := &peertest.Network{Delay: time.Millisecond}
-		keeperSide, ownerSide := net.Join(other), net.Join(lost)
-		k, err := New(nil)
-		qt.Assert(t, err, qt.IsNil)
-		Serve(keeperSide, k)
+		net, k, ownerSide := network(t)
 		remote := &Remote{Mesh: ownerSide, Entry: other.Entry}
 		qt.Assert(t, remote.Accept(t.Context(), lost, forecast()), qt.IsNil)
 		qt.Assert(t, remote.Grant(t.Context(), "forecast", []int{0}), qt.IsNil)
@@ -112,15 +120,11 @@
 // will drive the submission on, so it must not be called "not run".
 func TestLostAcceptanceIsUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		net := &peertest.Network{Delay: time.Millisecond}
-		keeperSide, ownerSide := net.Join(other), net.Join(lost)
-		k, err := New(nil)
-		qt.Assert(t, err, qt.IsNil)
-		Serve(keeperSide, k)
+		net, k, ownerSide := network(t)
 		net.Cut("b1", "a1", true)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		err = (&Remote{Mesh: ownerSide, Entry: other.Entry}).Accept(ctx, lost, forecast())
+		err := (&Remote{Mesh: ownerSide, Entry: other.Entry}).Accept(ctx, lost, forecast())
 		qt.Assert(t, errors.Is(err, ErrUncertain), qt.IsTrue)
 		qt.Assert(t, k.Open(everybody), qt.HasLen, 1)
 		time.Sleep(time.Second)
@@ -131,12 +135,8 @@
 // place of keeping the submission in its memory only.
 func TestKeeperWithoutDiskRefusesSynced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		net := &peertest.Network{Delay: time.Millisecond}
-		keeperSide, ownerSide := net.Join(other), net.Join(lost)
-		k, err := New(nil)
-		qt.Assert(t, err, qt.IsNil)
-		Serve(keeperSide, k)
-		err = (&Remote{Mesh: ownerSide, Entry: other.Entry, Synced: true}).Accept(t.Context(), lost, forecast())
+		_, _, ownerSide := network(t)
+		err := (&Remote{Mesh: ownerSide, Entry: other.Entry, Synced: true}).Accept(t.Context(), lost, forecast())
 		qt.Assert(t, errors.Is(err, ErrNotKept), qt.IsTrue)
 		time.Sleep(time.Second)
 	})
