--- /dev/null
+++ b/cmd/vanillagrade/cgo.go
@@ -0,0 +1,5 @@
+// The platform meets a process at the C library, so the binary is linked to it.
+
+package main
+
+import "C"
--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -33,6 +33,7 @@
 // arguments lists the subcommands; each stands in a file of its own.
 type arguments struct {
 	Entry    *entryCmd        `arg:"subcommand:entry" help:"run an entry: the daemon on each entry VM"`
+	Platform *platformCmd     `arg:"subcommand:platform" help:"run an entry on the users' platform, by its settings file"`
 	Target   *targetCmd       `arg:"subcommand:target" help:"run a stand-in target, for trials and tests"`
 	Check    *checkCmd        `arg:"subcommand:check" help:"check a declarative file offline"`
 	Apply    *applyCmd        `arg:"subcommand:apply" help:"apply a declarative file as a whole"`
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -95,15 +95,16 @@
 }
 
 func (c *Caller) postJob(w http.ResponseWriter, r *http.Request) {
-	c.post(w, r, decodeJob, writeAnswer)
+	c.Serve(w, r, decodeJob, writeAnswer)
 }
 
 func (c *Caller) postService(w http.ResponseWriter, r *http.Request) {
-	c.post(w, r, decodeSingle, writeSingle)
+	c.Serve(w, r, decodeSingle, writeSingle)
 }
 
-// post reads a submission, has it dispatched and writes its answer.
-func (c *Caller) post(
+// Serve reads a submission, has it dispatched and writes its answer. Other
+// interfaces than this package's bring their own forms.
+func (c *Caller) Serve(
 	w http.ResponseWriter,
 	r *http.Request,
 	decode func(*http.Request, []byte, time.Time) (*job.Submission, error),
@@ -112,13 +113,13 @@
 	body, release, refusal := c.readBody(w, r)
 	defer release()
 	if refusal != nil {
-		writeOther(w, refusal)
+		write(w, refusal)
 		return
 	}
 	s, err := decode(r, body, time.Now())
 	if err != nil {
 		refused := job.Refuse("", job.Malformed, err.Error(), 0)
-		writeOther(w, &refused)
+		write(w, &refused)
 		return
 	}
 	answer := c.Dispatcher.Submit(r.Context(), s)
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -132,7 +132,9 @@
 
 // writeSingle writes the answer of an opaque request byte for byte.
 func writeSingle(w http.ResponseWriter, a *job.Answer) {
-	w.Header().Set(HeaderID, string(a.ID))
+	if a.ID != "" {
+		w.Header().Set(HeaderID, string(a.ID))
+	}
 	if a.Outcome != job.Complete {
 		writeOther(w, a)
 		return
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"strings"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -18,6 +19,16 @@
 	Services []Service
 	Limits   Limits
 	Targets  TargetDefaults
+	// Routes lead requests to services by host and path, where callers do not
+	// name the service.
+	Routes []Route
+}
+
+// Route leads the requests for a host and a path to a service.
+type Route struct {
+	Host       string
+	PathPrefix string
+	Service    string
 }
 
 // Team is a group of callers that shares a quota.
@@ -48,6 +59,14 @@
 	// FlagLate keeps work whose deadline has passed and flags the answer late;
 	// otherwise the submission ends at its deadline.
 	FlagLate bool
+	// Attempts is how many runs of a task may fail before its job does; zero
+	// and one mean that the first failure ends the job. Only a run that has
+	// provably ended is followed by another.
+	Attempts int
+	// Stretch and Slack make the latency objective: Stretch times what the
+	// longest task of the job takes, and Slack more. Zero Stretch is none.
+	Stretch float64
+	Slack   time.Duration
 }
 
 // Limits bounds what one entry accepts.
@@ -89,6 +108,28 @@
 	return Service{}, false
 }
 
+// Route returns the route of a request: of those of its host the one with the
+// longest prefix of its path.
+func (f *File) Route(host, path string) (Route, bool) {
+	best := -1
+	if f == nil {
+		return Route{}, false
+	}
+	for i := range f.Routes {
+		r := &f.Routes[i]
+		if r.Host != host || !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
+		if best < 0 || len(r.PathPrefix) > len(f.Routes[best].PathPrefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return f.Routes[best], true
+}
+
 // Team returns the named team. A file that names no team serves all callers as
 // one team of weight 1 without a name.
 func (f *File) Team(name string) (Team, bool) {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -44,7 +44,7 @@
 }
 
 // Input is what happens to a node: one of Received, Synced, Submit, Abandon,
-// Retry, Finish and Lagging.
+// Retry, Finish, Lagging and Founded.
 type Input interface{ input() }
 
 // Received is the arrival of a message.
@@ -72,6 +72,12 @@
 // Lagging says that the peer holds a newer version.
 type Lagging struct{ Peer job.EntryID }
 
+// Founded names the entries that form the register, for a node that started
+// before they were known. It is taken once, and never after the register was
+// formed.
+type Founded struct{ Genesis []job.EntryID }
+
+func (Founded) input()  {}
 func (Received) input() {}
 func (Lagging) input()  {}
 func (Synced) input()   {}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -32,6 +32,8 @@
 		t.retry()
 	case Lagging:
 		t.send(t.message(MsgFetch, in.Peer))
+	case Founded:
+		t.found(in.Genesis)
 	case Finish:
 		if t.Accepted != nil || t.Chosen.Version == 0 {
 			t.begin(true)
@@ -41,6 +43,16 @@
 	return t.State, t.out
 }
 
+func (t *step) found(genesis []job.EntryID) {
+	if len(t.Genesis) > 0 || t.Chosen.Version > 0 {
+		return
+	}
+	names := slices.Clone(genesis)
+	slices.Sort(names)
+	t.Genesis = slices.Compact(names)
+	t.begin(true)
+}
+
 // finish issues the write and holds back what rests on it.
 func (t *step) finish() {
 	if t.dirty {
--- a/internal/consensus/value.go
+++ b/internal/consensus/value.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
@@ -75,6 +76,8 @@
 	Replace
 	// Read changes nothing and learns the latest value.
 	Read
+	// Add makes one more disk a voter.
+	Add
 )
 
 // Command is a request to make the next value out of the latest one.
@@ -86,11 +89,18 @@
 	// Lineage and Voters belong to Form.
 	Lineage uint64  `cbor:"5,keyasint,omitempty"`
 	Voters  []Voter `cbor:"6,keyasint,omitempty"`
-	// Old and New belong to Replace.
+	// Old and New belong to Replace, New also to Add.
 	Old job.EntryID `cbor:"7,keyasint,omitempty"`
 	New Voter       `cbor:"8,keyasint,omitempty"`
+	// Expect, when set, is the only version that the change of voters may
+	// follow: what it mends was judged by that version, and two entries that
+	// mend the same thing must not do it twice.
+	Expect uint64 `cbor:"9,keyasint,omitempty"`
 }
 
+// changesVoters reports whether the command makes another set of voters.
+func (c *Command) changesVoters() bool { return c.Kind == Replace || c.Kind == Add }
+
 // OutcomeKind is how a request ended.
 type OutcomeKind uint8
 
@@ -127,6 +137,8 @@
 		return Outcome{Kind: Accepted, Change: v.Change}, false
 	case Replace:
 		return v.decideReplace(c)
+	case Add:
+		return v.decideAdd(c)
 	case Configure:
 		return v.decideConfigure(c)
 	}
@@ -168,12 +180,30 @@
 			return Outcome{Kind: NotVoting, Change: v.Change}, false
 		}
 	}
-	if !old {
+	if !old || v.outdated(c) {
+		return Outcome{Kind: NotVoting, Change: v.Change}, false
+	}
+	return Outcome{}, true
+}
+
+func (v *Value) decideAdd(c *Command) (Outcome, bool) {
+	for _, voter := range v.Voters {
+		if voter == c.New {
+			return Outcome{Kind: Accepted, Change: v.Change}, false
+		}
+		if voter.Entry == c.New.Entry {
+			return Outcome{Kind: NotVoting, Change: v.Change}, false
+		}
+	}
+	if v.outdated(c) {
 		return Outcome{Kind: NotVoting, Change: v.Change}, false
 	}
 	return Outcome{}, true
 }
 
+// outdated reports whether a change of voters was judged by an earlier version.
+func (v *Value) outdated(c *Command) bool { return c.Expect != 0 && c.Expect != v.Version }
+
 func (v *Value) changeByID(id string) (Change, bool) {
 	for i := len(v.Recent) - 1; i >= 0; i-- {
 		if v.Recent[i].ID == id {
@@ -200,6 +230,8 @@
 			}
 			next.Voters[i] = voter
 		}
+	case Add:
+		next.Voters = append(slices.Clone(v.Voters), c.New)
 	case Configure:
 		next.Change, next.Body, next.AcceptedAt = c.Change, c.Body, c.At
 		keep := v.Recent
--- /dev/null
+++ b/internal/discovery/join.go
@@ -0,0 +1,271 @@
+package discovery
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+)
+
+// headerMAC carries the proof that a join comes from who knows the secret.
+const headerMAC = "Vanillagrade-Mac"
+
+const (
+	// joinTimeout bounds one join: two round trips across regions and the pause
+	// of a busy VM.
+	joinTimeout = 500 * time.Millisecond
+	// firstJoins is the pace of joins until an entry has answered: all entries of
+	// a fleet start within some hundred milliseconds of each other.
+	firstJoins = 100 * time.Millisecond
+	// exchangePeriod is the pace of the exchange afterwards. It bounds how long
+	// two parts that started apart stay unknown to each other.
+	exchangePeriod = 2 * time.Second
+	// newsPeriod joins the news of many entries that come at once into one
+	// message to each other entry.
+	newsPeriod = 50 * time.Millisecond
+	// maxBody bounds a join or its answer, in bytes: some thousand records.
+	maxBody = 1 << 20
+)
+
+// Options describes a Joiner.
+type Options struct {
+	Book *Book
+	Mesh peer.Mesh
+	// Seeds returns the addresses that may be asked; they may change.
+	Seeds func() []string
+	// Secret signs joins; empty on a trusted network.
+	Secret []byte
+	// OnNews gets each record that was new, one call at a time.
+	OnNews func(Record)
+	Log    *slog.Logger
+}
+
+// Joiner finds the other entries and lets them find this one.
+type Joiner struct {
+	opts   Options
+	client *http.Client
+
+	mu     sync.Mutex
+	news   []Record
+	joined bool
+	wake   chan struct{}
+}
+
+// exchange is the body of a join and of its answer.
+type exchange struct {
+	Records []Record `cbor:"1,keyasint"`
+}
+
+// New returns a joiner and sets its handler on the mesh.
+func New(o Options) *Joiner {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	dialer := &net.Dialer{Timeout: joinTimeout}
+	j := &Joiner{
+		opts: o, wake: make(chan struct{}, 1),
+		client: &http.Client{Timeout: joinTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+	}
+	o.Mesh.HandleInOrder(peer.MemberNews, j.onNews)
+	return j
+}
+
+// Joined reports whether another entry has answered or was heard of.
+func (j *Joiner) Joined() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.joined
+}
+
+// Learn takes records in that came by any way, and passes the news on.
+func (j *Joiner) Learn(records ...Record) {
+	news := j.opts.Book.Learn(time.Now(), records...)
+	if len(news) == 0 {
+		return
+	}
+	j.mu.Lock()
+	j.joined = true
+	j.news = append(j.news, news...)
+	for _, r := range news {
+		j.opts.Log.Info("entry found", "peer", r.Owner.Entry, "incarnation", r.Owner.Incarnation, "availability_zone", r.Owner.Zone, "address", r.Address, "disk", r.Disk)
+		j.opts.OnNews(r)
+	}
+	j.mu.Unlock()
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (j *Joiner) onNews(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
+	var e exchange
+	if err := cbor.Unmarshal(body, &e); err != nil {
+		return nil, errors.Annotate(err, "decoding the news of entries")
+	}
+	j.Learn(e.Records...)
+	return nil, nil
+}
+
+// Run joins, exchanges and tells news until ctx ends.
+func (j *Joiner) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { j.tellNews(ctx) })
+	for ctx.Err() == nil {
+		wait := exchangePeriod
+		if !j.Joined() {
+			wait = firstJoins
+			j.joinAll(ctx)
+		} else {
+			j.exchangeOne(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait/2 + rand.N(wait)):
+		}
+	}
+	return nil
+}
+
+// joinAll asks all seeds side by side: each may be down.
+func (j *Joiner) joinAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, seed := range j.opts.Seeds() {
+		if !j.isSelf(seed) {
+			wg.Go(func() { j.join(ctx, seed) })
+		}
+	}
+	wg.Wait()
+}
+
+func (j *Joiner) isSelf(address string) bool {
+	self, _ := j.opts.Book.Get(j.opts.Mesh.Self().Entry)
+	return self.Address == address
+}
+
+// exchangeOne asks one seed or known entry, drawn by lot.
+func (j *Joiner) exchangeOne(ctx context.Context) {
+	addresses := j.opts.Seeds()
+	for _, r := range j.opts.Book.All() {
+		addresses = append(addresses, r.Address)
+	}
+	address := addresses[rand.N(len(addresses))]
+	if !j.isSelf(address) {
+		j.join(ctx, address)
+	}
+}
+
+// Meet exchanges with an entry that linked itself without being known before.
+func (j *Joiner) Meet(address string) { j.join(context.Background(), address) }
+
+// join tells one address all that is known and learns what is known there.
+func (j *Joiner) join(ctx context.Context, address string) {
+	answer, err := j.post(ctx, address, exchange{j.opts.Book.All()})
+	if err != nil {
+		j.opts.Log.Debug("a seed does not answer", "address", address, "error", err)
+		return
+	}
+	j.Learn(answer.Records...)
+}
+
+func (j *Joiner) post(ctx context.Context, address string, e exchange) (exchange, error) {
+	var answer exchange
+	body, err := cbor.Marshal(e)
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+peer.JoinPath, bytes.NewReader(body))
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	req.Header.Set(headerMAC, j.mac(body))
+	resp, err := j.client.Do(req)
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("status %d", resp.StatusCode)
+	}
+	if !hmac.Equal([]byte(resp.Header.Get(headerMAC)), []byte(j.mac(raw))) {
+		return answer, errors.New("the peer secrets differ")
+	}
+	return answer, errors.Trace(cbor.Unmarshal(raw, &answer))
+}
+
+func (j *Joiner) mac(body []byte) string {
+	h := hmac.New(sha256.New, j.opts.Secret)
+	h.Write([]byte("vanillagrade join"))
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// ServeHTTP takes the join of another entry.
+func (j *Joiner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !hmac.Equal([]byte(r.Header.Get(headerMAC)), []byte(j.mac(body))) {
+		http.Error(w, "the peer secrets differ", http.StatusForbidden)
+		return
+	}
+	var e exchange
+	if err := cbor.Unmarshal(body, &e); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	j.Learn(e.Records...)
+	raw, err := cbor.Marshal(exchange{j.opts.Book.All()})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(headerMAC, j.mac(raw))
+	_, _ = w.Write(raw)
+}
+
+// tellNews passes news on to every linked entry.
+func (j *Joiner) tellNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-j.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(newsPeriod):
+		}
+		j.mu.Lock()
+		news := j.news
+		j.news = nil
+		j.mu.Unlock()
+		for _, r := range j.opts.Book.All() {
+			if r.Owner.Entry != j.opts.Mesh.Self().Entry {
+				// A link that is down misses the news; the exchange repairs it.
+				_ = j.opts.Mesh.Send(r.Owner.Entry, peer.MemberNews, exchange{news})
+			}
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/discovery"
 	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -25,6 +26,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/registrar"
+	"github.com/vanillagrade/vanillagrade/internal/runs"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
@@ -56,6 +58,21 @@
 	Linger time.Duration
 	// Incarnation numbers this life of the entry; zero takes the clock.
 	Incarnation job.Incarnation
+	// Parse reads a declarative file; nil takes config.Parse.
+	Parse func(name string, body []byte) (*config.File, error)
+	// Orders, when set, is the way to a target that runs tasks under a lease, in
+	// place of the targets' HTTP interface.
+	Orders func(job.Target) runs.Orders
+	// Seeds, when set, replaces the seeds of the settings, which may change.
+	Seeds func() []string
+	// Attach, when set, returns further servers of this entry.
+	Attach func(*Entry) []Attached
+}
+
+// Attached is one more server of an entry. Its listener is open already.
+type Attached struct {
+	Listener net.Listener
+	Server   *http.Server
 }
 
 // Entry is one entry process.
@@ -71,6 +88,9 @@
 	register *register.Register
 	members  *membership.Membership
 	lives    lives
+	// book and joiner find the other entries; nil where the settings name them.
+	book   *discovery.Book
+	joiner *discovery.Joiner
 
 	record  *pipeline.Record
 	check   *pipeline.Check
@@ -155,7 +175,7 @@
 		{&o.Listeners.Peer, o.Settings.PeerAddr},
 		{&o.Listeners.Operator, o.Settings.OperatorAddr},
 	} {
-		if *l.listener != nil {
+		if *l.listener != nil || l.address == "" {
 			continue
 		}
 		opened, err := net.Listen("tcp", l.address)
@@ -198,6 +218,7 @@
 		Self:      e.self,
 		Config:    e.config,
 		Client:    target.NewClient(target.ClientOptions{}),
+		Connect:   e.connect(),
 		Events:    e.ring,
 		Log:       e.log,
 		Scheduler: e.opts.Scheduler,
@@ -229,11 +250,28 @@
 func (e *Entry) Run(ctx context.Context) error {
 	var g run.Group
 	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
-	e.log.Info("entry serves", "callers", e.opts.Listeners.Caller.Addr().String())
+	e.log.Info("entry serves", "callers", e.opts.Settings.CallerAddr, "peers", e.opts.Settings.PeerAddr, "incarnation", e.self.Incarnation, "version", version())
 	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
 	listen := e.opts.Listeners
-	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.closing(caller.Handler()), listen.Caller) })
-	e.add(&g, func(ctx context.Context) error { return e.serve(ctx, e.operator().Handler(), listen.Operator) })
+	if listen.Caller != nil {
+		e.add(&g, func(ctx context.Context) error {
+			return e.serve(ctx, api.Server(e.closing(caller.Handler()), e.log), listen.Caller)
+		})
+	}
+	if e.opts.Attach != nil {
+		for _, a := range e.opts.Attach(e) {
+			a.Server.Handler = e.closing(a.Server.Handler)
+			e.add(&g, func(ctx context.Context) error { return e.serve(ctx, a.Server, a.Listener) })
+		}
+	}
+	if e.joiner != nil {
+		e.add(&g, e.joiner.Run)
+		e.add(&g, e.forgetTheGone)
+	}
+	e.add(&g, e.dropTheSilent)
+	e.add(&g, func(ctx context.Context) error {
+		return e.serve(ctx, api.Server(e.operator().Handler(), e.log), listen.Operator)
+	})
 	e.add(&g, func(ctx context.Context) error { return api.Serve(ctx, e.links.Server(), listen.Peer, stopBound) })
 	e.add(&g, e.links.Run)
 	e.add(&g, e.register.Run)
@@ -288,8 +326,7 @@
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
 
-func (e *Entry) serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	server := api.Server(h, e.log)
+func (e *Entry) serve(ctx context.Context, server *http.Server, l net.Listener) error {
 	served := make(chan struct{})
 	defer close(served)
 	go func() {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -17,9 +17,19 @@
 		peers = append(peers, membership.Peer{Entry: p.Entry, Zone: p.Zone})
 	}
 	e.lives = lives{}
+	var across membership.Timings
+	if e.opts.Settings.Discover {
+		across = sharedWork
+	}
+	defer func() {
+		if e.opts.Settings.Discover {
+			e.members.Add(membership.Peer{Entry: e.self.Entry, Zone: e.self.Zone, Reserve: e.opts.Settings.DataDir != ""})
+		}
+	}()
 	e.members = membership.New(membership.Options{
 		Mesh:    e.links,
 		Peers:   peers,
+		Across:  across,
 		Log:     e.log,
 		Events:  e.ring,
 		Config:  e.register,
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -30,7 +30,7 @@
 	for _, p := range e.opts.Settings.Others() {
 		names = append(names, p.Entry)
 	}
-	return names
+	return append(names, e.foundNames()...)
 }
 
 // Drain begins a planned stop, as SIGTERM does.
--- a/internal/entry/shared.go
+++ b/internal/entry/shared.go
@@ -19,19 +19,31 @@
 		peers = append(peers, peer.Peer{Entry: p.Entry, Zone: p.Zone, Address: p.Address})
 		names = append(names, p.Entry)
 	}
-	e.links = peer.New(peer.Options{Self: e.self, Peers: peers, Secret: s.PeerSecret, Clock: e.clock, Log: e.log})
+	links := peer.Options{Self: e.self, Peers: peers, Secret: s.PeerSecret, TrustNetwork: s.TrustNetwork, Clock: e.clock, Log: e.log}
+	if s.Discover {
+		e.discover(&links)
+	}
+	e.links = peer.New(links)
+	if s.Discover {
+		e.startDiscovery()
+	}
 	store, err := e.openStore()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	e.register = register.New(register.Options{
+	options := register.Options{
 		Mesh:    e.links,
 		Store:   store,
 		Voters:  s.Voters,
 		Entries: names,
+		Parse:   e.opts.Parse,
 		Log:     e.log,
 		Events:  e.ring,
-	})
+	}
+	if s.Discover {
+		e.discoverVoters(&options)
+	}
+	e.register = register.New(options)
 	e.config = e.register
 	if e.opts.Config != nil {
 		e.config = e.opts.Config
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -29,6 +29,16 @@
 	// fetchTimeout is how long a caller that came back waits for the results of
 	// its lost owner: a few crossings and the sending of a large answer.
 	fetchTimeout = time.Second
+	// OwnerSilence is how long a holder runs the transient work of an owner that
+	// it does not hear: nobody could receive its results. It is above three
+	// heartbeats and the pause of a busy VM, and below the time after which a
+	// caller sends its submission again, so that by then the work has ended.
+	OwnerSilence = 900 * time.Millisecond
+	// lostAfter is when an owner takes the transient work at a holder that it
+	// can't reach for ended. Either the holder runs and has stopped the work:
+	// OwnerSilence and the time of some stops. Or it does not: then the leases of
+	// its targets, a second at most, have run out.
+	lostAfter = OwnerSilence + 600*time.Millisecond
 	// maxAcks bounds the acknowledgements that wait for the next offer.
 	maxAcks = 4096
 )
@@ -140,11 +150,21 @@
 	b := o.Batch
 	start := time.Now()
 	var unreachable time.Duration
-	sent := false // whether the holder may have got the offer
+	var broken time.Time // since when the holder can't be reached
+	sent := false        // whether the holder may have got the offer
 	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
 		o.Batch = aged(b, time.Since(start))
 		o.Acked = r.takeAcks(to)
 		answer, err := r.ask(ctx, to, o)
+		if err == nil {
+			broken = time.Time{}
+		}
+		if err == nil && b.Transient && answer.Verdict == verdictNotMine {
+			// Its earlier life ended before this answer, and the leases that it
+			// gave run out within the same bound.
+			r.wait(ctx, lostAfter)
+			return lost(&b)
+		}
 		if err == nil && answer.Verdict != verdictSuperseded {
 			r.ack(to, o.Number)
 			return settle(&b, answer)
@@ -166,6 +186,16 @@
 		} else {
 			unreachable, pause = 0, minRetryPause
 		}
+		if broken.IsZero() {
+			broken = time.Now()
+		}
+		if b.Transient && time.Since(broken) > lostAfter {
+			return lost(&b)
+		}
+		if b.Transient {
+			r.wait(ctx, pause)
+			continue
+		}
 		if r.gone(to, o.To) || unreachable > giveUpAfter {
 			return whole(&b, job.TaskErred, job.HolderLost, "the holder was lost after it got the tasks")
 		}
@@ -173,6 +203,15 @@
 	}
 }
 
+// lost is the outcome of tasks whose holder is lost and whose runs have ended.
+func lost(b *job.Batch) []job.TaskOutcome {
+	outcomes := whole(b, job.TaskErred, job.HolderLost, "the holder was lost and its runs have ended")
+	for i := range outcomes {
+		outcomes[i].Over = true
+	}
+	return outcomes
+}
+
 func (r *Remote) ask(ctx context.Context, to job.EntryID, o offer) (report, error) {
 	ctx, cancel := context.WithTimeout(ctx, askAgainAfter)
 	defer cancel()
--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -29,6 +29,10 @@
 	// open counts the tasks without an outcome.
 	open    int
 	running map[int]*link
+	// failures counts the runs of each task that failed.
+	failures map[int]int
+	// next is what waits for the last run of the batch to end.
+	next *parked
 	// retries counts how often a repeatable request was sent again.
 	retries int
 	// fatal is why the rest of the batch ends, once the job can't become
@@ -49,6 +53,7 @@
 		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
 		open:     len(b.Tasks),
 		running:  make(map[int]*link),
+		failures: make(map[int]int),
 	}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -185,7 +185,10 @@
 	h.mu.RLock()
 	service, known := h.file.Service(b.Service)
 	h.mu.RUnlock()
-	if !known || service.Pool == "" {
+	if b.Pool != "" {
+		service.Pool = b.Pool
+	}
+	if (!known || service.Pool == "") && b.Pool == "" {
 		// This entry may be behind the owner's configuration by some seconds;
 		// a pool has its service's name unless a file says otherwise.
 		service.Pool = b.Service
@@ -210,6 +213,27 @@
 	}
 }
 
+// Owners returns the owners whose transient work is here.
+func (h *Holder) Owners() []job.Owner {
+	found := map[job.Owner]bool{}
+	for _, p := range h.all() {
+		p.owners(found)
+	}
+	out := make([]job.Owner, 0, len(found))
+	for o := range found {
+		out = append(out, o)
+	}
+	return out
+}
+
+// Abandon stops the transient work of an owner, queued and running: nobody can
+// receive its results.
+func (h *Holder) Abandon(owner job.Owner) {
+	for _, p := range h.all() {
+		p.abandon(owner)
+	}
+}
+
 // Loads returns what owners are told of each pool.
 func (h *Holder) Loads() []job.HolderLoad {
 	pools := h.all()
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -23,6 +23,16 @@
 	links   map[job.TargetID]*link
 	budgets map[string]*retry.Budget
 	wake    *time.Timer
+	// latest is the last batch of each transient submission, whoever owned it.
+	latest map[job.ID]*batch
+}
+
+// parked is a batch that waits until no run of an earlier owner's batch of the
+// same submission is alive.
+type parked struct {
+	offered *job.Batch
+	service config.Service
+	report  func([]job.TaskOutcome)
 }
 
 // effects are what a change of state asks for. They are carried out after the
@@ -42,6 +52,7 @@
 		batches: make(map[batchKey]*batch),
 		links:   make(map[job.TargetID]*link),
 		budgets: make(map[string]*retry.Budget),
+		latest:  make(map[job.ID]*batch),
 		file:    f,
 	}
 	if f != nil { // targets may come before the first configuration
@@ -152,6 +163,9 @@
 			p.refuse(e, report, repeated(offered, first))
 			return
 		}
+		if p.park(now, &parked{offered, service, report}, e) {
+			return
+		}
 		if v := p.sched.Offer(now, offered); !v.Accepted {
 			p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: offered.Submission, Reason: v.Reason, Cause: v.Detail, Count: len(offered.Tasks), Peer: offered.Owner.Entry})
 			p.refuse(e, report, unstarted(offered.Tasks, v))
@@ -159,6 +173,9 @@
 		}
 		b := newBatch(now, offered, service, report)
 		p.batches[key] = b
+		if offered.Transient {
+			p.latest[offered.Submission] = b
+		}
 		if offered.Remaining > 0 && !service.FlagLate {
 			b.deadline = time.AfterFunc(offered.Remaining, func() { p.passDeadline(b) })
 		}
@@ -180,10 +197,34 @@
 	}
 	if b.ended() && p.batches[b.key] == b {
 		delete(p.batches, b.key)
+		if p.latest[b.key.id] == b {
+			delete(p.latest, b.key.id)
+		}
 		e.then(p.holder.gate.leave)
+		if next := b.next; next != nil {
+			b.next = nil
+			e.then(func() { p.offer(next.offered, next.service, next.report) })
+		}
 	}
 }
 
+// park meets a submission that was sent again through another owner while runs
+// of the earlier one are alive: those are stopped, since their owner can't be
+// asked for the answer, and the later ones wait for their ends. Otherwise two
+// runs of a task would be alive together.
+func (p *pool) park(now time.Time, later *parked, e *effects) bool {
+	earlier := p.latest[later.offered.Submission]
+	if earlier == nil || earlier.ended() {
+		return false
+	}
+	if old := earlier.next; old != nil {
+		p.refuse(e, old.report, unstarted(old.offered.Tasks, scheduler.Verdict{Reason: job.OwnerLost, Detail: "the submission was sent again through another owner"}))
+	}
+	earlier.next = later
+	p.abort(now, earlier, e, job.OwnerLost)
+	return true
+}
+
 // end drops the queued tasks of a batch, asks the targets to stop the running
 // ones, and reports. The running ones are reported as "may have run": how they
 // end is not waited for, and counts for nobody.
@@ -229,7 +270,15 @@
 }
 
 func (p *pool) cancel(key batchKey) {
-	p.change(func(now time.Time, e *effects) { p.abort(now, p.batches[key], e, job.CancelledByCall) })
+	p.change(func(now time.Time, e *effects) {
+		if earlier := p.latest[key.id]; earlier != nil && earlier.next != nil && earlier.next.offered.Owner == key.owner {
+			later := earlier.next
+			earlier.next = nil
+			p.refuse(e, later.report, unstarted(later.offered.Tasks, scheduler.Verdict{Reason: job.CancelledByCall}))
+			return
+		}
+		p.abort(now, p.batches[key], e, job.CancelledByCall)
+	})
 }
 
 func (p *pool) abort(now time.Time, b *batch, e *effects, reason job.Reason) {
@@ -251,3 +300,25 @@
 		}
 	})
 }
+
+// abandon stops the transient work of an owner.
+func (p *pool) abandon(owner job.Owner) {
+	p.change(func(now time.Time, e *effects) {
+		for key, b := range p.batches {
+			if key.owner == owner && b.offered.Transient {
+				p.abort(now, b, e, job.OwnerLost)
+			}
+		}
+	})
+}
+
+// owners adds the owners of transient work that is not over.
+func (p *pool) owners(out map[job.Owner]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, b := range p.batches {
+		if b.offered.Transient && !b.reported {
+			out[key.owner] = true
+		}
+	}
+}
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -34,6 +34,7 @@
 		Index:      l.start.Index,
 		Payload:    l.start.Task.Payload,
 		Single:     l.start.Single,
+		Run:        l.start.Attempt,
 	})
 	stats.received.Add(uint64(len(res.Payload)))
 	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
@@ -73,7 +74,7 @@
 	if l.batch.reported || res.Status == job.TaskDone || p.holder.ctx.Err() != nil {
 		return false
 	}
-	if res.Status == job.TaskErred && !p.mayRepeat(now, l, res) {
+	if res.Status == job.TaskErred && !p.mayRunAgain(l, res) && !p.mayRepeat(now, l, res) {
 		return false
 	}
 	if !p.sched.Retry(now, l.start.Key, resultOf(res)) {
@@ -88,6 +89,21 @@
 	return true
 }
 
+// mayRunAgain reports whether a task whose run has provably ended without a
+// result gets another one. Only failures count against its attempts: a run that
+// was lost with its target says nothing of the task.
+func (p *pool) mayRunAgain(l *launch, res target.Result) bool {
+	b := l.batch
+	if !res.Over || b.offered.Attempts == 0 {
+		return false
+	}
+	if res.Reason != job.TaskFailed {
+		return true
+	}
+	b.failures[l.start.Index]++
+	return b.failures[l.start.Index] < b.offered.Attempts
+}
+
 // mayRepeat reports whether a task that may have run may run once more. A task
 // of a job and a request that is not repeatable never does.
 func (p *pool) mayRepeat(now time.Time, l *launch, res target.Result) bool {
@@ -135,6 +151,7 @@
 		Target:  l.start.Target,
 		Queued:  l.queued,
 		Ran:     res.Ran,
+		Over:    res.Over,
 	}
 	if res.Status == job.TaskNotStarted && res.Refusal != target.Abandoned {
 		o.Reason = job.TargetRefused
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,6 +55,8 @@
 	Processors   int             `json:"processors,omitempty" cbor:"4,keyasint,omitempty"`
 	MemoryMB     int             `json:"memory_mb,omitempty" cbor:"5,keyasint,omitempty"`
 	Accelerators int             `json:"accelerators,omitempty" cbor:"6,keyasint,omitempty"`
+	// MilliProcessors is a part of a processor in thousandths, beside Processors.
+	MilliProcessors int `json:"milli_processors,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Urgency is the class of a service. Higher values are served first.
@@ -143,6 +145,10 @@
 	// Single marks an opaque request of the /v1/services path: one task whose
 	// answer is handed back byte for byte.
 	Single bool
+	// Transient marks a submission that nobody asks for again once its callers
+	// have hung up, and that may run again from the start when it is sent again:
+	// its work is stopped with its last caller, and no registrar remembers it.
+	Transient bool
 	// Digest is over service, team and tasks; the same id with another digest
 	// is another submission and is refused.
 	Digest Digest
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -26,16 +26,40 @@
 	Processors   int `cbor:"1,keyasint,omitempty"`
 	MemoryMB     int `cbor:"2,keyasint,omitempty"`
 	Accelerators int `cbor:"3,keyasint,omitempty"`
+	// MilliProcessors is a part of a processor in thousandths, beside Processors.
+	MilliProcessors int `cbor:"4,keyasint,omitempty"`
 }
 
 // Size returns the declared size of the task.
 func (t *TaskSpec) Size() Size {
-	return Size{Processors: t.Processors, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators}
+	return Size{Processors: t.Processors, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators, MilliProcessors: t.MilliProcessors}
 }
 
+// Plus returns the sizes added up.
+func (s Size) Plus(o Size) Size {
+	return Size{
+		Processors: s.Processors + o.Processors, MemoryMB: s.MemoryMB + o.MemoryMB,
+		Accelerators: s.Accelerators + o.Accelerators, MilliProcessors: s.MilliProcessors + o.MilliProcessors,
+	}
+}
+
+// Minus returns what is left of s without o.
+func (s Size) Minus(o Size) Size {
+	return Size{
+		Processors: s.Processors - o.Processors, MemoryMB: s.MemoryMB - o.MemoryMB,
+		Accelerators: s.Accelerators - o.Accelerators, MilliProcessors: s.MilliProcessors - o.MilliProcessors,
+	}
+}
+
+// milli is a thousandth of a processor.
+const milli = 1000
+
+// Millis returns the processors in thousandths.
+func (s Size) Millis() int { return s.Processors*milli + s.MilliProcessors }
+
 // Fits reports whether a task of size s fits into room.
 func (s Size) Fits(room Size) bool {
-	return s.Processors <= room.Processors && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
+	return s.Millis() <= room.Millis() && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
 }
 
 // Target is one target as it announces itself.
@@ -54,9 +78,11 @@
 	Accelerators int `json:"accelerators" cbor:"10,keyasint,omitempty"`
 	// Running is the target's own count of running tasks; it lags.
 	Running int `json:"running" cbor:"11,keyasint,omitempty"`
+	// MilliProcessors is a part of a processor in thousandths, beside Processors.
+	MilliProcessors int `json:"milli_processors,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // Room returns the whole size of the target.
 func (t *Target) Room() Size {
-	return Size{Processors: t.Processors, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators}
+	return Size{Processors: t.Processors, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators, MilliProcessors: t.MilliProcessors}
 }
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -154,6 +154,9 @@
 	Ran    time.Duration `cbor:"8,keyasint,omitempty"`
 	// RetryAfter is when a refused task may usefully be offered again.
 	RetryAfter time.Duration `cbor:"9,keyasint,omitempty"`
+	// Over is set with TaskErred where no run of the task is alive any more, so
+	// that one more never runs beside it.
+	Over bool `cbor:"10,keyasint,omitempty"`
 }
 
 // BatchTask is one task of a batch with its place in the submission.
@@ -179,4 +182,12 @@
 	// Committed says that other tasks of the submission were accepted at other
 	// holders already: to refuse these for load would throw that work away.
 	Committed bool `cbor:"9,keyasint,omitempty"`
+	// Pool names the targets, as the owner's configuration has it: the holder's
+	// may be some seconds behind.
+	Pool string `cbor:"10,keyasint,omitempty"`
+	// Attempts is how many runs of a task may fail; zero and one mean that the
+	// first failure ends the job.
+	Attempts int `cbor:"11,keyasint,omitempty"`
+	// Transient is as in Submission: the work ends with its owner.
+	Transient bool `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -72,26 +73,60 @@
 	self    Member
 	peers   []*peerState
 	version uint64
+	// across is how entries of other zones are watched.
+	across Timings
 }
 
 // NewDetector starts with each configured entry under suspicion: it counts as
 // one that may be alive until its silence lasts.
 func NewDetector(now time.Time, self job.Owner, peers []Peer) *Detector {
-	d := &Detector{self: Member{Entry: self.Entry, Zone: self.Zone, Incarnation: self.Incarnation, State: Alive, Since: now}, version: 1}
+	d := &Detector{
+		self:    Member{Entry: self.Entry, Zone: self.Zone, Incarnation: self.Incarnation, State: Alive, Since: now},
+		version: 1, across: AcrossZones,
+	}
 	for _, p := range peers {
-		if p.Entry == self.Entry {
-			continue
+		d.Add(now, p)
+	}
+	return d
+}
+
+// Add watches one more entry from now on, under suspicion until it is heard. A
+// known one only takes over whether it is held in reserve.
+func (d *Detector) Add(now time.Time, p Peer) {
+	if p.Entry == d.self.Entry {
+		if d.self.Reserve != p.Reserve {
+			d.self.Reserve = p.Reserve
+			d.version++
 		}
-		timings := AcrossZones
-		if p.Zone == self.Zone {
-			timings = InZone
+		return
+	}
+	if known := d.peer(p.Entry); known != nil {
+		if known.Reserve != p.Reserve {
+			known.Reserve = p.Reserve
+			d.version++
+		}
+		return
+	}
+	timings := d.across
+	if p.Zone == d.self.Zone {
+		timings = InZone
+	}
+	d.peers = append(d.peers, &peerState{
+		Member:  Member{Entry: p.Entry, Zone: p.Zone, State: Suspect, Since: now, Reserve: p.Reserve},
+		timings: timings, heard: now,
+	})
+	d.version++
+}
+
+// Remove forgets an entry that is gone for good.
+func (d *Detector) Remove(id job.EntryID) {
+	for i, p := range d.peers {
+		if p.Entry == id {
+			d.peers = slices.Delete(d.peers, i, i+1)
+			d.version++
+			return
 		}
-		d.peers = append(d.peers, &peerState{
-			Member:  Member{Entry: p.Entry, Zone: p.Zone, State: Suspect, Since: now},
-			timings: timings, heard: now,
-		})
 	}
-	return d
 }
 
 func (d *Detector) peer(id job.EntryID) *peerState {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -48,6 +48,9 @@
 	State       State
 	// Since is when the member came into this state, by this entry's clock.
 	Since time.Time
+	// Reserve says that the member holds targets only while no other entry of
+	// its zone can.
+	Reserve bool
 }
 
 // Owner returns the member's life.
@@ -99,7 +102,10 @@
 
 // Holder returns the entry that holds a target of a zone; empty for none.
 func (m *Members) Holder(zone job.Zone, target job.TargetID) job.EntryID {
-	ranked := m.rank(zone, string(target), Member.Serving)
+	ranked := m.rank(zone, string(target), func(m Member) bool { return m.Serving() && !m.Reserve })
+	if len(ranked) == 0 {
+		ranked = m.rank(zone, string(target), Member.Serving)
+	}
 	if len(ranked) == 0 {
 		return ""
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -27,10 +27,13 @@
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
-// Peer is a configured entry.
+// Peer is a known entry.
 type Peer struct {
 	Entry job.EntryID
 	Zone  job.Zone
+	// Reserve says that it holds targets only while no other entry of its zone
+	// can.
+	Reserve bool
 }
 
 // Config is the configuration whose number and digest heartbeats carry.
@@ -53,6 +56,8 @@
 	// its machine refuses connections. Both may be nil.
 	Linked  func(job.EntryID) bool
 	Refused func(job.EntryID) bool
+	// Across is how entries of other zones are watched; zero takes AcrossZones.
+	Across Timings
 }
 
 // Load is one holder's load and the age of the news.
@@ -105,6 +110,14 @@
 		sent: map[job.EntryID]time.Time{}, told: map[job.EntryID]time.Time{},
 		detector: NewDetector(time.Now(), o.Mesh.Self(), o.Peers),
 	}
+	if o.Across != (Timings{}) {
+		m.detector.across = o.Across
+		for _, p := range m.detector.peers {
+			if p.Zone != o.Mesh.Self().Zone {
+				p.timings = o.Across
+			}
+		}
+	}
 	m.view.Store(m.detector.Members(o.Refused))
 	o.Mesh.HandleInOrder(peer.Heartbeat, m.handle)
 	return m
@@ -113,6 +126,25 @@
 // View returns the present view.
 func (m *Membership) View() Members { return *m.view.Load() }
 
+// Add watches one more entry from now on.
+func (m *Membership) Add(p Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.detector.Add(time.Now(), p)
+	m.publish()
+}
+
+// Remove forgets an entry that is gone for good.
+func (m *Membership) Remove(id job.EntryID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.detector.Remove(id)
+	delete(m.loads, id)
+	delete(m.sent, id)
+	delete(m.told, id)
+	m.publish()
+}
+
 // OnChange adds a function that gets each new view, in order, from one
 // goroutine. It is called before Run.
 func (m *Membership) OnChange(f func(Members)) {
@@ -136,6 +168,19 @@
 	return m.view.Load().Gone(entry, life)
 }
 
+// Silent returns for how long nothing was heard of a life of an entry. A life
+// that is over, or an entry that is not known, has been silent for ever.
+func (m *Membership) Silent(entry job.EntryID, life job.Incarnation) time.Duration {
+	const forever = time.Duration(1<<63 - 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.detector.peer(entry)
+	if p == nil || p.Incarnation != life || p.State == Left {
+		return forever
+	}
+	return time.Since(p.heard)
+}
+
 // Run sends heartbeats and watches those of others until ctx ends.
 func (m *Membership) Run(ctx context.Context) error {
 	tick := time.NewTicker(InZone.Period)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -202,7 +202,7 @@
 func TestLateAndLostHeartbeats(t *testing.T) {
 	now := time.Unix(1000, 0)
 	nobody := func(job.EntryID) bool { return false }
-	d := NewDetector(now, job.Owner{Entry: "a", Incarnation: 1, Zone: "z"}, []Peer{{"b", "z"}, {"c", "z"}})
+	d := NewDetector(now, job.Owner{Entry: "a", Incarnation: 1, Zone: "z"}, []Peer{{Entry: "b", Zone: "z"}, {Entry: "c", Zone: "z"}})
 	life := func(n job.Incarnation) job.Owner { return job.Owner{Entry: "b", Incarnation: n, Zone: "z"} }
 	d.Hear(now, life(5), Alive, nil)
 	qt.Assert(t, d.Hear(now, life(4), Alive, nil), qt.HasLen, 0)
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -13,6 +13,9 @@
 func (l *Links) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, l.accept)
+	if l.opts.Join != nil {
+		mux.Handle("POST "+JoinPath, l.opts.Join)
+	}
 	return mux
 }
 
@@ -33,7 +36,7 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
 	}
-	if len(l.opts.Secret) == 0 && !isLoopback(req.RemoteAddr) {
+	if len(l.opts.Secret) == 0 && !l.opts.TrustNetwork && !isLoopback(req.RemoteAddr) {
 		http.Error(w, "a peer secret is needed", http.StatusForbidden)
 		return
 	}
@@ -48,7 +51,12 @@
 		l.log.Warn("peer refused", "address", req.RemoteAddr, "cause", err)
 		return
 	}
-	_ = l.serve(l.remotes[theirs.Entry], newLink(l, theirs, conn))
+	r := l.remote(theirs.Entry)
+	if r == nil { // it was forgotten during the handshake and dials again
+		_ = conn.CloseNow()
+		return
+	}
+	_ = l.serve(r, newLink(l, theirs, conn))
 }
 
 // prove takes the connection over and runs the handshake on it.
@@ -57,7 +65,7 @@
 	if err != nil {
 		return job.Owner{}, nil, errors.Trace(err)
 	}
-	theirs, err := acceptHandshake(req.Context(), conn, l.opts.Self, l.opts.Secret, l.known)
+	theirs, err := acceptHandshake(req.Context(), conn, l.hello(""), l.opts.Secret, l.known)
 	if err != nil {
 		_ = conn.CloseNow()
 		return job.Owner{}, nil, errors.Trace(err)
@@ -65,14 +73,24 @@
 	return theirs, conn, nil
 }
 
-// known checks the name that a dialling entry gives.
-func (l *Links) known(o job.Owner) error {
-	r := l.remotes[o.Entry]
-	if r == nil {
-		return errors.Annotatef(ErrHandshake, "entry %q is not in the settings", o.Entry)
-	}
+// known checks the name that a dialling entry gives, and takes one in that is
+// new where entries find each other by themselves.
+func (l *Links) known(h hello) error {
+	o := h.Owner
 	if o.Entry > l.opts.Self.Entry {
 		return errors.Annotatef(ErrHandshake, "entry %q should be dialled, not dial", o.Entry)
 	}
+	r := l.remote(o.Entry)
+	if r == nil && l.opts.Dynamic && h.Address != "" {
+		p := Peer{Entry: o.Entry, Zone: o.Zone, Address: h.Address}
+		l.Add(p)
+		if l.opts.OnMeet != nil {
+			l.opts.OnMeet(p, o.Incarnation)
+		}
+		r = l.remote(o.Entry)
+	}
+	if r == nil {
+		return errors.Annotatef(ErrHandshake, "entry %q is not in the settings", o.Entry)
+	}
 	return r.check(o)
 }
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -42,6 +42,8 @@
 	Owner   job.Owner   `cbor:"2,keyasint"`
 	To      job.EntryID `cbor:"3,keyasint,omitempty"`
 	Nonce   []byte      `cbor:"4,keyasint"`
+	// Address is where the sender takes links; empty where settings say it.
+	Address string `cbor:"5,keyasint,omitempty"`
 }
 
 // proof shows knowledge of the secret without carrying it.
@@ -67,13 +69,13 @@
 
 // dialHandshake proves this entry first: an entry reveals no proof to somebody
 // who merely connects to it. expected checks what the other side says it is.
-func dialHandshake(ctx context.Context, conn *websocket.Conn, self job.Owner, to job.EntryID, secret []byte, expected func(job.Owner) error) (job.Owner, error) {
+func dialHandshake(ctx context.Context, conn *websocket.Conn, own hello, secret []byte, expected func(job.Owner) error) (job.Owner, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn.SetReadLimit(maxHandshake)
 	e := exchange{secret: secret}
 	var err error
-	if e.dialer, err = sendHello(ctx, conn, self, to); err != nil {
+	if e.dialer, err = sendHello(ctx, conn, own); err != nil {
 		return job.Owner{}, errors.Trace(err)
 	}
 	theirs, raw, err := readHello(ctx, conn)
@@ -91,7 +93,7 @@
 }
 
 // acceptHandshake answers a dialling entry; known checks the name it gives.
-func acceptHandshake(ctx context.Context, conn *websocket.Conn, self job.Owner, secret []byte, known func(job.Owner) error) (job.Owner, error) {
+func acceptHandshake(ctx context.Context, conn *websocket.Conn, own hello, secret []byte, known func(hello) error) (job.Owner, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn.SetReadLimit(maxHandshake)
@@ -99,14 +101,15 @@
 	if err != nil {
 		return job.Owner{}, errors.Trace(err)
 	}
-	if theirs.To != self.Entry {
+	if theirs.To != own.Owner.Entry {
 		return job.Owner{}, errors.Annotatef(ErrHandshake, "meant for %q", theirs.To)
 	}
-	if err := known(theirs.Owner); err != nil {
+	if err := known(theirs); err != nil {
 		return job.Owner{}, errors.Trace(err)
 	}
 	e := exchange{secret: secret, dialer: raw}
-	if e.acceptor, err = sendHello(ctx, conn, self, theirs.Owner.Entry); err != nil {
+	own.To = theirs.Owner.Entry
+	if e.acceptor, err = sendHello(ctx, conn, own); err != nil {
 		return job.Owner{}, errors.Trace(err)
 	}
 	if err := readProof(ctx, conn, e.mac(labelDialer)); err != nil {
@@ -115,8 +118,8 @@
 	return theirs.Owner, errors.Trace(write(ctx, conn, proof{e.mac(labelAcceptor)}))
 }
 
-func sendHello(ctx context.Context, conn *websocket.Conn, self job.Owner, to job.EntryID) ([]byte, error) {
-	h := hello{Version: protocolVersion, Owner: self, To: to, Nonce: make([]byte, nonceBytes)}
+func sendHello(ctx context.Context, conn *websocket.Conn, h hello) ([]byte, error) {
+	h.Nonce = make([]byte, nonceBytes)
 	if _, err := rand.Read(h.Nonce); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -21,6 +21,7 @@
 	ConfigPull:       "config_pull",
 	ConfigApply:      "config_apply",
 	TimelineRead:     "timeline_read",
+	MemberNews:       "member_news",
 }
 
 // String returns the name under which the kind is counted.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -18,10 +18,10 @@
 	// reading would otherwise fill this entry's memory; two of the largest
 	// frames fit, so a large job never blocks itself.
 	maxQueued = 2 * MaxFrame
-	// silence is how long a link may bring nothing before it counts as broken.
-	// A cut that drops packets shows as silence only; without this a call over
-	// it would wait for the kernel's retransmission time-out, many minutes.
-	silence = 5 * time.Second
+	// DefaultSilence is how long a link may bring nothing before it counts as
+	// broken. A cut that drops packets shows as silence only; without this a call
+	// over it would wait for the kernel's retransmission time-out, many minutes.
+	DefaultSilence = 5 * time.Second
 	// keepaliveAfter is when an idle link says that it lives. Heartbeats are
 	// more frequent, so in a running fleet these frames are not sent.
 	keepaliveAfter = 1500 * time.Millisecond
@@ -289,7 +289,7 @@
 }
 
 func (l *link) next() ([]byte, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, silence)
+	ctx, cancel := context.WithTimeout(l.ctx, l.owner.opts.Silence)
 	defer cancel()
 	_, message, err := l.conn.Read(ctx)
 	return message, errors.Trace(err)
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -21,6 +21,9 @@
 // Path is where an entry takes links on its peer listener.
 const Path = "/v1/peer"
 
+// JoinPath is where it takes joins on the same listener.
+const JoinPath = "/v1/join"
+
 const (
 	dialTimeout = 2 * time.Second
 	// The pause between dials starts short, since most broken links are
@@ -62,6 +65,22 @@
 	// Secret is shared by all entries. Without it only loopback addresses may
 	// be linked.
 	Secret []byte
+	// TrustNetwork lets entries on other machines link without a secret: the
+	// operator vouches that nobody else can reach the peer listeners.
+	TrustNetwork bool
+	// Address is where this entry takes links. It rides in the handshake, so
+	// that an entry which is not known yet can be dialled back.
+	Address string
+	// Dynamic takes links of entries that the settings do not name.
+	Dynamic bool
+	// Silence is how long a link may bring nothing before it counts as broken;
+	// zero takes DefaultSilence. It must be above the period of heartbeats.
+	Silence time.Duration
+	// Join, when set, takes the joins of entries that look for others.
+	Join http.Handler
+	// OnMeet, when set, is told of an entry that linked itself without being
+	// known before. It must not block.
+	OnMeet func(Peer, job.Incarnation)
 	Clock  Clock
 	Log    *slog.Logger
 	// OnLink, when set, is told that the link to an entry came up or went
@@ -72,23 +91,27 @@
 // Links is the Mesh over WebSocket and CBOR: of each pair of entries the one
 // with the smaller name dials.
 type Links struct {
-	opts    Options
-	log     *slog.Logger
-	stats   counters
-	remotes map[job.EntryID]*remote
-	client  *http.Client
+	opts   Options
+	log    *slog.Logger
+	stats  counters
+	client *http.Client
 	// unproven counts the connections in their handshake.
 	unproven atomic.Int64
 
 	mu       sync.RWMutex
+	remotes  map[job.EntryID]*remote
 	handlers map[Kind]Handler
 	ordered  map[Kind]bool
 	closed   bool
+	// keep starts the goroutine that keeps a link up; nil before Run.
+	keep func(*remote)
 }
 
 // remote is one configured peer and its link, if there is one.
 type remote struct {
 	Peer
+	// forgotten is closed when the peer is removed.
+	forgotten chan struct{}
 	// change is held while one link replaces another, so that the requests of
 	// the old one are read to their end before those of the new one.
 	change sync.Mutex
@@ -110,9 +133,12 @@
 	if l.log == nil {
 		l.log = slog.New(slog.DiscardHandler)
 	}
+	if l.opts.Silence == 0 {
+		l.opts.Silence = DefaultSilence
+	}
 	for _, p := range opts.Peers {
 		if p.Entry != opts.Self.Entry {
-			l.remotes[p.Entry] = &remote{Peer: p}
+			l.remotes[p.Entry] = newRemote(p)
 		}
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -137,7 +163,7 @@
 // it is up and no process listens there. Silence proves less, since a cut looks
 // the same.
 func (l *Links) Refused(to job.EntryID) bool {
-	r := l.remotes[to]
+	r := l.remote(to)
 	return r != nil && r.refused.Load()
 }
 
@@ -208,7 +234,7 @@
 }
 
 func (l *Links) current(to job.EntryID) *link {
-	r := l.remotes[to]
+	r := l.remote(to)
 	if r == nil {
 		return nil
 	}
@@ -224,13 +250,27 @@
 		return errors.Trace(err)
 	}
 	var wg sync.WaitGroup
-	for _, r := range l.remotes {
+	keep := func(r *remote) {
+		ctx, cancel := context.WithCancel(ctx)
+		wg.Go(func() {
+			defer cancel()
+			select {
+			case <-r.forgotten:
+			case <-ctx.Done():
+			}
+		})
 		if l.opts.Self.Entry < r.Entry {
 			wg.Go(func() { l.keepDialling(ctx, r) })
 		} else {
 			wg.Go(func() { l.keepProbing(ctx, r) })
 		}
 	}
+	l.mu.Lock()
+	l.keep = keep
+	for _, r := range l.remotes {
+		keep(r)
+	}
+	l.mu.Unlock()
 	<-ctx.Done()
 	l.close()
 	wg.Wait()
@@ -238,10 +278,10 @@
 }
 
 func (l *Links) checkLoopback() error {
-	if len(l.opts.Secret) > 0 {
+	if len(l.opts.Secret) > 0 || l.opts.TrustNetwork {
 		return nil
 	}
-	for _, r := range l.remotes {
+	for _, r := range l.all() {
 		if !isLoopback(r.Address) {
 			return errors.NotValidf("peer %s at %s without a peer secret (only loopback addresses may do without)", r.Entry, r.Address)
 		}
@@ -265,8 +305,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for id := range l.remotes {
-		if k := l.current(id); k != nil {
+	for _, r := range l.all() {
+		if k := l.current(r.Entry); k != nil {
 			wg.Go(func() { k.closeGracefully(ctx) })
 		}
 	}
@@ -288,7 +328,7 @@
 			pause = minPause
 		}
 		if pause == minPause && ctx.Err() == nil {
-			l.log.Warn("peer link not up", "peer", r.Entry, "address", r.Address, "cause", err)
+			l.log.Warn("peer link not up", "peer", r.Entry, "address", r.address(), "cause", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -312,7 +352,7 @@
 			r.refused.Store(false)
 			continue
 		}
-		conn, err := dialer.DialContext(ctx, "tcp", r.Address)
+		conn, err := dialer.DialContext(ctx, "tcp", r.address())
 		r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 		if err == nil {
 			conn.Close()
@@ -324,12 +364,12 @@
 func (l *Links) dial(ctx context.Context, r *remote) error {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dialing, "ws://"+r.Address+Path, &websocket.DialOptions{HTTPClient: l.client})
+	conn, _, err := websocket.Dial(dialing, "ws://"+r.address()+Path, &websocket.DialOptions{HTTPClient: l.client})
 	r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return errors.Trace(err)
 	}
-	theirs, err := dialHandshake(ctx, conn, l.opts.Self, r.Entry, l.opts.Secret, r.check)
+	theirs, err := dialHandshake(ctx, conn, l.hello(r.Entry), l.opts.Secret, r.check)
 	if err != nil {
 		_ = conn.CloseNow()
 		return errors.Trace(err)
@@ -371,12 +411,81 @@
 	return err
 }
 
+// hello opens a handshake with an entry.
+func (l *Links) hello(to job.EntryID) hello {
+	return hello{Version: protocolVersion, Owner: l.opts.Self, To: to, Address: l.opts.Address}
+}
+
 func (l *Links) tell(to job.EntryID, up bool) {
 	if l.opts.OnLink != nil {
 		l.opts.OnLink(to, up)
 	}
 }
 
+func newRemote(p Peer) *remote { return &remote{Peer: p, forgotten: make(chan struct{})} }
+
+// address is where the peer takes links; it changes when its VM is replaced.
+func (r *remote) address() string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.Address
+}
+
+func (l *Links) remote(id job.EntryID) *remote {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.remotes[id]
+}
+
+func (l *Links) all() []*remote {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	out := make([]*remote, 0, len(l.remotes))
+	for _, r := range l.remotes {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Add links one more entry from now on, or moves a known one to the address
+// that it now has.
+func (l *Links) Add(p Peer) {
+	if p.Entry == l.opts.Self.Entry {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.remotes[p.Entry]; r != nil {
+		r.mu.Lock()
+		r.Address = p.Address
+		r.mu.Unlock()
+		return
+	}
+	r := newRemote(p)
+	l.remotes[p.Entry] = r
+	if l.keep != nil && !l.closed {
+		l.keep(r)
+	}
+}
+
+// Remove ends the link to an entry that is gone for good.
+func (l *Links) Remove(id job.EntryID) {
+	l.mu.Lock()
+	r := l.remotes[id]
+	delete(l.remotes, id)
+	l.mu.Unlock()
+	if r == nil {
+		return
+	}
+	close(r.forgotten)
+	r.mu.RLock()
+	k := r.link
+	r.mu.RUnlock()
+	if k != nil {
+		k.breakOff()
+	}
+}
+
 func (r *remote) set(k *link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,7 @@
 	ConfigPull       Kind = 31
 	ConfigApply      Kind = 32
 	TimelineRead     Kind = 40
+	MemberNews       Kind = 50
 )
 
 // Errors of a call. Their difference is what at-most-once rests on.
--- a/internal/pipeline/claim.go
+++ b/internal/pipeline/claim.go
@@ -52,7 +52,7 @@
 // Process implements Stage.
 func (c *Claim) Process(ctx context.Context, f *Flow, next Next) job.Answer {
 	s := f.Submission
-	if !s.CallerID || f.Resumed {
+	if !s.CallerID || s.Transient || f.Resumed {
 		c.Owned(s.ID)
 		return next(ctx, f)
 	}
--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -28,6 +28,9 @@
 	offered    bool
 	failure    *job.TaskOutcome
 	finished   bool
+	// ran is set once a task ran whose result was lost: nothing proves then that
+	// the submission never ran.
+	ran bool
 }
 
 // Verdict is what the owner does next.
@@ -112,6 +115,9 @@
 			c.bytes += len(o.Payload)
 		case o.Status == job.TaskNotStarted && again && mayGoElsewhere(o.Reason):
 			reoffer = append(reoffer, o.Index)
+		case again && c.mayRunAgain(&o):
+			c.ran = true
+			reoffer = append(reoffer, o.Index)
 		default:
 			c.fail(o)
 		}
@@ -122,6 +128,15 @@
 	return c.decide(reoffer)
 }
 
+// mayRunAgain reports whether a task whose run was lost with its target or its
+// holder, and has provably ended, may run once more elsewhere.
+func (c *Collector) mayRunAgain(o *job.TaskOutcome) bool {
+	if !c.submission.Transient || o.Status != job.TaskErred || !o.Over {
+		return false
+	}
+	return o.Reason == job.HolderLost || o.Reason == job.TargetLost
+}
+
 // mayGoElsewhere reports whether another holder could do better with a task
 // that this one did not start.
 func mayGoElsewhere(r job.Reason) bool {
@@ -161,7 +176,7 @@
 			unstarted++
 		}
 	}
-	if unstarted == len(c.outcomes) {
+	if unstarted == len(c.outcomes) && !c.ran {
 		return job.Refuse(c.submission.ID, c.failure.Reason, c.failure.Detail, retryAfter(c.failure))
 	}
 	a := job.Fail(c.submission.ID, c.failure.Reason, c.failure.Detail)
--- a/internal/pipeline/join.go
+++ b/internal/pipeline/join.go
@@ -60,7 +60,7 @@
 		return j.wait(ctx, shard, s.ID, r)
 	}
 	work, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	r := &running{digest: s.Digest, keep: s.CallerID, waiters: 1, cancel: cancel, done: make(chan struct{})}
+	r := &running{digest: s.Digest, keep: s.CallerID && !s.Transient, waiters: 1, cancel: cancel, done: make(chan struct{})}
 	if shard.running == nil {
 		shard.running = map[job.ID]*running{}
 	}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -259,6 +259,9 @@
 		Tasks:      make([]job.BatchTask, len(p.Tasks)),
 		Single:     s.Single,
 		Committed:  committed,
+		Pool:       fl.flow.Service.Pool,
+		Attempts:   fl.flow.Service.Attempts,
+		Transient:  s.Transient,
 	}
 	if !s.Deadline.IsZero() {
 		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -9,7 +9,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
@@ -65,7 +64,7 @@
 	if changeID == "" || len(changeID) > consensus.MaxChangeID {
 		return Accepted{}, errors.NotValidf("change id of %d bytes (1 to %d)", len(changeID), consensus.MaxChangeID)
 	}
-	file, err := config.Parse("configuration", body)
+	file, err := r.opts.Parse("configuration", body)
 	if err != nil {
 		return Accepted{}, err
 	}
@@ -235,14 +234,14 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		file, err := config.Parse("configuration", body)
+		file, err := r.opts.Parse("configuration", body)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 		if file.Number != req.Command.Change.Number || consensus.DigestOf(body) != req.Command.Change.Digest {
 			return nil, errors.NotValidf("change that does not match its file")
 		}
-	case consensus.Replace, consensus.Read:
+	case consensus.Replace, consensus.Add, consensus.Read:
 	default:
 		return nil, errors.NotValidf("command of kind %d", req.Command.Kind)
 	}
--- a/internal/register/node.go
+++ b/internal/register/node.go
@@ -176,13 +176,44 @@
 // silent.
 func (r *Register) finishLoop(ctx context.Context) {
 	r.step(consensus.Finish{})
-	for sleep(ctx, jitter(finishInterval)) {
+	for {
+		wait := finishInterval
+		if r.founding() {
+			wait = foundInterval
+		}
+		if !sleep(ctx, jitter(wait)) {
+			return
+		}
 		if r.orphaned() {
 			r.step(consensus.Finish{})
 		}
 	}
 }
 
+// foundInterval is how often an entry looks whether the entries that form the
+// register are known by now.
+const foundInterval = 100 * time.Millisecond
+
+// founding tells the node who forms the register, once that is known, and
+// reports whether it is still waited for.
+func (r *Register) founding() bool {
+	if r.opts.Found == nil {
+		return false
+	}
+	r.mu.Lock()
+	waits := r.node.Chosen.Version == 0
+	named := len(r.node.Genesis) > 0
+	r.mu.Unlock()
+	if !waits || named {
+		return waits
+	}
+	if genesis := r.opts.Found(); len(genesis) > 0 {
+		r.log.Info("the entries that form the register are known", "entries", genesis)
+		r.step(consensus.Founded{Genesis: genesis})
+	}
+	return true
+}
+
 // orphaned reports whether an accepted proposal has been waiting for two ticks,
 // or the register is not formed yet.
 func (r *Register) orphaned() bool {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -65,10 +65,20 @@
 	// Voters are the entries that form the register at the very first start of
 	// the fleet; later the register itself says who votes.
 	Voters []job.EntryID
-	// Entries are all known entries.
+	// Found names the voters that form the register once they are known, where
+	// entries find each other by themselves; nil before. It is asked only while
+	// the register is not formed.
+	Found func() []job.EntryID
+	// Entries are the entries that the settings name, Others those that were
+	// found since.
 	Entries []job.EntryID
-	Log     *slog.Logger
-	Events  timeline.Sink
+	Others  func() []job.EntryID
+	// Mend, when set, has the voters mended without an operator.
+	Mend *Mend
+	// Parse reads a file; nil takes config.Parse.
+	Parse  func(name string, body []byte) (*config.File, error)
+	Log    *slog.Logger
+	Events timeline.Sink
 	// Clock gives the time of day for display; nothing is decided by it.
 	Clock func() time.Time
 }
@@ -98,8 +108,10 @@
 	lastToken consensus.Token
 	problem   string
 	// foreign says that another fleet was met on the network.
-	foreign   string
-	heard     map[job.EntryID]time.Time
+	foreign string
+	heard   map[job.EntryID]time.Time
+	// disks are the identities that entries last said of their disks.
+	disks     map[job.EntryID]consensus.Identity
 	started   time.Time
 	stale     bool
 	pulling   bool
@@ -122,6 +134,7 @@
 		log: opts.Log, ev: opts.Events, clock: opts.Clock,
 		waiting: map[consensus.Token]chan consensus.Outcome{},
 		heard:   map[job.EntryID]time.Time{},
+		disks:   map[job.EntryID]consensus.Identity{},
 		kick:    make(chan struct{}, 1),
 		write:   make(chan struct{}, 1),
 	}
@@ -134,6 +147,9 @@
 	if r.clock == nil {
 		r.clock = time.Now
 	}
+	if r.opts.Parse == nil {
+		r.opts.Parse = config.Parse
+	}
 	r.started = time.Now()
 	if opts.Store != nil {
 		r.load()
@@ -188,6 +204,9 @@
 		wg.Go(func() { r.writeLoop(ctx) })
 		wg.Go(func() { r.retryLoop(ctx) })
 		wg.Go(func() { r.finishLoop(ctx) })
+		if r.opts.Mend != nil {
+			wg.Go(func() { r.mendLoop(ctx) })
+		}
 	}
 	r.probeLoop(ctx)
 	return nil
@@ -231,7 +250,7 @@
 		before = old.file
 	}
 	if s.Change.Number > 0 {
-		if err := s.read(); err != nil {
+		if err := s.read(r.opts.Parse); err != nil {
 			// Another release accepted what this one can't read. The file
 			// in force stays, and the number shows what is missing.
 			r.log.Error("the accepted configuration can't be read", "number", s.Change.Number, "error", err)
@@ -265,6 +284,9 @@
 // others returns all known entries but this one.
 func (r *Register) others() []job.EntryID {
 	all := slices.Concat(r.voters(), r.opts.Voters, r.opts.Entries)
+	if r.opts.Others != nil {
+		all = append(all, r.opts.Others()...)
+	}
 	slices.Sort(all)
 	all = slices.Compact(all)
 	return slices.DeleteFunc(all, func(e job.EntryID) bool { return e == r.self })
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -65,6 +65,7 @@
 		return
 	}
 	r.contact(from)
+	r.noteDisk(from, answer.Self.Identity)
 	if answer.Newer == nil || r.isForeign(from, answer.Newer) {
 		return
 	}
@@ -96,6 +97,15 @@
 	return foreign != ""
 }
 
+func (r *Register) noteDisk(of job.EntryID, identity consensus.Identity) {
+	if identity == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disks[of] = identity
+}
+
 func (r *Register) diskWorks() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -1,10 +1,13 @@
 package register
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
@@ -127,6 +130,29 @@
 	r.ev.Record(timeline.Event{Kind: timeline.ConfigurationStale, Cause: cause})
 }
 
+// ConfirmBody returns the file that a majority of the voters knows as the latest
+// one at some moment during the call. Its error is ErrUnavailable or ErrUnknown
+// where that can't be said: an older file is never returned.
+func (r *Register) ConfirmBody(ctx context.Context) ([]byte, Accepted, error) {
+	confirmed, err := r.Confirm(ctx)
+	if err != nil {
+		return nil, Accepted{}, errors.Trace(err)
+	}
+	for {
+		body, held := r.Body()
+		if held.Number >= confirmed.Number {
+			return body, held, nil
+		}
+		// The news are on their way here.
+		if !sleep(ctx, confirmPause) {
+			return nil, Accepted{}, errors.Trace(ErrUnavailable)
+		}
+	}
+}
+
+// confirmPause is the wait between two looks for a file that is on its way.
+const confirmPause = 10 * time.Millisecond
+
 // VoterEntries returns the names of the voters.
 func (s *State) VoterEntries() []job.EntryID {
 	names := make([]job.EntryID, len(s.Voters))
--- a/internal/register/wire.go
+++ b/internal/register/wire.go
@@ -28,7 +28,7 @@
 }
 
 // read unpacks and parses the file.
-func (s *snapshot) read() error {
+func (s *snapshot) read(parse func(string, []byte) (*config.File, error)) error {
 	body, err := unpack(s.Body)
 	if err != nil {
 		return errors.Trace(err)
@@ -37,7 +37,7 @@
 	if consensus.DigestOf(body) != s.Change.Digest {
 		return errors.NotValidf("file that does not match its digest")
 	}
-	file, err := config.Parse("accepted configuration", body)
+	file, err := parse("accepted configuration", body)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/runs/look.go
@@ -0,0 +1,314 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+)
+
+// keepLooking starts the loop of looks unless it runs; the caller holds the
+// lock.
+func (s *Session) keepLooking() {
+	if s.looping || s.lost {
+		return
+	}
+	s.looping = true
+	go s.loop()
+}
+
+// look has the loop look at once, before anything else is started.
+func (s *Session) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookLocked()
+}
+
+func (s *Session) lookLocked() {
+	s.settled = false
+	s.renewReady()
+	s.keepLooking()
+	if s.interrupt != nil {
+		s.interrupted = true
+		s.interrupt()
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ackPause is how long the last ends of a target that became idle wait for their
+// acknowledgement: the next run may bring it along.
+const ackPause = 250 * time.Millisecond
+
+// loop looks at the target while something runs there, it is not settled, or it
+// is silent. An idle target costs nothing.
+func (s *Session) loop() {
+	for s.ctx.Err() == nil {
+		pause, more := s.lookOnce()
+		if !more {
+			return
+		}
+		if pause > 0 {
+			s.rest(pause)
+		}
+	}
+	s.mu.Lock()
+	s.looping = false
+	s.mu.Unlock()
+}
+
+func (s *Session) rest(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.wake:
+	case <-s.ctx.Done():
+	}
+}
+
+// lookOnce renews the lease and takes in what the target says. It reports when
+// to look again, if at all.
+func (s *Session) lookOnce() (pause time.Duration, more bool) {
+	s.mu.Lock()
+	if s.nothingToLookFor() {
+		s.looping = false
+		s.mu.Unlock()
+		return 0, false
+	}
+	if len(s.runs) == 0 && s.settled && !s.silent && !s.resting {
+		s.resting = true
+		s.mu.Unlock()
+		return ackPause, true
+	}
+	s.resting = false
+	sent := time.Now()
+	o := s.renewOrder(sent)
+	ctx, cancel := context.WithTimeout(s.ctx, time.Duration(o.WaitMillis)*time.Millisecond+answerTime)
+	defer cancel()
+	s.interrupt, s.interrupted = nil, false
+	if o.WaitMillis > 0 {
+		s.interrupt = cancel
+	}
+	s.mu.Unlock()
+	l, err := s.opts.Orders.Renew(ctx, o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interrupt = nil
+	if err != nil {
+		return s.unanswered(err), true
+	}
+	if l.Clock != 0 {
+		s.clock.set(time.Now(), l.Clock)
+	}
+	return s.takeIn(o, sent, &l), true
+}
+
+// nothingToLookFor reports whether the target can be left alone; the caller
+// holds the lock.
+func (s *Session) nothingToLookFor() bool {
+	if s.lost {
+		return true
+	}
+	return len(s.runs) == 0 && s.settled && !s.silent && s.acked == s.told
+}
+
+// renewOrder returns the next look; the caller holds the lock. The lease is
+// renewed only for what this entry wants to run there: a stray must not live by
+// it. A target that is silent is not renewed either.
+func (s *Session) renewOrder(now time.Time) RenewOrder {
+	o := RenewOrder{Epoch: s.epoch, Acked: s.acked}
+	if s.settled && !s.silent && len(s.runs) > 0 {
+		o.WaitMillis = lookWait.Milliseconds()
+	}
+	if !s.silent && !s.deposed && s.epoch > 0 && s.confirmedAny() {
+		o.Until = s.lease(now)
+	}
+	return o
+}
+
+func (s *Session) confirmedAny() bool {
+	for _, r := range s.runs {
+		if !r.confirmed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// unanswered meets a look without an answer; the caller holds the lock.
+func (s *Session) unanswered(err error) (pause time.Duration) {
+	if s.interrupted {
+		return 0
+	}
+	if !s.silent && s.ctx.Err() == nil {
+		s.silent = true
+		s.opts.Log.Warn("target silent", "target", s.opts.Target, "runs", len(s.runs), "epoch", s.epoch, "error", err)
+	}
+	s.lapse(time.Now())
+	return silentPause
+}
+
+// lapse ends the runs of a target whose lease has certainly run out; the caller
+// holds the lock.
+func (s *Session) lapse(now time.Time) {
+	if now.Before(s.until) {
+		return
+	}
+	for ref, r := range s.runs {
+		s.end(ref, r, erred(job.TargetLost, "the target was silent until its lease had run out", true))
+	}
+}
+
+// takeIn takes the answer to a look and says when to look again; the caller
+// holds the lock.
+func (s *Session) takeIn(o RenewOrder, sent time.Time, l *Look) (pause time.Duration) {
+	if s.silent {
+		s.silent = false
+		s.opts.Log.Info("target answers again", "target", s.opts.Target, "epoch", s.epoch)
+	}
+	switch {
+	case l.Refusal == Elsewhere:
+		s.leaveLocked("another life of the target listens at its address")
+		return 0
+	case o.Epoch == 0:
+		// The first look is for the target's clock only.
+		s.nextEpoch()
+		return 0
+	case l.Refusal == Fenced:
+		return s.onFenced(o)
+	case l.Refusal != Accepted:
+		return silentPause
+	}
+	s.told = max(s.told, o.Acked)
+	s.takeEnds(l.Ended)
+	strays := s.takeRunning(o, sent, l.Running)
+	if o.Epoch != s.epoch {
+		return 0 // a newer epoch is to be settled first
+	}
+	if strays > 0 {
+		return strayPause
+	}
+	if !s.settled {
+		s.settled = true
+		close(s.ready)
+		s.opts.Log.Info("target settled", "target", s.opts.Target, "epoch", s.epoch, "runs", len(s.runs))
+	}
+	return 0
+}
+
+// onFenced meets the word that a higher epoch was seen. An entry that holds the
+// target takes a higher one; one that gives it up has lost it, and what it left
+// running was stopped by the next holder or lapses.
+func (s *Session) onFenced(o RenewOrder) (pause time.Duration) {
+	if !s.closing {
+		if s.epoch == o.Epoch {
+			s.nextEpoch()
+			s.opts.Log.Info("target fenced, new epoch", "target", s.opts.Target, "refused", o.Epoch, "epoch", s.epoch)
+		}
+		return 0
+	}
+	s.deposed = true
+	s.lapse(time.Now())
+	return strayPause
+}
+
+// takeEnds delivers the ends that are new.
+func (s *Session) takeEnds(ends []End) {
+	for i := range ends {
+		e := &ends[i]
+		if e.Number <= s.acked {
+			continue
+		}
+		s.acked = e.Number
+		if r := s.runs[e.Task]; r != nil && r.number == e.Run {
+			s.end(e.Task, r, s.resultOf(e, r))
+		}
+	}
+}
+
+func (s *Session) resultOf(e *End, r *run) target.Result {
+	switch e.How {
+	case Done:
+		return target.Result{Status: job.TaskDone}
+	case Failed:
+		return erred(job.TaskFailed, "the run ended as failed", true)
+	case Stopped:
+		return erred(job.CancelledByCall, "the run was stopped", true)
+	case Lapsed:
+		return erred(job.TargetLost, "the target's lease ran out", true)
+	}
+	return erred(job.TargetLost, "the run broke off", true)
+}
+
+// takeRunning compares what runs there with what should, and returns how many
+// runs are there that this entry does not want.
+func (s *Session) takeRunning(o RenewOrder, sent time.Time, running []Running) (strays int) {
+	there := make(map[Ref]int, len(running))
+	for _, x := range running {
+		there[x.Task] = x.Run
+		r := s.runs[x.Task]
+		if r == nil || r.number != x.Run {
+			strays++
+			go s.stopStray(x)
+			continue
+		}
+		r.percent = x.Percent
+		if r.stopping {
+			go s.sendStop(x.Task, r)
+		}
+		if r.confirmed.IsZero() {
+			r.confirmed = time.Now()
+		}
+	}
+	for ref, r := range s.runs {
+		if there[ref] == r.number {
+			continue
+		}
+		switch {
+		case !r.confirmed.IsZero() && r.confirmed.Before(sent):
+			s.end(ref, r, erred(job.TargetLost, "the target does not list the run any more", true))
+		case r.doubted != 0 && o.Epoch >= r.doubted && r.confirmed.IsZero():
+			s.end(ref, r, notStarted(target.Unreachable, "the target never took the start"))
+		}
+	}
+	return strays
+}
+
+// stopStray stops a run that an earlier holder left, or whose start was carried
+// out after it was given up.
+func (s *Session) stopStray(x Running) {
+	s.mu.Lock()
+	o := StopOrder{Task: x.Task, Run: x.Run, Epoch: s.epoch}
+	s.mu.Unlock()
+	s.opts.Log.Info("stopping a stray run", "target", s.opts.Target, "submission", x.Task.Submission, "task", x.Task.Index, "run", x.Run)
+	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+	defer cancel()
+	if _, err := s.opts.Orders.Stop(ctx, o); err != nil {
+		s.opts.Log.Warn("the stop of a stray run got no answer", "target", s.opts.Target, "submission", x.Task.Submission, "error", err)
+	}
+}
+
+// leave ends the session: the target is not there any more.
+func (s *Session) leave(why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveLocked(why)
+}
+
+func (s *Session) leaveLocked(why string) {
+	if s.lost {
+		return
+	}
+	s.lost = true
+	s.opts.Log.Info("target gone", "target", s.opts.Target, "cause", why, "runs", len(s.runs))
+	for ref, r := range s.runs {
+		s.end(ref, r, erred(job.TargetLost, why, true))
+	}
+	if s.opts.Gone != nil {
+		go s.opts.Gone()
+	}
+}
--- /dev/null
+++ b/internal/runs/session.go
@@ -0,0 +1,417 @@
+package runs
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+)
+
+const (
+	// DefaultLease is the longest lease that a target gives.
+	DefaultLease = time.Second
+	// lookWait is how long a renewal may wait at the target for an end. Three
+	// renewals fit into a lease, so that a lost one ends nothing.
+	lookWait = 350 * time.Millisecond
+	// answerTime bounds the wait for an answer beyond what was asked for. A round
+	// trip takes 3 ms at most; an entry on a small share of a processor may itself
+	// stand still for a tenth of a second.
+	answerTime = 200 * time.Millisecond
+	// clockDrift is by how much a target's clock may be slow, and leaseMargin
+	// covers the way of an order and the rounding of clocks.
+	clockDrift  = 0.02
+	leaseMargin = 60 * time.Millisecond
+	// silentPause is the wait between two looks at a target that is silent.
+	silentPause = 150 * time.Millisecond
+	// strayPause is the wait between two looks while strays are being stopped:
+	// a stop takes 50 ms.
+	strayPause = 40 * time.Millisecond
+	// maxRenumber bounds how often a start takes a higher run number, and
+	// renumberStep is the step: above the attempts of any one owner.
+	maxRenumber  = 4
+	renumberStep = 16
+	// maxFenced bounds how often an order takes a new epoch.
+	maxFenced = 4
+	// stopTries bounds the stops of one run at a time; looks go on with it.
+	stopTries = 4
+)
+
+// Options describes a session.
+type Options struct {
+	Orders Orders
+	Target job.TargetID
+	// Salt makes the epochs of two entries differ in their low bits.
+	Salt uint16
+	// Lease is the longest lease that the target gives; zero takes DefaultLease.
+	Lease time.Duration
+	// Gone is told once that another life of the target listens at its address.
+	Gone func()
+	Log  *slog.Logger
+}
+
+// Session gives orders to one target and renews its lease while anything of
+// this entry runs there. It implements holder.Connection.
+type Session struct {
+	opts Options
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	clock clock
+	epoch uint64
+	// acked is the number of the last end that was taken, told the one that the
+	// target was last told of.
+	acked, told uint64
+	runs        map[Ref]*run
+	// until is when by this entry's clock the last lease that it asked for has
+	// certainly run out at the target.
+	until time.Time
+	// settled is set once the target obeys this entry's epoch and nothing runs
+	// there that this entry does not know. Nothing is started before.
+	settled bool
+	ready   chan struct{}
+	// silent is set while the last look got no answer. The lease is not renewed
+	// then, so that it runs out for certain while the target can't be asked.
+	silent bool
+	// deposed is set when a later holder has fenced this entry off while it was
+	// giving the target up.
+	deposed bool
+	// lost is set when another life of the target was met.
+	lost    bool
+	closing bool
+	looping bool
+	// resting is set while an idle target waits for its last acknowledgement.
+	resting bool
+	// wake ends a pause of the loop; interrupt ends a look that waits for an end
+	// and notes that the target is not to blame.
+	wake        chan struct{}
+	interrupt   context.CancelFunc
+	interrupted bool
+}
+
+// run is one started task.
+type run struct {
+	number int
+	// confirmed is when the target was first known to have taken the start.
+	confirmed time.Time
+	// doubted is the epoch that was taken after the start got no answer: a look
+	// under it, or a higher one, tells whether the start was carried out.
+	doubted  uint64
+	stopping bool
+	percent  int
+	done     chan target.Result
+}
+
+// NewSession opens a session; it looks at the target at once, which settles its
+// epoch.
+func NewSession(o Options) *Session {
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Session{opts: o, ctx: ctx, stop: stop, runs: map[Ref]*run{}, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
+	s.mu.Lock()
+	s.keepLooking()
+	s.mu.Unlock()
+	return s
+}
+
+// Start implements holder.Connection: it returns when the run is over.
+func (s *Session) Start(ctx context.Context, t target.Task) target.Result {
+	begun := time.Now()
+	res := s.start(ctx, t)
+	res.Ran = time.Since(begun)
+	return res
+}
+
+func (s *Session) start(ctx context.Context, t target.Task) target.Result {
+	if refused, ok := s.awaitSettled(ctx); !ok {
+		return refused
+	}
+	ref := Ref{t.Submission, t.Index}
+	r := &run{number: max(1, t.Run), percent: -1, done: make(chan target.Result, 1)}
+	s.mu.Lock()
+	if s.runs[ref] != nil {
+		s.mu.Unlock()
+		return notStarted(target.Busy, "an earlier run of the task is still there")
+	}
+	s.runs[ref] = r
+	s.mu.Unlock()
+	s.order(ref, r, t.Payload)
+	return <-r.done
+}
+
+// awaitSettled waits a moment for a target that was just taken.
+func (s *Session) awaitSettled(ctx context.Context) (refused target.Result, ok bool) {
+	s.mu.Lock()
+	silent, lost, settled, ready := s.silent, s.lost, s.settled, s.ready
+	s.mu.Unlock()
+	switch {
+	case lost:
+		return notStarted(target.Leaving, "the target is not this entry's any more"), false
+	case silent:
+		return notStarted(target.Unreachable, "the target does not answer"), false
+	case settled:
+		return target.Result{}, true
+	}
+	timer := time.NewTimer(answerTime)
+	defer timer.Stop()
+	select {
+	case <-ready:
+		return target.Result{}, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return notStarted(target.Unreachable, "the target has not answered yet"), false
+}
+
+// order sends the start, again under a newer epoch or a higher run number where
+// the target asks for it. What becomes of the run is delivered to r.done, here or
+// by a look.
+func (s *Session) order(ref Ref, r *run, spec []byte) {
+	renumbered := 0
+	for fenced := 0; fenced < maxFenced; {
+		o := s.startOrder(ref, r, spec)
+		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+		reply, err := s.opts.Orders.Start(ctx, o)
+		cancel()
+		if err != nil {
+			s.doubt(ref, r, err)
+			return
+		}
+		s.hear(reply.Clock)
+		switch reply.Refusal {
+		case Accepted:
+			s.confirm(ref, r)
+			return
+		case Fenced:
+			fenced++
+			if !s.raise(o.Epoch) {
+				s.finish(ref, r, notStarted(target.Leaving, "another entry holds the target"))
+				return
+			}
+			continue
+		case Outnumbered:
+			if s.stopped(r) {
+				s.finish(ref, r, erred(job.CancelledByCall, "stopped before it started", true))
+				return
+			}
+			if renumbered++; renumbered <= maxRenumber {
+				s.renumber(r)
+				continue
+			}
+		case Late:
+			fenced++ // a new clock reading came with the answer
+			continue
+		case NoRoom:
+			s.look()
+		case Elsewhere:
+			s.leave("another life of the target listens at its address")
+		}
+		s.finish(ref, r, refusedBy(reply))
+		return
+	}
+	s.finish(ref, r, notStarted(target.Unreachable, "the target refuses each epoch"))
+}
+
+func refusedBy(reply Reply) target.Result {
+	switch reply.Refusal {
+	case Elsewhere:
+		return notStarted(target.Leaving, "another life of the target listens at its address")
+	case Unwell:
+		return notStarted(target.Busy, "the target says that it is not well: "+reply.Detail)
+	}
+	return notStarted(target.Busy, "the target refused the task: "+reply.Detail)
+}
+
+func (s *Session) startOrder(ref Ref, r *run, spec []byte) StartOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := StartOrder{Task: ref, Run: r.number, Spec: spec, Epoch: s.epoch}
+	o.Until = s.lease(time.Now())
+	return o
+}
+
+// lease returns the end of a lease that begins now, and notes when it has run
+// out for certain; the caller holds the lock.
+func (s *Session) lease(now time.Time) int64 {
+	over := now.Add(time.Duration(float64(s.opts.Lease)*(1+clockDrift)) + leaseMargin)
+	if over.After(s.until) {
+		s.until = over
+	}
+	return s.clock.at(now) + s.opts.Lease.Milliseconds()
+}
+
+func (s *Session) renumber(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.number += renumberStep
+}
+
+func (s *Session) stopped(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.stopping
+}
+
+// confirm notes that the target has taken the start.
+func (s *Session) confirm(ref Ref, r *run) {
+	s.mu.Lock()
+	r.confirmed = time.Now()
+	s.keepLooking()
+	stopping := r.stopping && s.runs[ref] == r
+	s.mu.Unlock()
+	if stopping {
+		s.sendStop(ref, r)
+	}
+}
+
+// doubt meets a start without an answer: it may be carried out, now or seconds
+// later. A higher epoch keeps it from being carried out from now on, and the
+// next look under that epoch tells whether it was before.
+func (s *Session) doubt(ref Ref, r *run, err error) {
+	s.mu.Lock()
+	s.opts.Log.Warn("a start got no answer", "target", s.opts.Target, "submission", ref.Submission, "task", ref.Index, "run", r.number, "epoch", s.epoch, "error", err)
+	s.nextEpoch()
+	r.doubted = s.epoch
+	s.mu.Unlock()
+	s.look()
+}
+
+// nextEpoch takes an epoch above all that this entry and earlier holders took;
+// the caller holds the lock. The target's own clock makes it grow from holder to
+// holder without any agreement, also while no voter is up.
+func (s *Session) nextEpoch() {
+	s.epoch = max(s.epoch+epochStep, s.clock.epoch(time.Now(), s.opts.Salt))
+	s.settled = false
+	s.renewReady()
+}
+
+func (s *Session) renewReady() {
+	select {
+	case <-s.ready:
+		s.ready = make(chan struct{})
+	default:
+	}
+}
+
+// raise takes a new epoch after the target refused one. It reports false for an
+// entry that is giving the target up: a later holder has it.
+func (s *Session) raise(refused uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	if s.epoch == refused {
+		s.nextEpoch()
+		s.lookLocked()
+	}
+	return true
+}
+
+// Stop implements holder.Connection: it asks the target to stop a task. The end
+// of the run is delivered to its Start.
+func (s *Session) Stop(_ context.Context, submission job.ID, index int) error {
+	ref := Ref{submission, index}
+	s.mu.Lock()
+	r := s.runs[ref]
+	if r == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	r.stopping = true
+	s.mu.Unlock()
+	s.sendStop(ref, r)
+	return nil
+}
+
+// sendStop sends a stop until the target has taken it. A look that still finds
+// the run later sends it again.
+func (s *Session) sendStop(ref Ref, r *run) {
+	for range stopTries {
+		s.mu.Lock()
+		over := s.runs[ref] != r
+		o := StopOrder{Task: ref, Run: r.number, Epoch: s.epoch}
+		s.mu.Unlock()
+		if over {
+			return
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+		reply, err := s.opts.Orders.Stop(ctx, o)
+		cancel()
+		if err != nil {
+			continue
+		}
+		s.hear(reply.Clock)
+		if reply.Refusal != Fenced || !s.raise(o.Epoch) {
+			return
+		}
+	}
+}
+
+// Close implements holder.Connection: the session ends when nothing runs.
+func (s *Session) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	if len(s.runs) == 0 {
+		s.stop()
+		s.opts.Orders.Close()
+	}
+}
+
+// Progress returns how much of a task's work is done, in percent; -1 while the
+// target has not said.
+func (s *Session) Progress(submission job.ID, index int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[Ref{submission, index}]; r != nil {
+		return r.percent
+	}
+	return -1
+}
+
+// finish delivers the end of a run.
+func (s *Session) finish(ref Ref, r *run, res target.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(ref, r, res)
+}
+
+// end delivers the end of a run once; the caller holds the lock.
+func (s *Session) end(ref Ref, r *run, res target.Result) {
+	if s.runs[ref] != r {
+		return
+	}
+	delete(s.runs, ref)
+	r.done <- res
+	if s.closing && len(s.runs) == 0 {
+		s.stop()
+		s.opts.Orders.Close()
+	}
+}
+
+func (s *Session) hear(clockMillis int64) {
+	if clockMillis == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock.set(time.Now(), clockMillis)
+}
+
+func notStarted(refusal target.Refusal, detail string) target.Result {
+	return target.Result{Status: job.TaskNotStarted, Reason: job.TargetRefused, Refusal: refusal, Detail: detail}
+}
+
+// erred is a run without a result. over says that it provably runs no more.
+func erred(reason job.Reason, detail string, over bool) target.Result {
+	return target.Result{Status: job.TaskErred, Reason: reason, Detail: detail, Over: over}
+}
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -31,7 +31,7 @@
 	p.hold(b, -1)
 	p.book.Ended(t.kind(b), t.started)
 	tg.running--
-	tg.used = subSize(tg.used, t.size)
+	tg.used = tg.used.Minus(t.size)
 	clear(p.noRoom)
 	return b, t
 }
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -184,7 +184,7 @@
 	t.started = now
 	p.book.Started(now, t.kind(b))
 	tg.running++
-	tg.used = addSize(tg.used, t.size)
+	tg.used = tg.used.Plus(t.size)
 	if tg.kept == b || p.kept == b && b.queued() == 0 {
 		p.unkeep()
 	}
@@ -195,6 +195,7 @@
 	s := Start{
 		Key: b.keyOf(t), Target: tg.ID, Task: t.BatchTask, Team: b.meta.Team, Service: b.meta.Service,
 		Single: b.meta.Single, Waited: now.Sub(b.arrived), Probe: probe, Running: tg.running,
+		Attempt: t.attempts,
 	}
 	if !b.flagLate {
 		s.Deadline = b.deadline
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -56,31 +56,21 @@
 	if t.leaving || t.full() {
 		return false
 	}
-	return addSize(t.used, s).Fits(t.Room())
-}
-
-func addSize(a, b job.Size) job.Size {
-	return job.Size{
-		Processors:   a.Processors + b.Processors,
-		MemoryMB:     a.MemoryMB + b.MemoryMB,
-		Accelerators: a.Accelerators + b.Accelerators,
-	}
-}
-
-func subSize(a, b job.Size) job.Size {
-	return job.Size{
-		Processors:   a.Processors - b.Processors,
-		MemoryMB:     a.MemoryMB - b.MemoryMB,
-		Accelerators: a.Accelerators - b.Accelerators,
-	}
+	return t.used.Plus(s).Fits(t.Room())
 }
 
 func largest(a, b job.Size) job.Size {
-	return job.Size{
-		Processors:   max(a.Processors, b.Processors),
+	out := job.Size{
+		Processors:   a.Processors,
 		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
 		Accelerators: max(a.Accelerators, b.Accelerators),
+
+		MilliProcessors: a.MilliProcessors,
 	}
+	if b.Millis() > a.Millis() {
+		out.Processors, out.MilliProcessors = b.Processors, b.MilliProcessors
+	}
+	return out
 }
 
 // rankLess orders targets for placement: those with a free slot first, sound
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -42,6 +42,8 @@
 	Probe bool
 	// Running is how many tasks run on the target, this one included.
 	Running int
+	// Attempt numbers the starts of the task from 1.
+	Attempt int
 }
 
 // Dropped is a task that leaves the queue without having been started.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,18 @@
 	// entry. Either may be empty only where all addresses are loopback.
 	PeerSecret    []byte
 	OperatorToken string
+	// TrustNetwork says that only entries can reach the peer addresses, so that
+	// entries on other machines may do without a secret.
+	TrustNetwork bool
+	// Discover has the entry find the others through Seeds; Peers is empty then.
+	Discover bool
+	// Seeds are peer addresses at which other entries may be asked.
+	Seeds []string
+	// Founders are the peer addresses of the entries that form the register at
+	// the first start of a fleet that discovers itself; empty at any later one.
+	Founders []string
+	// WantVoters is how many voters a fleet that discovers itself keeps up.
+	WantVoters int
 }
 
 // maxNameBytes bounds names, since they stand in every message and event.
@@ -96,6 +108,9 @@
 		return errors.Errorf("--az must have 1 to %d bytes", maxNameBytes)
 	}
 	for flag, address := range map[string]string{"--caller-addr": e.CallerAddr, "--peer-addr": e.PeerAddr, "--operator-addr": e.OperatorAddr} {
+		if e.Discover && address == "" && flag == "--caller-addr" {
+			continue // an entry that only votes takes no callers
+		}
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return errors.Errorf("%s: %q is not IP:PORT", flag, address)
 		}
@@ -140,7 +155,7 @@
 // checkSecrets refuses to listen where others can reach without a secret: who
 // could pose as an entry could make a task start twice.
 func (e *Entry) checkSecrets() error {
-	if len(e.PeerSecret) == 0 {
+	if len(e.PeerSecret) == 0 && !e.TrustNetwork {
 		addresses := []string{e.PeerAddr}
 		for _, p := range e.Peers {
 			addresses = append(addresses, p.Address)
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -59,6 +59,8 @@
 	Payload    []byte
 	// Single marks a payload and an answer that are opaque bytes, not JSON.
 	Single bool
+	// Run numbers the starts of the task from 1, for targets that take orders.
+	Run int
 }
 
 // Result is how a task ended on its target.
@@ -70,6 +72,9 @@
 	// Refusal is set with job.TaskNotStarted only.
 	Refusal Refusal
 	Ran     time.Duration
+	// Over is set with job.TaskErred where the run has provably ended, so that
+	// the task may run once more without ever running twice at a time.
+	Over bool
 }
 
 // Start runs one task on the target and waits for its end. The request is
