Wake the looks of a target that became busy again

Cause: a session that waited to acknowledge the last ends did not notice a new run until its pause of 250 ms was over, so ends came late. Ruled out: waiting in the queue (half of the jobs start within 4 ms).

--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -11,6 +11,9 @@
 // keepLooking starts the loop of looks unless it runs; the caller holds the
 // lock.
 func (s *Session) keepLooking() {
+	if s.looping && s.resting {
+		s.wakeLoop()
+	}
 	if s.looping || s.lost {
 		return
 	}
@@ -33,6 +36,11 @@
 		s.interrupted = true
 		s.interrupt()
 	}
+	s.wakeLoop()
+}
+
+// wakeLoop ends a pause of the loop.
+func (s *Session) wakeLoop() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
