--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -21,6 +21,9 @@
 	batch  *batch
 	link   *link
 	queued time.Duration
+	// unspent is set when the task had attempts left and got no more of them: it
+	// did not fail by itself.
+	unspent bool
 }
 
 // run sends one task and takes its end. It is the only goroutine of the task.
@@ -78,6 +81,9 @@
 		return false
 	}
 	if !p.sched.Retry(now, l.start.Key, resultOf(res)) {
+		if res.Over && l.batch.offered.Attempts > 0 {
+			l.unspent = true
+		}
 		return false
 	}
 	counter := &p.holder.stats.requeued
@@ -153,6 +159,9 @@
 		Ran:     res.Ran,
 		Over:    res.Over,
 	}
+	if l.unspent && res.Reason == job.TaskFailed {
+		o.Reason = job.TargetLost
+	}
 	if res.Status == job.TaskNotStarted && res.Refusal != target.Abandoned {
 		o.Reason = job.TargetRefused
 	}
