Serve the job whose objective leaves the least time first

Cause: the pool counted announced slots where sizes bind (two or three tasks to a target), so it admitted what it could not serve and told owners of room that was none; and it served in an order that knows no objective, holding long tasks back. Ruled out: the processors of the entries (0.02 of 0.4 core).

--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -190,4 +190,7 @@
 	Attempts int `cbor:"11,keyasint,omitempty"`
 	// Transient is as in Submission: the work ends with its owner.
 	Transient bool `cbor:"12,keyasint,omitempty"`
+	// Stretch and Slack make the latency objective, as in config.Service.
+	Stretch float64       `cbor:"13,keyasint,omitempty"`
+	Slack   time.Duration `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -262,6 +262,8 @@
 		Pool:       fl.flow.Service.Pool,
 		Attempts:   fl.flow.Service.Attempts,
 		Transient:  s.Transient,
+		Stretch:    fl.flow.Service.Stretch,
+		Slack:      fl.flow.Service.Slack,
 	}
 	if !s.Deadline.IsZero() {
 		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
--- a/internal/policy/estimate/estimate.go
+++ b/internal/policy/estimate/estimate.go
@@ -217,6 +217,17 @@
 	return mean
 }
 
+// Blend returns the expected run time of a task of a job whose declared run time
+// says as much as the mean of its kind: both are off by tens of percent, so the
+// middle of the two, on a log scale, is off by less than either.
+func (b *Book) Blend(now time.Time, k Kind, declared time.Duration) time.Duration {
+	mean := b.Mean(now, k, declared)
+	if declared <= 0 || mean <= 0 {
+		return mean
+	}
+	return time.Duration(math.Sqrt(float64(mean) * float64(declared)))
+}
+
 func orUnknown(declared time.Duration) time.Duration {
 	if declared > 0 {
 		return declared
--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -347,6 +347,13 @@
 	return doubt * math.Sqrt(f.spread/samples)
 }
 
+// Pace returns the expected run time on a target as a multiple of that on the
+// middle one, drawn towards 1 while few tasks were measured.
+func (f *Fleet) Pace(t *Target) float64 {
+	const prior = 4 // tasks whose measure is believed half
+	return math.Exp((t.speed - f.median) * t.samples / (t.samples + prior))
+}
+
 // Slowness returns how many times slower than the middle target this one is
 // for certain; 1 while chance explains the difference.
 func (f *Fleet) Slowness(t *Target) float64 {
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -33,6 +33,7 @@
 	// repeatable work may be sent again, so it is the first choice for a probe.
 	repeatable bool
 	cancelled  bool
+	goal       objective
 
 	item fairqueue.Item[*batch]
 	due  pq.Node
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -35,6 +35,7 @@
 func (p *Pool) Next(now time.Time) Decisions {
 	var d Decisions
 	p.expire(now, &d)
+	p.passOver(now)
 	p.startProbes(now, &d)
 	heldLong := p.startAll(now, &d)
 	p.startSlow(now, &d)
@@ -181,6 +182,7 @@
 	}
 	p.running++
 	p.hold(b, 1)
+	p.reorder(b)
 	t.started = now
 	p.book.Started(now, t.kind(b))
 	tg.running++
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -65,6 +65,7 @@
 		t := &b.tasks[i]
 		t.BatchTask = m.Tasks[i]
 		t.size = t.Size()
+		p.learnSize(t.size)
 		t.expected = p.expect(now, b, t)
 	}
 	b.sortTasks()
@@ -74,6 +75,9 @@
 
 // expect returns the expected run time of a task.
 func (p *Pool) expect(now time.Time, b *batch, t *task) time.Duration {
+	if !p.opts.NoEstimates && b.meta.Stretch > 0 {
+		return p.book.Blend(now, t.kind(b), t.declared())
+	}
 	if !p.opts.NoEstimates {
 		return p.book.Mean(now, t.kind(b), t.declared())
 	}
@@ -87,6 +91,10 @@
 // held to the slots that long tasks may take.
 func (p *Pool) rankBatch(b *batch) {
 	longest := b.tasks[b.order[0]].expected
+	if b.goal = p.objectiveOf(b, longest); b.goal.set() {
+		p.rankByObjective(b, longest)
+		return
+	}
 	threshold := p.book.LongThreshold()
 	b.long = !p.opts.NoReserve && threshold > 0 && longest > threshold
 	p.seq++
@@ -99,6 +107,16 @@
 	b.item.Order = fairqueue.Order(b.arrived, b.own, b.deadline)
 }
 
+func (p *Pool) rankByObjective(b *batch, longest time.Duration) {
+	b.own = longest
+	if b.deadline.IsZero() || b.goal.useless.Before(b.deadline) {
+		b.deadline = b.goal.useless
+		b.flagLate = false
+	}
+	p.seq++
+	b.item = fairqueue.Item[*batch]{Value: b, Order: b.objectiveOrder(), Seq: p.seq}
+}
+
 // Each class may fill the queue only so far beyond what is free: batch work as
 // much as the free part, interactive work four times as much. A flood then
 // leaves room for the classes and teams above it.
@@ -108,13 +126,16 @@
 	free := p.maxQueued() - p.queued - len(b.tasks)
 	c := &p.classes[b.class]
 	factor := queueFactor[b.class]
-	crowded := !p.opts.NoAdmission && factor > 0 && c.queued > 0 && c.queued+len(b.tasks) > factor*(free+len(b.tasks))
+	crowded := !p.opts.NoAdmission && !b.goal.set() && factor > 0 && c.queued > 0 && c.queued+len(b.tasks) > factor*(free+len(b.tasks))
 	if (free < 0 && p.queued > 0) || crowded {
 		return Verdict{Reason: job.QueueFull, Detail: "the queue of pool " + p.name + " is full", RetryAfter: p.drainTime(len(b.tasks) - min(0, free))}
 	}
 	if p.opts.NoAdmission {
 		return Verdict{Accepted: true}
 	}
+	if b.goal.set() {
+		return p.admitObjective(now, b)
+	}
 	v := admission.Decide(p.backlog(now, b), p.request(now, b))
 	if v.Admit {
 		return Verdict{Accepted: true}
@@ -153,7 +174,7 @@
 // leave.
 func (p *Pool) backlog(now time.Time, b *batch) admission.Backlog {
 	c := &p.classes[b.class]
-	out := admission.Backlog{Slots: int(p.slots), Free: p.free, Team: c.team(b.team).ahead(b.ownClass()), Share: c.lanes[b.lane()].Share(b.team)}
+	out := admission.Backlog{Slots: int(p.slots), Free: p.room, Team: c.team(b.team).ahead(b.ownClass()), Share: c.lanes[b.lane()].Share(b.team)}
 	if float64(c.team(b.team).queued+len(b.tasks)) > ownQueue*out.Share*p.slots {
 		out.Standing = c.standing(now)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -25,14 +25,24 @@
 	if p.noRoom[t.size] {
 		return nil
 	}
+	if p.usual.seen > 0 && p.ranked.Len() > 0 && p.usual.sized(p.ranked.Min()) {
+		best := p.placeSized(b, t, worst)
+		p.noteNoRoom(t, best, worst)
+		return best
+	}
 	best, visited := p.placeRanked(b, t, worst)
 	if best == nil && visited >= placeVisits {
 		best = p.placeAny(b, t, worst)
 	}
-	if best == nil && len(t.avoid) == 0 && worst < slow && p.kept == nil {
+	p.noteNoRoom(t, best, worst)
+	return best
+}
+
+// noteNoRoom remembers a size that found no room, until something changes.
+func (p *Pool) noteNoRoom(t *task, found *target, worst tier) {
+	if found == nil && len(t.avoid) == 0 && worst < slow && p.kept == nil {
 		p.noRoom[t.size] = true
 	}
-	return best
 }
 
 func (p *Pool) fits(b *batch, t *task, tg *target, worst tier) bool {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -104,11 +104,16 @@
 	noRoom     map[job.Size]bool // sizes that found no room since the last change
 	walk       []int
 	last       job.TargetID
-	slots      float64
-	free       int
-	running    int
-	longRuns   int
-	kept       *batch // the job that a target is being emptied for
+	// slots is how many tasks of the usual size the pool runs at once, a slow
+	// target's in proportion, and room how many more it takes now. free counts the
+	// slots that targets announced and that nothing runs in.
+	slots    float64
+	room     int
+	free     int
+	usual    typical
+	running  int
+	longRuns int
+	kept     *batch // the job that a target is being emptied for
 
 	batches map[batchKey]*batch
 	classes [classes]class
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -13,13 +13,13 @@
 func (p *Pool) Load(now time.Time) job.HolderLoad {
 	// Slots that most work has to leave free are not offered to owners: they
 	// would send tasks that then queue beside them.
-	free := max(0, p.free-p.headroom(job.UrgencyInteractive))
+	free := max(0, p.room-p.headroom(job.UrgencyInteractive))
 	l := job.HolderLoad{Pool: p.name, Targets: p.ranked.Len(), Free: free}
 	for i := range p.ranked.Len() {
 		t := p.ranked.At(i)
 		l.Largest = largest(l.Largest, t.Room())
 		if t.tier < slow {
-			l.Slots += t.limit()
+			l.Slots += p.capacity(t)
 		}
 	}
 	slots := max(1, p.slots)
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -43,6 +43,7 @@
 	passedUntil time.Time
 	// slots and free are what the target adds to the pool's sums.
 	slots float64
+	room  int
 	free  int
 }
 
@@ -200,16 +201,18 @@
 // account keeps the pool's sums: the slots that work can count on, a slow
 // target's in proportion, and the free ones among the sound targets.
 func (p *Pool) account(t *target) {
-	slots, free := 0.0, 0
+	slots, room, free := 0.0, 0, 0
 	if !t.leaving && !t.health.Quarantined() {
-		slots = float64(t.limit()) / p.fleet.Slowness(&t.health)
+		slots = float64(p.capacity(t)) / p.fleet.Slowness(&t.health)
 	}
 	if !t.leaving && t.tier < slow {
 		free = max(0, t.limit()-t.running)
+		room = p.open(t)
 	}
 	p.slots += slots - t.slots
+	p.room += room - t.room
 	p.free += free - t.free
-	t.slots, t.free = slots, free
+	t.slots, t.room, t.free = slots, room, free
 }
 
 func probeLess(a, b *target) bool {
