--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -31,6 +31,8 @@
 	running map[int]*link
 	// failures counts the runs of each task that failed.
 	failures map[int]int
+	// ran names the tasks of which a run has ended without a result.
+	ran map[int]bool
 	// next is what waits for the last run of the batch to end.
 	next *parked
 	// retries counts how often a repeatable request was sent again.
@@ -54,6 +56,7 @@
 		open:     len(b.Tasks),
 		running:  make(map[int]*link),
 		failures: make(map[int]int),
+		ran:      make(map[int]bool),
 	}
 }
 
@@ -68,12 +71,13 @@
 	return out
 }
 
-// settle takes one task's outcome. A request that was sent again may have run
-// the first time, whatever became of its last attempt: called unstarted then,
-// its caller would be told "not run".
+// settle takes one task's outcome. A task that was started again did run the
+// first time, whatever became of its last attempt: called unstarted then, its
+// caller would be told "not run".
 func (b *batch) settle(o job.TaskOutcome) {
-	if b.retries > 0 && o.Status == job.TaskNotStarted {
+	if (b.retries > 0 || b.ran[o.Index]) && o.Status == job.TaskNotStarted {
 		o.Status = job.TaskErred
+		o.Over = b.ran[o.Index]
 	}
 	b.outcomes = append(b.outcomes, o)
 	b.open--
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -103,6 +103,7 @@
 	if !res.Over || b.offered.Attempts == 0 {
 		return false
 	}
+	b.ran[l.start.Index] = true
 	if res.Reason != job.TaskFailed {
 		return true
 	}
