Let a pool have as few holders as carry it, and targets stay with theirs

Cause: one holder a zone needs more than a grown entry's 0.192 of a core (117 targets, 1,200 starts a second); and a target whose heartbeats named another entry was taken to and fro between two, each stopping the other's runs. A worker that leaves was acknowledged before its holder knew. Ruled out: the edges' processors together (0.035 of 0.192 core with four holders).

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 
+	"github.com/juju/errors"
+
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -19,28 +21,33 @@
 // Config returns the view of the configuration in force.
 func (e *Entry) Config() config.View { return e.config }
 
-// Announcer takes the announcements of targets.
-func (e *Entry) Announcer() api.Announcer { return e.targets }
-
 // ConfirmBody returns the file that a majority of the voters knows as the latest.
 func (e *Entry) ConfirmBody(ctx context.Context) ([]byte, register.Accepted, error) {
 	return e.register.ConfirmBody(ctx)
 }
 
-// HolderHost returns the host of the entry that holds a target, for targets that
-// can be told where to announce themselves; empty while it is not known.
-func (e *Entry) HolderHost(t *job.Target) string {
-	if e.book == nil {
-		return ""
+// Announce takes the announcement of a target and returns the host of the entry
+// that holds it, where later ones may go; empty while that is not known.
+func (e *Entry) Announce(ctx context.Context, t job.Target) (holderHost string, err error) {
+	_, holder, err := e.targets.announce(ctx, t)
+	if err != nil || e.book == nil {
+		return "", errors.Trace(err)
 	}
-	view := e.members.View()
-	r, ok := e.book.Get(holderOf(&view, t))
+	r, ok := e.book.Get(holder)
 	if !ok {
-		return ""
+		return "", nil
 	}
 	host, _, err := net.SplitHostPort(r.Address)
-	if err != nil {
-		return ""
-	}
-	return host
+	return host, errors.Trace(err)
+}
+
+// Leaving says that a target takes no more work. Without an error each entry that
+// may hold it knows.
+func (e *Entry) Leaving(ctx context.Context, t job.Target) error {
+	return e.targets.Leaving(ctx, &t)
+}
+
+// Withdraw says that a target has ended.
+func (e *Entry) Withdraw(ctx context.Context, id job.TargetID) error {
+	return e.targets.Withdraw(ctx, id)
 }
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -21,11 +21,12 @@
 	salt := uint16(xxhash.Sum64String(string(e.self.Entry)))
 	return func(t job.Target) holder.Connection {
 		return runs.NewSession(runs.Options{
-			Orders: e.opts.Orders(t),
-			Target: t.ID,
-			Salt:   salt,
-			Gone:   func() { e.targets.drop(t.ID) },
-			Log:    e.log,
+			Orders:  e.opts.Orders(t),
+			Target:  t.ID,
+			Salt:    salt,
+			Gone:    func() { e.targets.drop(t.ID) },
+			Yielded: func() { e.targets.yield(t.ID) },
+			Log:     e.log,
 		})
 	}
 }
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -43,28 +43,21 @@
 	// passed are the targets that announced themselves through this entry.
 	mu     sync.Mutex
 	passed map[job.TargetID]passedOn
-	// lastHolder is who held each pool in the last view; only setView uses it.
-	lastHolder map[string]job.EntryID
+	// leaving are held targets that are passed on, and to whom. Those of which
+	// one entry at a time gives the orders leave once they are idle.
+	leaving map[job.TargetID]job.EntryID
+
+	exclusive bool
+	started   time.Time
 }
 
-// passedOn is one announcement and when it lapses.
+// passedOn is one announcement, who got it and when it lapses.
 type passedOn struct {
 	target job.Target
+	holder job.EntryID
 	until  time.Time
 }
 
-// holderKey is what decides on the holder of a target: all targets of a pool in
-// an availability zone have one holder, with one queue. Spread over the zone's
-// three entries they lost slots to each other: with examples/cuenca.yaml 120
-// of 408 slots stood idle on average while tasks waited at another holder.
-// docs/CAPACITY.md says from which size on a pool needs several.
-func holderKey(pool string) job.TargetID { return job.TargetID(pool) }
-
-// holderOf returns the holder of a target; empty for none.
-func holderOf(view *membership.Members, t *job.Target) job.EntryID {
-	return view.Holder(t.Zone, holderKey(t.Pool))
-}
-
 func newTargets(e *Entry) *targets {
 	t := &targets{
 		self:     e.self,
@@ -75,11 +68,12 @@
 		events:   e.ring,
 		log:      e.log,
 		passed:   map[job.TargetID]passedOn{},
+		leaving:  map[job.TargetID]job.EntryID{},
+
+		exclusive: e.opts.Orders != nil,
+		started:   e.started,
 	}
-	t.forward = handover.NewTargets(e.links, func(announced *job.Target) job.EntryID {
-		view := t.members.View()
-		return holderOf(&view, announced)
-	}, heldHere{t})
+	t.forward = handover.NewTargets(e.links, t.holderOf, heldHere{t})
 	t.mesh.Handle(peer.TargetWithdraw, t.handleWithdraw)
 	return t
 }
@@ -91,51 +85,86 @@
 // Announce implements api.Announcer: the announcement goes to the target's
 // holder, which may be this entry.
 func (t *targets) Announce(ctx context.Context, announced job.Target) (lease, renew time.Duration, err error) {
-	lease, err = t.forward.ForwardTarget(ctx, announced)
+	lease, _, err = t.announce(ctx, announced)
+	return lease, lease / renewals, err
+}
+
+// announce takes an announcement and names the entry that holds the target now.
+func (t *targets) announce(ctx context.Context, announced job.Target) (lease time.Duration, holder job.EntryID, err error) {
+	lease, holder, err = t.forward.ForwardTarget(ctx, announced)
 	switch {
 	case errors.Is(err, handover.ErrNoHolder) || errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrNoAnswer):
-		return 0, 0, errors.Annotate(api.ErrNoHolder, err.Error())
+		return 0, "", errors.Annotate(api.ErrNoHolder, err.Error())
 	case err != nil:
-		return 0, 0, errors.Trace(err)
+		return 0, "", errors.Trace(err)
 	}
-	t.remember(announced, lease)
-	return lease, lease / renewals, nil
+	t.remember(announced, holder, lease)
+	return lease, holder, nil
 }
 
-func (t *targets) remember(announced job.Target, lease time.Duration) {
+func (t *targets) remember(announced job.Target, holder job.EntryID, lease time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.passed[announced.ID] = passedOn{announced, time.Now().Add(lease)}
+	t.passed[announced.ID] = passedOn{announced, holder, time.Now().Add(lease)}
 }
 
-// Withdraw implements api.Announcer. The request names the target only, and a
-// balancer may bring it to another entry than the announcements, so every entry
-// of the zone drops the target: whoever holds it, and whoever would pass its
-// last announcement on to a next holder. An entry that can't be reached drops
-// it when its lease lapses.
+// Withdraw implements api.Announcer. The request names the target only, so it is
+// taken for one of this entry's zone, or of any zone where entries find each
+// other by themselves: then it may have come to any of them.
 func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
+	if t.exclusive {
+		// The target has ended. Whom this does not reach finds it gone.
+		_ = t.withdrawFrom(ctx, id, func(membership.Member) bool { return true })
+		return nil
+	}
+	_ = t.withdrawFrom(ctx, id, func(m membership.Member) bool { return m.Zone == t.self.Zone })
+	return nil
+}
+
+// Leaving says that a target takes no more work. It is acknowledged only when
+// each entry that may hold it has been told: otherwise the target would believe
+// that nothing more comes, and be given work until its lease ends.
+func (t *targets) Leaving(ctx context.Context, leaving *job.Target) error {
+	return t.withdrawFrom(ctx, leaving.ID, func(m membership.Member) bool { return m.Zone == leaving.Zone })
+}
+
+// withdrawFrom has entries drop a target. A balancer may bring the request to
+// another entry than the announcements, so every one that is meant drops it:
+// whoever holds it, and whoever would pass its last announcement on to a next
+// holder.
+func (t *targets) withdrawFrom(ctx context.Context, id job.TargetID, meant func(membership.Member) bool) error {
 	t.drop(id)
 	ctx, cancel := context.WithTimeout(ctx, withdrawTime)
 	defer cancel()
 	view := t.members.View()
-	var wg sync.WaitGroup
+	var asked []job.EntryID
 	for _, m := range view.List {
-		if m.Entry == t.self.Entry || m.Zone != t.self.Zone || !m.Live() {
-			continue
+		if m.Entry != t.self.Entry && m.Live() && meant(m) {
+			asked = append(asked, m.Entry)
 		}
-		wg.Go(func() { _ = t.mesh.Call(ctx, m.Entry, peer.TargetWithdraw, id, nil) })
 	}
-	wg.Wait()
-	return nil
+	failed := make(chan error, len(asked))
+	for _, entry := range asked {
+		go func() { failed <- t.mesh.Call(ctx, entry, peer.TargetWithdraw, id, nil) }()
+	}
+	var first error
+	for range asked {
+		if err := <-failed; err != nil && first == nil {
+			first = err
+		}
+	}
+	return errors.Annotate(first, "an entry was not told that the target leaves")
 }
 
-// withdrawTime bounds how long a withdrawing target waits for the entries.
-const withdrawTime = time.Second
+// withdrawTime bounds how long a withdrawing target waits for the entries: below
+// the second after which it asks elsewhere.
+const withdrawTime = 800 * time.Millisecond
 
 // drop forgets a target that withdrew and stops new work on it at once.
 func (t *targets) drop(id job.TargetID) {
 	t.mu.Lock()
 	delete(t.passed, id)
+	delete(t.leaving, id)
 	t.mu.Unlock()
 	t.withdraw(id)
 }
@@ -155,13 +184,22 @@
 
 // Announce implements handover.Registry.
 func (t heldHere) Announce(announced job.Target) (time.Duration, error) {
+	if t.exclusive {
+		if former, ok := t.registry.Displaced(time.Now(), &announced); ok {
+			// The target crashed and came back at its address under a new name.
+			t.log.Info("target displaced by a later life at its address", "target", former, "later", announced.ID, "address", announced.Address)
+			t.drop(former)
+		}
+	}
 	t.changing.Lock()
 	defer t.changing.Unlock()
 	lease, _, err := t.registry.Announce(time.Now(), announced)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	t.holder.SetTarget(announced)
+	if !t.isLeaving(announced.ID) {
+		t.holder.SetTarget(announced)
+	}
 	return lease, nil
 }
 
@@ -169,6 +207,9 @@
 func (t *targets) withdraw(id job.TargetID) {
 	t.changing.Lock()
 	defer t.changing.Unlock()
+	if t.exclusive {
+		t.registry.Bury(time.Now(), id)
+	}
 	if _, held := t.registry.Withdraw(time.Now(), id); !held {
 		return
 	}
@@ -180,47 +221,34 @@
 // target's next announcement reaches it anyway.
 const passOnTime = 500 * time.Millisecond
 
-// setView passes the targets on that another entry now holds: those held here,
-// and those that announced themselves here and whose holder is gone.
+// setView acts on a new view of the entries: targets held here are passed on
+// that others are to hold, and so are those that announced themselves here and
+// whose holder is gone.
 func (t *targets) setView(view membership.Members) {
-	// The last entry of a zone keeps its targets while it stops: there is nobody
-	// to pass them to, and its queue must end on them.
-	keep := func(held *job.Target) bool {
-		holder := holderOf(&view, held)
-		return holder == t.self.Entry || holder == ""
-	}
-	for _, released := range t.release(keep) {
-		t.events.Record(timeline.Event{Kind: timeline.HolderChanged, Target: released.ID, Peer: holderOf(&view, &released), Cause: "the entries of the availability zone changed"})
-		go t.passOn(released)
-	}
-	for _, announced := range t.stillAnnounced(time.Now()) {
-		if holder := holderOf(&view, &announced); holder != t.lastHolder[announced.Pool] {
-			go t.passOn(announced)
+	now := time.Now()
+	t.rebalance()
+	for _, p := range t.stillAnnounced(now) {
+		last, _ := view.Get(p.holder)
+		if p.holder == "" || last.Serving() {
+			continue
 		}
+		to := t.holderOf(&p.target)
+		if to == "" || to == p.holder {
+			continue
+		}
+		t.remember(p.target, to, time.Until(p.until))
+		go t.passOn(p.target, to)
 	}
-	t.noteHolders(&view)
-}
-
-// release gives up the held targets that keep does not name. What runs on them
-// now is told to the next holder: a target's own count is a renewal old.
-func (t *targets) release(keep func(*job.Target) bool) []job.Target {
-	t.changing.Lock()
-	defer t.changing.Unlock()
-	released := t.registry.Release(keep)
-	for i := range released {
-		released[i].Running = t.holder.RemoveTarget(released[i].ID)
-	}
-	return released
 }
 
-// stillAnnounced returns the targets whose last announcement here holds.
-func (t *targets) stillAnnounced(now time.Time) []job.Target {
+// stillAnnounced returns the announcements here that hold.
+func (t *targets) stillAnnounced(now time.Time) []passedOn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetLapsed(now)
-	var out []job.Target
+	var out []passedOn
 	for _, p := range t.passed {
-		out = append(out, p.target)
+		out = append(out, p)
 	}
 	return out
 }
@@ -235,23 +263,6 @@
 	}
 }
 
-// noteHolders remembers who holds each pool in this view.
-func (t *targets) noteHolders(view *membership.Members) {
-	t.lastHolder = map[string]job.EntryID{}
-	for _, announced := range t.stillAnnounced(time.Now()) {
-		t.lastHolder[announced.Pool] = holderOf(view, &announced)
-	}
-}
-
-// passOn saves the time until the target's next announcement.
-func (t *targets) passOn(released job.Target) {
-	ctx, cancel := context.WithTimeout(context.Background(), passOnTime)
-	defer cancel()
-	if _, err := t.forward.ForwardTarget(ctx, released); err != nil {
-		t.log.Info("a target was not passed on; its next announcement reaches its holder", "target", released.ID, "error", err)
-	}
-}
-
 // expire ends leases that ran out, until ctx ends.
 func (t *targets) expire(ctx context.Context) error {
 	return every(ctx, expireEvery, t.lapse)
@@ -261,10 +272,14 @@
 	t.mu.Lock()
 	t.forgetLapsed(now)
 	t.mu.Unlock()
+	t.rebalance()
 	t.changing.Lock()
 	defer t.changing.Unlock()
 	for _, lapsed := range t.registry.Expire(now) {
 		t.holder.RemoveTarget(lapsed.ID)
+		t.mu.Lock()
+		delete(t.leaving, lapsed.ID)
+		t.mu.Unlock()
 		t.events.Record(timeline.Event{Kind: timeline.TargetLapsed, Target: lapsed.ID, Cause: "its lease ran out without a renewal"})
 	}
 }
--- a/internal/entry/targets_test.go
+++ b/internal/entry/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"sync"
 	"testing"
@@ -48,11 +49,16 @@
 // the next holder would fill it from its last announcement and be refused.
 func TestReleasedTargetCarriesWhatRunsOnIt(t *testing.T) {
 	h := holder.New(holder.Options{Config: config.Fixed{}, Connect: func(job.Target) holder.Connection { return busy{} }})
-	ts := &targets{registry: target.NewRegistry("a", config.Fixed{}), holder: h, events: timeline.Discard{}}
+	ts := &targets{registry: target.NewRegistry("a", config.Fixed{}), holder: h, events: timeline.Discard{}, log: slog.New(slog.DiscardHandler), leaving: map[job.TargetID]job.EntryID{}}
 	_, err := heldHere{ts}.Announce(job.Target{ID: "t1", Pool: "p", Address: "10.0.0.1:80", Zone: "a"})
 	qt.Assert(t, err, qt.IsNil)
 	h.Offer(&job.Batch{Submission: "j", Service: "p", Tasks: []job.BatchTask{{Index: 0}, {Index: 1}}}, func([]job.TaskOutcome) {})
-	released := ts.release(func(*job.Target) bool { return false })
+	var released []job.Target
+	ts.leaving["t1"] = "other"
+	ts.passOnIdle(func(target job.Target, to job.EntryID) {
+		qt.Check(t, to, qt.Equals, job.EntryID("other"))
+		released = append(released, target)
+	})
 	qt.Assert(t, released, qt.HasLen, 1)
 	qt.Assert(t, released[0].Running, qt.Equals, 2)
 	h.Close()
@@ -77,7 +83,7 @@
 	h := holder.New(holder.Options{Config: config.Fixed{}, Client: target.NewClient(target.ClientOptions{})})
 	ts := &targets{registry: target.NewRegistry("a", config.Fixed{}), holder: h, events: timeline.Discard{}, passed: map[job.TargetID]passedOn{}}
 	for i := range 100 {
-		ts.remember(job.Target{ID: job.TargetID(strconv.Itoa(i))}, time.Minute)
+		ts.remember(job.Target{ID: job.TargetID(strconv.Itoa(i))}, "h", time.Minute)
 	}
 	ts.lapse(time.Now())
 	qt.Assert(t, ts.passed, qt.HasLen, 100)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -359,20 +359,20 @@
 		}
 		target := job.Target{ID: "t", Zone: "z"}
 		for _, by := range []job.EntryID{"a", "b", "c"} {
-			lease, err := at[by].ForwardTarget(t.Context(), target)
+			lease, _, err := at[by].ForwardTarget(t.Context(), target)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, lease, qt.Equals, 4*time.Second)
 		}
 		qt.Assert(t, held["c"]["t"], qt.Equals, 3)
 		qt.Assert(t, len(held["a"])+len(held["b"]), qt.Equals, 0)
 		for _, by := range []job.EntryID{"d", "e"} {
-			_, err := at[by].ForwardTarget(t.Context(), target)
+			_, _, err := at[by].ForwardTarget(t.Context(), target)
 			qt.Assert(t, err, qt.ErrorIs, ErrNoHolder)
 		}
-		_, err := at["a"].ForwardTarget(t.Context(), job.Target{ID: "t", Slots: -1})
+		_, _, err := at["a"].ForwardTarget(t.Context(), job.Target{ID: "t", Slots: -1})
 		qt.Assert(t, err, qt.ErrorIs, peer.ErrRejected)
 		net.Leave("b")
-		_, err = at["a"].ForwardTarget(t.Context(), target)
+		_, _, err = at["a"].ForwardTarget(t.Context(), target)
 		qt.Assert(t, err, qt.ErrorIs, peer.ErrNotSent)
 		for id := range view {
 			net.Leave(id)
--- a/internal/handover/targets.go
+++ b/internal/handover/targets.go
@@ -30,6 +30,9 @@
 // forward is the request of peer.TargetForward.
 type forward struct {
 	Target job.Target `cbor:"1,keyasint"`
+	// Released says that the sender has held the target until now and that the
+	// asked entry is to hold it, whatever its own view says.
+	Released bool `cbor:"2,keyasint,omitempty"`
 }
 
 // forwarded is its answer. Holder is set when the asked entry takes another
@@ -59,8 +62,8 @@
 }
 
 // ForwardTarget makes a target known to its holder and returns the lease that
-// the holder gave.
-func (t *Targets) ForwardTarget(ctx context.Context, target job.Target) (time.Duration, error) {
+// the holder gave, and who it is.
+func (t *Targets) ForwardTarget(ctx context.Context, target job.Target) (time.Duration, job.EntryID, error) {
 	to := t.holderOf(&target)
 	for range maxForwards {
 		if to == t.mesh.Self().Entry {
@@ -69,20 +72,32 @@
 		}
 		switch to {
 		case "":
-			return 0, errors.Annotatef(ErrNoHolder, "target %s, zone %s", target.ID, target.Zone)
+			return 0, "", errors.Annotatef(ErrNoHolder, "target %s, zone %s", target.ID, target.Zone)
 		case t.mesh.Self().Entry:
-			return t.local(target)
+			lease, err := t.local(target)
+			return lease, to, err
 		}
 		var answer forwarded
-		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{target}, &answer); err != nil {
-			return 0, errors.Annotatef(err, "holder %s of target %s", to, target.ID)
+		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{Target: target}, &answer); err != nil {
+			return 0, "", errors.Annotatef(err, "holder %s of target %s", to, target.ID)
 		}
 		if answer.Holder == "" {
-			return answer.Lease, nil
+			return answer.Lease, to, nil
 		}
 		to = answer.Holder
 	}
-	return 0, errors.Annotatef(ErrNoHolder, "the entries of zone %s disagree for the moment on target %s", target.Zone, target.ID)
+	return 0, "", errors.Annotatef(ErrNoHolder, "the entries of zone %s disagree for the moment on target %s", target.Zone, target.ID)
+}
+
+// Release makes a target known to the entry that holds it from now on.
+func (t *Targets) Release(ctx context.Context, target job.Target, to job.EntryID) error {
+	if to == t.mesh.Self().Entry {
+		_, err := t.local(target)
+		return errors.Trace(err)
+	}
+	var answer forwarded
+	err := t.mesh.Call(ctx, to, peer.TargetForward, forward{Target: target, Released: true}, &answer)
+	return errors.Annotatef(err, "holder %s of target %s", to, target.ID)
 }
 
 func (t *Targets) local(target job.Target) (time.Duration, error) {
@@ -95,7 +110,7 @@
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return nil, errors.Annotate(err, "decoding an announcement")
 	}
-	if holder := t.holderOf(&f.Target); holder != t.mesh.Self().Entry {
+	if holder := t.holderOf(&f.Target); holder != t.mesh.Self().Entry && !f.Released {
 		if holder == "" {
 			return nil, errors.Trace(ErrNoHolder)
 		}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -173,6 +173,20 @@
 	return p.removeTarget(id)
 }
 
+// Running returns how many tasks run on a target, also on one that this entry
+// does not hold any more.
+func (h *Holder) Running(id job.TargetID) int {
+	n := 0
+	for _, p := range h.all() {
+		p.mu.Lock()
+		if l := p.links[id]; l != nil {
+			n += l.running
+		}
+		p.mu.Unlock()
+	}
+	return n
+}
+
 // Offer takes a batch: all of its tasks are queued or none. report is called
 // once with the outcomes of all tasks, from any goroutine; it may call Offer
 // and Cancel, but not change targets. At the first failure it is called at once: what waits is then dropped
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -118,7 +118,7 @@
 // nothingToLookFor reports whether the target can be left alone; the caller
 // holds the lock.
 func (s *Session) nothingToLookFor() bool {
-	if s.lost {
+	if s.lost || s.deposed && len(s.runs) == 0 {
 		return true
 	}
 	return len(s.runs) == 0 && s.settled && !s.silent && s.acked == s.told
@@ -191,6 +191,7 @@
 	case l.Refusal != Accepted:
 		return silentPause
 	}
+	s.obeyed = true
 	s.told = max(s.told, o.Acked)
 	s.takeEnds(l.Ended)
 	strays := s.takeRunning(o, sent, l.Running)
@@ -208,20 +209,26 @@
 	return 0
 }
 
-// onFenced meets the word that a higher epoch was seen. An entry that holds the
-// target takes a higher one; one that gives it up has lost it, and what it left
-// running was stopped by the next holder or lapses.
+// maxClaims bounds the epochs that a session tries when it takes a target.
+const maxClaims = 3
+
+// onFenced meets the word that a higher epoch was seen. A session that has just
+// been opened takes a higher one, since it comes from the latest news of the
+// target; any other has lost the target.
 func (s *Session) onFenced(o RenewOrder) (pause time.Duration) {
-	if !s.closing {
-		if s.epoch == o.Epoch {
-			s.nextEpoch()
-			s.opts.Log.Info("target fenced, new epoch", "target", s.opts.Target, "refused", o.Epoch, "epoch", s.epoch)
-		}
+	if s.epoch != o.Epoch {
 		return 0
 	}
-	s.deposed = true
+	if s.claims++; !s.obeyed && !s.closing && s.claims <= maxClaims {
+		s.nextEpoch()
+		return 0
+	}
+	s.yield()
 	s.lapse(time.Now())
-	return strayPause
+	if len(s.runs) > 0 {
+		return strayPause
+	}
+	return 0
 }
 
 // takeEnds delivers the ends that are new.
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -47,9 +47,11 @@
 	Salt uint16
 	// Lease is the longest lease that the target gives; zero takes DefaultLease.
 	Lease time.Duration
-	// Gone is told once that another life of the target listens at its address.
-	Gone func()
-	Log  *slog.Logger
+	// Gone is told once that another life of the target listens at its address,
+	// Yielded once that another entry has taken the target.
+	Gone    func()
+	Yielded func()
+	Log     *slog.Logger
 }
 
 // Session gives orders to one target and renews its lease while anything of
@@ -76,9 +78,13 @@
 	// silent is set while the last look got no answer. The lease is not renewed
 	// then, so that it runs out for certain while the target can't be asked.
 	silent bool
-	// deposed is set when a later holder has fenced this entry off while it was
-	// giving the target up.
+	// deposed is set when another entry has taken the target. What was left
+	// running is stopped there, or lapses since it is not renewed.
 	deposed bool
+	// obeyed is set once the target has obeyed an epoch of this session, claims
+	// counts the epochs that were refused before.
+	obeyed bool
+	claims int
 	// lost is set when another life of the target was met.
 	lost    bool
 	closing bool
@@ -147,13 +153,19 @@
 	return <-r.done
 }
 
+func (s *Session) isDeposed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deposed
+}
+
 // awaitSettled waits a moment for a target that was just taken.
 func (s *Session) awaitSettled(ctx context.Context) (refused target.Result, ok bool) {
 	s.mu.Lock()
 	silent, lost, settled, ready := s.silent, s.lost, s.settled, s.ready
 	s.mu.Unlock()
 	switch {
-	case lost:
+	case lost || s.isDeposed():
 		return notStarted(target.Leaving, "the target is not this entry's any more"), false
 	case silent:
 		return notStarted(target.Unreachable, "the target does not answer"), false
@@ -192,7 +204,7 @@
 			return
 		case Fenced:
 			fenced++
-			if !s.raise(o.Epoch) {
+			if !s.outdated(o.Epoch) {
 				s.finish(ref, r, notStarted(target.Leaving, "another entry holds the target"))
 				return
 			}
@@ -301,19 +313,31 @@
 	}
 }
 
-// raise takes a new epoch after the target refused one. It reports false for an
-// entry that is giving the target up: a later holder has it.
-func (s *Session) raise(refused uint64) bool {
+// outdated reports whether an order was refused only because this entry itself
+// has taken a newer epoch since. Otherwise another entry has taken the target.
+func (s *Session) outdated(refused uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		return false
+	if s.epoch != refused {
+		return !s.deposed
 	}
-	if s.epoch == refused {
-		s.nextEpoch()
-		s.lookLocked()
+	s.yield()
+	return false
+}
+
+// yield gives the target up to the entry that has taken it, which is the one that
+// heard of it last; the caller holds the lock. Two entries that took it from each
+// other in turn would each stop what the other one started.
+func (s *Session) yield() {
+	if s.deposed {
+		return
+	}
+	s.deposed = true
+	s.opts.Log.Info("target taken by another entry", "target", s.opts.Target, "epoch", s.epoch, "runs", len(s.runs))
+	s.keepLooking()
+	if s.opts.Yielded != nil {
+		go s.opts.Yielded()
 	}
-	return true
 }
 
 // Stop implements holder.Connection: it asks the target to stop a task. The end
@@ -350,7 +374,7 @@
 			continue
 		}
 		s.hear(reply.Clock)
-		if reply.Refusal != Fenced || !s.raise(o.Epoch) {
+		if reply.Refusal != Fenced || !s.outdated(o.Epoch) {
 			return
 		}
 	}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -37,6 +37,11 @@
 	withdrawnFor = time.Second
 )
 
+// buriedFor is how long the announcements of a target are refused that has ended
+// for good and whose name is never used again: longer than a cut may hold one of
+// them up.
+const buriedFor = time.Minute
+
 // ErrWithdrawn is returned for an announcement that came too soon after a
 // withdrawal.
 const ErrWithdrawn = errors.ConstError("the target has just withdrawn; announce again in a second")
@@ -51,6 +56,9 @@
 	held      map[job.TargetID]*lease
 	byAddress map[string]job.TargetID
 	withdrawn map[job.TargetID]departure
+	// buried are targets whose names are never used again, and until when they
+	// are remembered.
+	buried map[job.TargetID]time.Time
 }
 
 // lease is one held target.
@@ -76,9 +84,17 @@
 		held:      make(map[job.TargetID]*lease),
 		byAddress: make(map[string]job.TargetID),
 		withdrawn: make(map[job.TargetID]departure),
+		buried:    make(map[job.TargetID]time.Time),
 	}
 }
 
+// Bury refuses all further announcements of a target.
+func (r *Registry) Bury(now time.Time, id job.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.buried[id] = now.Add(buriedFor)
+}
+
 // Announce takes or renews a target's lease and returns how long it holds and
 // when the target should announce again. A refused announcement changes
 // nothing.
@@ -104,6 +120,9 @@
 }
 
 func (r *Registry) conflict(now time.Time, t job.Target) error {
+	if until, buried := r.buried[t.ID]; buried && now.Before(until) {
+		return ErrWithdrawn
+	}
 	if d, ok := r.withdrawn[t.ID]; ok && d.address == t.Address && now.Before(d.until) {
 		return ErrWithdrawn
 	}
@@ -145,6 +164,25 @@
 	}
 }
 
+// Displaced returns the target that is held at the address of another one which
+// announces itself, and which has not ended itself: it is a former life there.
+func (r *Registry) Displaced(now time.Time, t *job.Target) (job.TargetID, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former, held := r.byAddress[t.Address]
+	if until, buried := r.buried[t.ID]; buried && now.Before(until) {
+		return "", false
+	}
+	return former, held && former != t.ID
+}
+
+// Holds reports whether the target is held here.
+func (r *Registry) Holds(id job.TargetID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held[id] != nil
+}
+
 // Withdraw ends a target's lease at its own word and reports whether it was
 // held.
 func (r *Registry) Withdraw(now time.Time, id job.TargetID) (job.Target, bool) {
@@ -168,6 +206,11 @@
 			delete(r.withdrawn, id)
 		}
 	}
+	for id, until := range r.buried {
+		if !now.Before(until) {
+			delete(r.buried, id)
+		}
+	}
 	return r.take(func(l *lease) bool { return !now.Before(l.expires) })
 }
 
