Ask several entries for a configuration side by side

Cause: an entry asked one peer at a time for a newer file. Before: TestPullFromASilentPeerHoldsUpNoOther fails. After: it passes.

--- a/internal/register/fault_test.go
+++ b/internal/register/fault_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
 )
@@ -364,3 +365,23 @@
 		qt.Assert(t, m.Current().Number, qt.Equals, uint64(1))
 	})
 }
+
+// A learner asks the voter that first told it of a change; that voter is cut off
+// before it answers. The others have the change too, and their word must be
+// followed at once: waiting for the silent one, the learner would serve by the
+// old file for longer than a change may take.
+func TestPullFromASilentPeerHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stopAll()
+		f.mustApply("v1", 1)
+		f.inForce(1, time.Second, "l1")
+		f.net.SetDrop(func(from, to job.EntryID, kind peer.Kind, answer bool) bool {
+			return from == "v1" && to == "l1" && kind == peer.ConfigPull && answer
+		})
+		// The learner hears of the change from v1 only, and then from the others.
+		f.nodes["l1"].Observe("v1", 2, "")
+		f.mustApply("v2", 2)
+		f.inForce(2, 300*time.Millisecond, "l1")
+	})
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -111,10 +111,11 @@
 	foreign string
 	heard   map[job.EntryID]time.Time
 	// disks are the identities that entries last said of their disks.
-	disks     map[job.EntryID]consensus.Identity
-	started   time.Time
-	stale     bool
-	pulling   bool
+	disks   map[job.EntryID]consensus.Identity
+	started time.Time
+	stale   bool
+	// pulling names the entries that are being asked.
+	pulling   map[job.EntryID]bool
 	probed    int
 	idleTicks int
 
@@ -135,6 +136,7 @@
 		waiting: map[consensus.Token]chan consensus.Outcome{},
 		heard:   map[job.EntryID]time.Time{},
 		disks:   map[job.EntryID]consensus.Identity{},
+		pulling: map[job.EntryID]bool{},
 		kick:    make(chan struct{}, 1),
 		write:   make(chan struct{}, 1),
 	}
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -38,19 +38,20 @@
 	}
 }
 
-// startPull pulls in the background unless a pull is under way.
+// startPull pulls in the background unless that entry is being asked already. One
+// that is silent must not hold up the word of the others.
 func (r *Register) startPull(from job.EntryID) {
 	ctx := r.run.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.pulling || ctx == nil {
+	if r.pulling[from] || ctx == nil {
 		return
 	}
-	r.pulling = true
+	r.pulling[from] = true
 	go func() {
 		r.pull(*ctx, from)
 		r.mu.Lock()
-		r.pulling = false
+		delete(r.pulling, from)
 		r.mu.Unlock()
 	}()
 }
