Withdraw a failed job whole, and say not run where that is true

Cause: a job whose parts waited at two holders failed with the first of them; the other part was taken back unheard, so its caller got a 504 for work that never ran. Ruled out: jobs at one holder (their tasks leave the queue together).

--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -31,6 +31,8 @@
 	// ran is set once a task ran whose result was lost: nothing proves then that
 	// the submission never ran.
 	ran bool
+	// withdrawing is set while the rest of a failed submission is taken back.
+	withdrawing bool
 }
 
 // Verdict is what the owner does next.
@@ -40,6 +42,10 @@
 	Answer   job.Answer
 	// Reoffer lists tasks that provably did not start and may go elsewhere.
 	Reoffer []int
+	// Withdraw is set once when the submission fails while nothing of it is known
+	// to have run and holders have not said so of all tasks: what they say when
+	// the rest is taken back decides whether it is "not run".
+	Withdraw bool
 }
 
 // NewCollector returns a collector for s. Tasks that an earlier owner may have
@@ -151,6 +157,28 @@
 	if c.failure == nil && c.done < len(c.outcomes) {
 		return Verdict{Reoffer: reoffer}
 	}
+	if c.failure != nil && c.mayBeUnrun() {
+		for _, task := range reoffer {
+			c.outcomes[task] = *c.failure
+			c.outcomes[task].Index = task
+		}
+		if len(c.Open()) > 0 {
+			first := !c.withdrawing
+			c.withdrawing = true
+			return Verdict{Withdraw: first}
+		}
+		reoffer = nil
+	}
+	return c.end(reoffer)
+}
+
+// mayBeUnrun reports whether nothing of a transient submission is known to have
+// run. Others need no such word: who sends them again is given their answer.
+func (c *Collector) mayBeUnrun() bool {
+	return c.submission.Transient && c.failure.Status == job.TaskNotStarted && c.done == 0 && c.started == 0 && !c.ran
+}
+
+func (c *Collector) end(reoffer []int) Verdict {
 	c.finished = true
 	if c.failure == nil {
 		return Verdict{Finished: true, Answer: c.complete()}
@@ -158,6 +186,14 @@
 	return Verdict{Finished: true, Answer: c.failed(reoffer)}
 }
 
+// Conclude ends a submission that is being withdrawn, whatever holders still owe.
+func (c *Collector) Conclude() Verdict {
+	if c.finished || c.failure == nil {
+		return Verdict{}
+	}
+	return c.end(nil)
+}
+
 func (c *Collector) complete() job.Answer {
 	results := make([]json.RawMessage, len(c.outcomes))
 	for i := range c.outcomes {
--- a/internal/pipeline/collect_test.go
+++ b/internal/pipeline/collect_test.go
@@ -131,3 +131,32 @@
 	qt.Assert(t, v.Answer.Reason, qt.Equals, job.TooLarge)
 	qt.Assert(t, v.Answer.Run.Proven(), qt.IsFalse)
 }
+
+// Two holders queue the parts of a job; one of them gives its part up since the
+// answer would be of no use any more. What the other one says when the rest is
+// taken back decides what the caller is told: "not run" only if it is true.
+func TestFailedTransientSubmissionIsWithdrawn(t *testing.T) {
+	given := func(index int) job.TaskOutcome {
+		return job.TaskOutcome{Index: index, Status: job.TaskNotStarted, Reason: job.DeadlinePassed}
+	}
+	for name, c := range map[string]struct {
+		other job.TaskOutcome
+		run   string
+	}{
+		"the rest was queued": {given(1), "not run"},
+		"the rest ran":        {job.TaskOutcome{Index: 1, Status: job.TaskErred, Reason: job.CancelledByCall}, "may have run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c2 := NewCollector(&job.Submission{ID: "j", Transient: true, Tasks: make([]job.TaskSpec, 2)}, nil, nil)
+			v := c2.Add([]job.TaskOutcome{given(0)})
+			qt.Assert(t, v.Withdraw, qt.IsTrue)
+			qt.Assert(t, v.Finished, qt.IsFalse)
+			v = c2.Add([]job.TaskOutcome{c.other})
+			qt.Assert(t, v.Finished, qt.IsTrue)
+			qt.Assert(t, v.Answer.Run.String(), qt.Equals, c.run)
+		})
+	}
+	silent := NewCollector(&job.Submission{ID: "j", Transient: true, Tasks: make([]job.TaskSpec, 2)}, nil, nil)
+	silent.Add([]job.TaskOutcome{given(0)})
+	qt.Assert(t, silent.Conclude().Answer.Run, qt.Equals, job.MayHaveRun)
+}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -290,6 +290,10 @@
 		fl.finish(v.Answer)
 		return
 	}
+	if v.Withdraw {
+		fl.withdraw()
+		return
+	}
 	if len(v.Reoffer) > 0 {
 		fl.offer(v.Reoffer)
 	}
@@ -302,6 +306,28 @@
 	fl.act(v)
 }
 
+// withdrawTime bounds how long a failed submission waits for its holders' word
+// that nothing of it ran: a crossing both ways and the pause of a busy VM. A
+// caller that is told "not run" may turn elsewhere; any other word leaves it in
+// doubt.
+const withdrawTime = 50 * time.Millisecond
+
+// withdraw takes the rest of a failed submission back from its holders.
+func (fl *flight) withdraw() {
+	fl.mu.Lock()
+	holders := fl.placing.working()
+	fl.mu.Unlock()
+	time.AfterFunc(withdrawTime, func() {
+		fl.mu.Lock()
+		v := fl.collector.Conclude()
+		fl.mu.Unlock()
+		fl.act(v)
+	})
+	for _, h := range holders {
+		fl.stage.Holders.Cancel(h, fl.stage.Self, fl.flow.Submission.ID)
+	}
+}
+
 // finish hands the answer out and takes the rest back from the holders, so
 // that tasks of a job that can't be complete stop costing anybody anything.
 func (fl *flight) finish(a job.Answer) {
