Use targets of ordinary pace like the others where sizes bind

Cause: a target whose tasks took a fifth longer than the middle counted as slow and got work only when no other had room. Workers differ by a quarter either way, so a third to two thirds of a pool stood aside; its holder told owners of no free room and refused. Ruled out: targets lost at hand-overs (117 of 117 were held at each second).

--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -190,7 +190,7 @@
 		return ready
 	case t.health.Held():
 		return held
-	case p.fleet.Slowness(&t.health) > 1:
+	case p.fleet.Slowness(&t.health) > p.bearable():
 		return slow
 	case t.health.Suspect():
 		return suspect
@@ -198,6 +198,21 @@
 	return ready
 }
 
+// bearableSlowness is how many times slower than the middle a target of a sized
+// pool may be and still be used like the others. Its pace is weighed at each
+// placement there, machines differ by a quarter either way, and a task on one that
+// takes up to this much longer still meets an objective of 1.6 times its time.
+const bearableSlowness = 1.4
+
+// bearable is the slowness from which on a target gets work only when no other has
+// room.
+func (p *Pool) bearable() float64 {
+	if p.usual.seen > 0 {
+		return bearableSlowness
+	}
+	return 1
+}
+
 // account keeps the pool's sums: the slots that work can count on, a slow
 // target's in proportion, and the free ones among the sound targets.
 func (p *Pool) account(t *target) {
