--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/entry"
+	"github.com/vanillagrade/vanillagrade/internal/eventlog"
 	"github.com/vanillagrade/vanillagrade/platform"
 )
 
@@ -20,7 +21,9 @@
 const reloadEvery = time.Second
 
 func (c *platformCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
-	slog.SetDefault(slog.New(slog.NewJSONHandler(stdout, nil)))
+	lines := eventlog.NewWriter(stdout)
+	defer lines.Close()
+	slog.SetDefault(slog.New(slog.NewJSONHandler(lines, nil)))
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -15,7 +15,7 @@
 		Mesh:    e.links,
 		Members: e.members,
 		Log:     e.log,
-		Events:  e.ring,
+		Events:  e.events,
 		Wait:    e.waitFor,
 		Fetch:   e.fetch,
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/discovery"
+	"github.com/vanillagrade/vanillagrade/internal/eventlog"
 	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -65,6 +66,8 @@
 	Orders func(job.Target) runs.Orders
 	// Seeds, when set, replaces the seeds of the settings, which may change.
 	Seeds func() []string
+	// LogEvents writes each decision as a log line too, within a budget.
+	LogEvents bool
 	// Attach, when set, returns further servers of this entry.
 	Attach func(*Entry) []Attached
 }
@@ -77,11 +80,13 @@
 
 // Entry is one entry process.
 type Entry struct {
-	opts   Options
-	self   job.Owner
-	log    *slog.Logger
-	clock  *timeline.Clock
-	ring   *timeline.Ring
+	opts  Options
+	self  job.Owner
+	log   *slog.Logger
+	clock *timeline.Clock
+	ring  *timeline.Ring
+	// events is the ring, and the log where the entry tells its decisions there.
+	events timeline.Sink
 	config config.View
 	links  *peer.Links
 
@@ -112,9 +117,11 @@
 	// stopping is closed when an operator asks for a planned stop.
 	stopping chan struct{}
 	started  time.Time
-	stopOnce sync.Once
-	killed   chan struct{}
-	killOnce sync.Once
+	// decisions writes events to the log; nil where it doesn't.
+	decisions *eventlog.Sink
+	stopOnce  sync.Once
+	killed    chan struct{}
+	killOnce  sync.Once
 }
 
 // bodyMemory bounds the bytes of submissions that one entry holds. It is half
@@ -160,6 +167,11 @@
 		killed:   make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, o.Events)
+	e.events = e.ring
+	if o.LogEvents {
+		e.decisions = eventlog.New(e.ring, e.log)
+		e.events = e.decisions
+	}
 	if err := e.assemble(); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -219,29 +231,29 @@
 		Config:    e.config,
 		Client:    target.NewClient(target.ClientOptions{}),
 		Connect:   e.connect(),
-		Events:    e.ring,
+		Events:    e.events,
 		Log:       e.log,
 		Scheduler: e.opts.Scheduler,
 	})
 	e.assembleMembership()
 	e.served = handover.Serve(e.links, e.holder)
-	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.ring})
+	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Events: e.events})
 	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
-	e.record = &pipeline.Record{Events: e.ring}
-	e.check = &pipeline.Check{Config: e.config, Events: e.ring}
-	e.join = &pipeline.Join{Events: e.ring}
-	e.admit = pipeline.NewAdmit(e.ring)
+	e.record = &pipeline.Record{Events: e.events}
+	e.check = &pipeline.Check{Config: e.config, Events: e.events}
+	e.join = &pipeline.Join{Events: e.events}
+	e.admit = pipeline.NewAdmit(e.events)
 	e.assembleClaims()
 	e.serveSearches()
 	e.chain = pipeline.Chain(
 		e.record,
 		e.check,
 		e.join,
-		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Kept: e.kept, Find: e.find, Events: e.ring},
+		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Kept: e.kept, Find: e.find, Events: e.events},
 		e.admit,
-		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.ring},
-		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.ring},
+		&pipeline.Keep{Self: e.self, Choose: e.chooseKeeper, Events: e.events},
+		&pipeline.Run{Self: e.self, Holders: e.holders, Events: e.events},
 	)
 }
 
@@ -249,7 +261,7 @@
 // is cut.
 func (e *Entry) Run(ctx context.Context) error {
 	var g run.Group
-	e.ring.Record(timeline.Event{Kind: timeline.EntryStarted})
+	e.events.Record(timeline.Event{Kind: timeline.EntryStarted})
 	e.log.Info("entry serves", "callers", e.opts.Settings.CallerAddr, "peers", e.opts.Settings.PeerAddr, "incarnation", e.self.Incarnation, "version", version())
 	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
 	listen := e.opts.Listeners
@@ -375,7 +387,7 @@
 	e.members.Drain()
 	linger := time.NewTimer(e.opts.Linger)
 	defer linger.Stop()
-	e.ring.Record(timeline.Event{Kind: timeline.EntryDraining})
+	e.events.Record(timeline.Event{Kind: timeline.EntryDraining})
 	e.log.Info("entry drains", "submissions", e.join.Running())
 	e.waitForSubmissions()
 	if err := e.holder.Drain(context.Background()); err != nil {
@@ -384,7 +396,7 @@
 	<-linger.C
 	e.registrar.Flush()
 	e.members.Leave(context.Background())
-	e.ring.Record(timeline.Event{Kind: timeline.EntryStopped})
+	e.events.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,7 +31,7 @@
 		Peers:   peers,
 		Across:  across,
 		Log:     e.log,
-		Events:  e.ring,
+		Events:  e.events,
 		Config:  e.register,
 		Loads:   e.holder.Loads,
 		Linked:  e.links.Up,
--- a/internal/entry/shared.go
+++ b/internal/entry/shared.go
@@ -38,7 +38,7 @@
 		Entries: names,
 		Parse:   e.opts.Parse,
 		Log:     e.log,
-		Events:  e.ring,
+		Events:  e.events,
 	}
 	if s.Discover {
 		e.discoverVoters(&options)
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -65,7 +65,7 @@
 		holder:   e.holder,
 		members:  e.members,
 		mesh:     e.links,
-		events:   e.ring,
+		events:   e.events,
 		log:      e.log,
 		passed:   map[job.TargetID]passedOn{},
 		leaving:  map[job.TargetID]job.EntryID{},
