Know an emptied voter by its first question

Cause: the voters learned that one of them had come back with an empty disk only when they happened to probe it, every few seconds: it asks for the configuration itself and so does not look silent. The first voter alive may be the emptied one, and then nobody mends.

--- a/internal/register/fleet_test.go
+++ b/internal/register/fleet_test.go
@@ -28,6 +28,8 @@
 	mu    sync.Mutex
 	nodes map[job.EntryID]*member
 	life  job.Incarnation
+	// mend, when set, has the voters mended.
+	mend *Mend
 	// wrap, when set, goes around the link of an entry that starts.
 	wrap func(peer.Mesh) peer.Mesh
 }
@@ -39,9 +41,11 @@
 	done chan struct{}
 }
 
+func newNetwork() *peertest.Network { return &peertest.Network{Delay: time.Millisecond} }
+
 // newFleet starts voters v1.. with disks and learners l1.. without.
 func newFleet(t testing.TB, voters, learners int) *fleet {
-	return newFleetOn(t, &peertest.Network{Delay: time.Millisecond}, voters, learners)
+	return newFleetOn(t, newNetwork(), voters, learners)
 }
 
 func newFleetOn(t testing.TB, net *peertest.Network, voters, learners int) *fleet {
@@ -78,7 +82,7 @@
 		jump := rand.New(rand.NewPCG(life, uint64(now.UnixNano()))).Int64N(int64(48 * time.Hour))
 		return now.Add(time.Duration(jump) - 24*time.Hour)
 	}
-	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock}
+	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock, Mend: f.mend}
 	if fs != nil {
 		store, err := storage.Open("data", fs)
 		qt.Assert(f.t, err, qt.IsNil)
--- a/internal/register/spread.go
+++ b/internal/register/spread.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answer pulled
-	req := pull{Version: r.kept()}
+	req := pull{Version: r.kept(), Disk: r.ownDisk()}
 	if err := r.mesh.Call(ctx, from, peer.ConfigPull, req, &answer); err != nil {
 		return
 	}
@@ -98,6 +98,16 @@
 	return foreign != ""
 }
 
+// ownDisk names this entry's disk; empty without a usable one.
+func (r *Register) ownDisk() consensus.Identity {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.node == nil {
+		return ""
+	}
+	return r.node.Self.Identity
+}
+
 func (r *Register) noteDisk(of job.EntryID, identity consensus.Identity) {
 	if identity == "" {
 		return
@@ -145,7 +155,7 @@
 	voters := r.voters()
 	for _, to := range r.others() {
 		if !slices.Contains(voters, to) {
-			_ = r.mesh.Send(to, peer.ConfigPull, pull{Version: s.Version, Hint: true})
+			_ = r.mesh.Send(to, peer.ConfigPull, pull{Version: s.Version, Hint: true, Disk: r.ownDisk()})
 		}
 	}
 }
@@ -163,6 +173,7 @@
 		return nil, errors.Annotate(err, "decoding a pull")
 	}
 	r.contact(from.Entry)
+	r.noteDisk(from.Entry, req.Disk)
 	if req.Version > r.held() {
 		r.startPull(from.Entry)
 	}
--- a/internal/register/wire.go
+++ b/internal/register/wire.go
@@ -61,6 +61,9 @@
 type pull struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Hint    bool   `cbor:"2,keyasint,omitempty"`
+	// Disk names the sender's disk; empty without one. An emptied voter is known by
+	// it as soon as it asks for anything.
+	Disk consensus.Identity `cbor:"3,keyasint,omitempty"`
 }
 
 // pulled is its answer.
