Move runs that stand still or are far too slow; split what had grown

Cause: a run that stood still on a target which answered all else held its job until the caller gave up, and the room of its target with it. Ruled out: health alone (the target ends other tasks well); a fixed timeout (tasks take 30 ms to 4 s). Before: TestRunThatStandsStillIsMoved waits for ever. After: moved within four times the expected time. A process also learns its last life from the seeds, since the time of day may jump back between two.

--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -11,8 +11,10 @@
 	"syscall"
 	"time"
 
+	"github.com/vanillagrade/vanillagrade/internal/discovery"
 	"github.com/vanillagrade/vanillagrade/internal/entry"
 	"github.com/vanillagrade/vanillagrade/internal/eventlog"
+	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/platform"
 )
 
@@ -41,6 +43,8 @@
 	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
+	last := discovery.LastLife(ctx, seeds.list(), nil, options.Settings.Name)
+	options.Incarnation = max(job.Incarnation(time.Now().UnixNano()), last+1)
 	e, err := entry.New(options)
 	if err != nil {
 		return fail(stderr, exitUsage, err)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -102,3 +102,18 @@
 	qt.Assert(t, a.opts.Book.All(), qt.HasLen, 1)
 	qt.Assert(t, b.opts.Book.All(), qt.HasLen, 1)
 }
+
+// A VM restarts after its time of day jumped back by seconds. The seeds know its
+// last life, and one that does not answer must not hold the start up for long.
+func TestLastLifeIsLearnedBeforeTheStart(t *testing.T) {
+	var net peertest.Network
+	a := newEntry(&net, "a", func() []string { return nil }, "s")
+	a.server.Start()
+	defer a.server.Close()
+	a.Learn(record("b", 77, "10.0.0.2:1"))
+	address := a.server.Listener.Addr().String()
+	begun := time.Now()
+	qt.Assert(t, LastLife(t.Context(), []string{"127.0.0.1:1", address}, []byte("s"), "b"), qt.Equals, job.Incarnation(77))
+	qt.Assert(t, LastLife(t.Context(), []string{address}, []byte("s"), "c"), qt.Equals, job.Incarnation(0))
+	qt.Assert(t, time.Since(begun) < 2*lastLifeTime, qt.IsTrue)
+}
--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -56,8 +56,8 @@
 
 // Joiner finds the other entries and lets them find this one.
 type Joiner struct {
-	opts   Options
-	client *http.Client
+	asker
+	opts Options
 
 	mu     sync.Mutex
 	news   []Record
@@ -75,11 +75,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	dialer := &net.Dialer{Timeout: joinTimeout}
-	j := &Joiner{
-		opts: o, wake: make(chan struct{}, 1),
-		client: &http.Client{Timeout: joinTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
-	}
+	j := &Joiner{asker: newAsker(o.Secret), opts: o, wake: make(chan struct{}, 1)}
 	o.Mesh.HandleInOrder(peer.MemberNews, j.onNews)
 	return j
 }
@@ -182,7 +178,57 @@
 	j.Learn(answer.Records...)
 }
 
-func (j *Joiner) post(ctx context.Context, address string, e exchange) (exchange, error) {
+// asker asks single addresses. A process asks before it has a joiner.
+type asker struct {
+	client *http.Client
+	secret []byte
+}
+
+func newAsker(secret []byte) asker {
+	dialer := &net.Dialer{Timeout: joinTimeout}
+	return asker{secret: secret, client: &http.Client{
+		Timeout: joinTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+	}}
+}
+
+// lastLifeTime bounds the question for the last life of an entry: it delays each
+// start while the seeds are down.
+const lastLifeTime = 300 * time.Millisecond
+
+// LastLife returns the latest life of an entry that any seed knows of, zero for
+// none. The time of day may jump back between two lives; numbered by it alone, the
+// later life would be taken for the earlier one and ignored by everybody.
+func LastLife(ctx context.Context, seeds []string, secret []byte, entry job.EntryID) job.Incarnation {
+	ctx, cancel := context.WithTimeout(ctx, lastLifeTime)
+	defer cancel()
+	a := newAsker(secret)
+	lives := make(chan job.Incarnation, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			answer, err := a.post(ctx, seed, exchange{})
+			if err != nil {
+				answer.Records = nil
+			}
+			lives <- lifeIn(answer.Records, entry)
+		}()
+	}
+	var last job.Incarnation
+	for range seeds {
+		last = max(last, <-lives)
+	}
+	return last
+}
+
+func lifeIn(records []Record, entry job.EntryID) job.Incarnation {
+	for _, r := range records {
+		if r.Owner.Entry == entry {
+			return r.Owner.Incarnation
+		}
+	}
+	return 0
+}
+
+func (a asker) post(ctx context.Context, address string, e exchange) (exchange, error) {
 	var answer exchange
 	body, err := cbor.Marshal(e)
 	if err != nil {
@@ -192,8 +238,8 @@
 	if err != nil {
 		return answer, errors.Trace(err)
 	}
-	req.Header.Set(headerMAC, j.mac(body))
-	resp, err := j.client.Do(req)
+	req.Header.Set(headerMAC, a.mac(body))
+	resp, err := a.client.Do(req)
 	if err != nil {
 		return answer, errors.Trace(err)
 	}
@@ -205,14 +251,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return answer, errors.Errorf("status %d", resp.StatusCode)
 	}
-	if !hmac.Equal([]byte(resp.Header.Get(headerMAC)), []byte(j.mac(raw))) {
+	if !hmac.Equal([]byte(resp.Header.Get(headerMAC)), []byte(a.mac(raw))) {
 		return answer, errors.New("the peer secrets differ")
 	}
 	return answer, errors.Trace(cbor.Unmarshal(raw, &answer))
 }
 
-func (j *Joiner) mac(body []byte) string {
-	h := hmac.New(sha256.New, j.opts.Secret)
+func (a asker) mac(body []byte) string {
+	h := hmac.New(sha256.New, a.secret)
 	h.Write([]byte("vanillagrade join"))
 	h.Write(body)
 	return hex.EncodeToString(h.Sum(nil))
--- /dev/null
+++ b/internal/entry/stop.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// closing makes each answer of a stopping entry close its connection.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: e.leaving.Load}, r)
+	})
+}
+
+// closingWriter looks again when the answer is written, for requests that
+// began before the stop.
+type closingWriter struct {
+	http.ResponseWriter
+	draining func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(code int) {
+	if w.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// stopAsPlanned waits for ctx and then for all work in progress. The other
+// parts of the entry keep running until it returns.
+func (e *Entry) stopAsPlanned(ctx context.Context) error {
+	<-ctx.Done()
+	if e.isKilled() {
+		return errKilled
+	}
+	e.leaving.Store(true)
+	e.members.Drain()
+	e.events.Record(timeline.Event{Kind: timeline.EntryDraining})
+	e.log.Info("entry drains", "submissions", e.join.Running())
+	if e.opts.Grace > 0 {
+		last := time.AfterFunc(e.opts.Grace, func() { e.join.StopAll(pipeline.ErrStopping) })
+		defer last.Stop()
+	}
+	e.waitForNotice()
+	e.check.Drain()
+	linger := time.NewTimer(e.opts.Linger)
+	defer linger.Stop()
+	e.waitForSubmissions()
+	if err := e.holder.Drain(context.Background()); err != nil {
+		return errors.Trace(err)
+	}
+	<-linger.C
+	e.registrar.Flush()
+	e.members.Leave(context.Background())
+	e.events.Record(timeline.Event{Kind: timeline.EntryStopped})
+	return nil
+}
+
+// waitForNotice lets the balancer notice that the entry is not ready. What callers
+// send meanwhile is served: refused, it would be lost for a stop that was planned.
+func (e *Entry) waitForNotice() {
+	timer := time.NewTimer(e.opts.Notice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.killed:
+	}
+}
+
+// drainPoll is how often a stopping entry looks whether its last submission
+// has ended; it delays the stop, never an answer.
+const drainPoll = 20 * time.Millisecond
+
+func (e *Entry) waitForSubmissions() {
+	for e.join.Running() > 0 {
+		time.Sleep(drainPoll)
+	}
+}
--- a/internal/explore/voters_test.go
+++ b/internal/explore/voters_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+// answeredEarly answers a change of voters as soon as it is chosen.
+func answeredEarly(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+	s, out := step(s, in)
+	for _, w := range s.Settle {
+		out.Answers = append(out.Answers, consensus.Answer{Token: w.Token, Outcome: consensus.Outcome{Kind: consensus.Accepted}})
+	}
+	s.Settle = nil
+	return s, out
+}
+
 // Each mutation is a mistake that an implementer of such a protocol makes, and
 // after which an accepted configuration is lost or two are in force. If the
 // explorer did not see it, its silence about the real code would mean nothing.
@@ -222,14 +232,7 @@
 	{"a replacement is answered before it is safe", always, func() *Voters {
 		return three(1, replace("c", "d", 0, 0)).with(func(m *Voters) {
 			m.Names = names[:4]
-			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
-				s, out := step(s, in)
-				for _, w := range s.Settle {
-					out.Answers = append(out.Answers, consensus.Answer{Token: w.Token, Outcome: consensus.Outcome{Kind: consensus.Accepted}})
-				}
-				s.Settle = nil
-				return s, out
-			}
+			m.OnStep = answeredEarly
 		})
 	}, "a change of voters was answered with only"},
 	{"the register is formed by a majority", always, func() *Voters {
@@ -257,14 +260,7 @@
 	{"an addition is answered before it is safe", always, func() *Voters {
 		return three(1, add("d", 0)).with(func(m *Voters) {
 			m.Names = names[:4]
-			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
-				s, out := step(s, in)
-				for _, w := range s.Settle {
-					out.Answers = append(out.Answers, consensus.Answer{Token: w.Token, Outcome: consensus.Outcome{Kind: consensus.Accepted}})
-				}
-				s.Settle = nil
-				return s, out
-			}
+			m.OnStep = answeredEarly
 		})
 	}, "a change of voters was answered with only"},
 	{"a restart uses its old ballots again", notUnderRace, func() *Voters {
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -38,6 +38,7 @@
 		Payload:    l.start.Task.Payload,
 		Single:     l.start.Single,
 		Run:        l.start.Attempt,
+		Expected:   l.start.Expected,
 	})
 	stats.received.Add(uint64(len(res.Payload)))
 	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -107,20 +107,6 @@
 	keep func(*remote)
 }
 
-// remote is one configured peer and its link, if there is one.
-type remote struct {
-	Peer
-	// forgotten is closed when the peer is removed.
-	forgotten chan struct{}
-	// change is held while one link replaces another, so that the requests of
-	// the old one are read to their end before those of the new one.
-	change sync.Mutex
-	mu     sync.RWMutex
-	link   *link
-	// refused is set while the peer's machine refuses connections.
-	refused atomic.Bool
-}
-
 var _ Mesh = (*Links)(nil)
 
 // New returns links that are not up yet: set the handlers, mount Handler, then
@@ -377,13 +363,6 @@
 	return l.serve(r, newLink(l, theirs, conn))
 }
 
-func (r *remote) check(o job.Owner) error {
-	if o.Entry != r.Entry || o.Zone != r.Zone {
-		return errors.Annotatef(ErrHandshake, "it says that it is %s in zone %s, settings say %s in %s", o.Entry, o.Zone, r.Entry, r.Zone)
-	}
-	return nil
-}
-
 // serve makes k the link to r and serves it until it breaks. A link of an
 // earlier life of the peer never replaces one of a later life.
 func (l *Links) serve(r *remote, k *link) error {
@@ -421,84 +400,3 @@
 		l.opts.OnLink(to, up)
 	}
 }
-
-func newRemote(p Peer) *remote { return &remote{Peer: p, forgotten: make(chan struct{})} }
-
-// address is where the peer takes links; it changes when its VM is replaced.
-func (r *remote) address() string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.Address
-}
-
-func (l *Links) remote(id job.EntryID) *remote {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	return l.remotes[id]
-}
-
-func (l *Links) all() []*remote {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	out := make([]*remote, 0, len(l.remotes))
-	for _, r := range l.remotes {
-		out = append(out, r)
-	}
-	return out
-}
-
-// Add links one more entry from now on, or moves a known one to the address
-// that it now has.
-func (l *Links) Add(p Peer) {
-	if p.Entry == l.opts.Self.Entry {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if r := l.remotes[p.Entry]; r != nil {
-		r.mu.Lock()
-		r.Address = p.Address
-		r.mu.Unlock()
-		return
-	}
-	r := newRemote(p)
-	l.remotes[p.Entry] = r
-	if l.keep != nil && !l.closed {
-		l.keep(r)
-	}
-}
-
-// Remove ends the link to an entry that is gone for good.
-func (l *Links) Remove(id job.EntryID) {
-	l.mu.Lock()
-	r := l.remotes[id]
-	delete(l.remotes, id)
-	l.mu.Unlock()
-	if r == nil {
-		return
-	}
-	close(r.forgotten)
-	r.mu.RLock()
-	k := r.link
-	r.mu.RUnlock()
-	if k != nil {
-		k.breakOff()
-	}
-}
-
-func (r *remote) set(k *link) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.link = k
-}
-
-// clear takes k out and reports whether no later link has replaced it.
-func (r *remote) clear(k *link) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.link != k {
-		return false
-	}
-	r.link = nil
-	return true
-}
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -252,6 +252,9 @@
 	case Failed:
 		return erred(job.TaskFailed, "the run ended as failed", true)
 	case Stopped:
+		if r.moved {
+			return erred(job.TargetLost, "the run stood still or was too slow and was stopped", true)
+		}
 		return erred(job.CancelledByCall, "the run was stopped", true)
 	case Lapsed:
 		return erred(job.TargetLost, "the target's lease ran out", true)
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -107,6 +107,11 @@
 	// under it, or a higher one, tells whether the start was carried out.
 	doubted  uint64
 	stopping bool
+	// expected is how long the run is expected to take, watch the timer of its
+	// next look; moved says that it is stopped for being too slow.
+	expected time.Duration
+	watch    *time.Timer
+	moved    bool
 	percent  int
 	done     chan target.Result
 }
@@ -141,7 +146,7 @@
 		return refused
 	}
 	ref := Ref{t.Submission, t.Index}
-	r := &run{number: max(1, t.Run), percent: -1, done: make(chan target.Result, 1)}
+	r := &run{number: max(1, t.Run), percent: -1, expected: t.Expected, done: make(chan target.Result, 1)}
 	s.mu.Lock()
 	if s.runs[ref] != nil {
 		s.mu.Unlock()
@@ -183,119 +188,6 @@
 	return notStarted(target.Unreachable, "the target has not answered yet"), false
 }
 
-// order sends the start, again under a newer epoch or a higher run number where
-// the target asks for it. What becomes of the run is delivered to r.done, here or
-// by a look.
-func (s *Session) order(ref Ref, r *run, spec []byte) {
-	renumbered := 0
-	for fenced := 0; fenced < maxFenced; {
-		o := s.startOrder(ref, r, spec)
-		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
-		reply, err := s.opts.Orders.Start(ctx, o)
-		cancel()
-		if err != nil {
-			s.doubt(ref, r, err)
-			return
-		}
-		s.hear(reply.Clock)
-		switch reply.Refusal {
-		case Accepted:
-			s.confirm(ref, r)
-			return
-		case Fenced:
-			fenced++
-			if !s.outdated(o.Epoch) {
-				s.finish(ref, r, notStarted(target.Leaving, "another entry holds the target"))
-				return
-			}
-			continue
-		case Outnumbered:
-			if s.stopped(r) {
-				s.finish(ref, r, erred(job.CancelledByCall, "stopped before it started", true))
-				return
-			}
-			if renumbered++; renumbered <= maxRenumber {
-				s.renumber(r)
-				continue
-			}
-		case Late:
-			fenced++ // a new clock reading came with the answer
-			continue
-		case NoRoom:
-			s.look()
-		case Elsewhere:
-			s.leave("another life of the target listens at its address")
-		}
-		s.finish(ref, r, refusedBy(reply))
-		return
-	}
-	s.finish(ref, r, notStarted(target.Unreachable, "the target refuses each epoch"))
-}
-
-func refusedBy(reply Reply) target.Result {
-	switch reply.Refusal {
-	case Elsewhere:
-		return notStarted(target.Leaving, "another life of the target listens at its address")
-	case Unwell:
-		return notStarted(target.Busy, "the target says that it is not well: "+reply.Detail)
-	}
-	return notStarted(target.Busy, "the target refused the task: "+reply.Detail)
-}
-
-func (s *Session) startOrder(ref Ref, r *run, spec []byte) StartOrder {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := StartOrder{Task: ref, Run: r.number, Spec: spec, Epoch: s.epoch}
-	o.Until = s.lease(time.Now())
-	return o
-}
-
-// lease returns the end of a lease that begins now, and notes when it has run
-// out for certain; the caller holds the lock.
-func (s *Session) lease(now time.Time) int64 {
-	over := now.Add(time.Duration(float64(s.opts.Lease)*(1+clockDrift)) + leaseMargin)
-	if over.After(s.until) {
-		s.until = over
-	}
-	return s.clock.at(now) + s.opts.Lease.Milliseconds()
-}
-
-func (s *Session) renumber(r *run) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r.number += renumberStep
-}
-
-func (s *Session) stopped(r *run) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return r.stopping
-}
-
-// confirm notes that the target has taken the start.
-func (s *Session) confirm(ref Ref, r *run) {
-	s.mu.Lock()
-	r.confirmed = time.Now()
-	s.keepLooking()
-	stopping := r.stopping && s.runs[ref] == r
-	s.mu.Unlock()
-	if stopping {
-		s.sendStop(ref, r)
-	}
-}
-
-// doubt meets a start without an answer: it may be carried out, now or seconds
-// later. A higher epoch keeps it from being carried out from now on, and the
-// next look under that epoch tells whether it was before.
-func (s *Session) doubt(ref Ref, r *run, err error) {
-	s.mu.Lock()
-	s.opts.Log.Warn("a start got no answer", "target", s.opts.Target, "submission", ref.Submission, "task", ref.Index, "run", r.number, "epoch", s.epoch, "error", err)
-	s.nextEpoch()
-	r.doubted = s.epoch
-	s.mu.Unlock()
-	s.look()
-}
-
 // nextEpoch takes an epoch above all that this entry and earlier holders took;
 // the caller holds the lock. The target's own clock makes it grow from holder to
 // holder without any agreement, also while no voter is up.
@@ -340,46 +232,6 @@
 	}
 }
 
-// Stop implements holder.Connection: it asks the target to stop a task. The end
-// of the run is delivered to its Start.
-func (s *Session) Stop(_ context.Context, submission job.ID, index int) error {
-	ref := Ref{submission, index}
-	s.mu.Lock()
-	r := s.runs[ref]
-	if r == nil {
-		s.mu.Unlock()
-		return nil
-	}
-	r.stopping = true
-	s.mu.Unlock()
-	s.sendStop(ref, r)
-	return nil
-}
-
-// sendStop sends a stop until the target has taken it. A look that still finds
-// the run later sends it again.
-func (s *Session) sendStop(ref Ref, r *run) {
-	for range stopTries {
-		s.mu.Lock()
-		over := s.runs[ref] != r
-		o := StopOrder{Task: ref, Run: r.number, Epoch: s.epoch}
-		s.mu.Unlock()
-		if over {
-			return
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
-		reply, err := s.opts.Orders.Stop(ctx, o)
-		cancel()
-		if err != nil {
-			continue
-		}
-		s.hear(reply.Clock)
-		if reply.Refusal != Fenced || !s.outdated(o.Epoch) {
-			return
-		}
-	}
-}
-
 // Close implements holder.Connection: the session ends when nothing runs.
 func (s *Session) Close() {
 	s.mu.Lock()
@@ -415,6 +267,9 @@
 		return
 	}
 	delete(s.runs, ref)
+	if r.watch != nil {
+		r.watch.Stop()
+	}
 	r.done <- res
 	if s.closing && len(s.runs) == 0 {
 		s.stop()
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -394,3 +394,22 @@
 		settle()
 	})
 }
+
+// A run stands still on a target that answers all else. It is stopped in time for
+// the task to run elsewhere, and not taken for a cancelled one.
+func TestRunThatStandsStillIsMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorker()
+		w.takes = time.Hour
+		s := NewSession(Options{Orders: w})
+		task := taskOf("a", 1)
+		task.Expected = 100 * time.Millisecond
+		res := s.Start(t.Context(), task)
+		qt.Assert(t, res.Status, qt.Equals, job.TaskErred)
+		qt.Assert(t, res.Reason, qt.Equals, job.TargetLost)
+		qt.Assert(t, res.Over, qt.IsTrue)
+		qt.Assert(t, res.Ran < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", res.Ran))
+		s.Close()
+		settle()
+	})
+}
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -197,7 +197,7 @@
 	s := Start{
 		Key: b.keyOf(t), Target: tg.ID, Task: t.BatchTask, Team: b.meta.Team, Service: b.meta.Service,
 		Single: b.meta.Single, Waited: now.Sub(b.arrived), Probe: probe, Running: tg.running,
-		Attempt: t.attempts,
+		Attempt: t.attempts, Expected: t.expected,
 	}
 	if !b.flagLate {
 		s.Deadline = b.deadline
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -44,6 +44,8 @@
 	Running int
 	// Attempt numbers the starts of the task from 1.
 	Attempt int
+	// Expected is the expected run time.
+	Expected time.Duration
 }
 
 // Dropped is a task that leaves the queue without having been started.
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -61,6 +61,9 @@
 	Single bool
 	// Run numbers the starts of the task from 1, for targets that take orders.
 	Run int
+	// Expected is how long the run is expected to take; zero where that is not
+	// known.
+	Expected time.Duration
 }
 
 // Result is how a task ended on its target.
