Take targets as soon as the others of the zone are heard

Cause: an entry waited a second of its life before it took targets; when all had lost power, the first heartbeats of targets were refused by everybody. Ruled out: the configuration (in force 0.3 s after the processes serve).

--- a/internal/entry/assign.go
+++ b/internal/entry/assign.go
@@ -12,8 +12,9 @@
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
-// settledAfter is how long a new life waits before it takes targets that came to
-// it by its place in the order: until then it may not have heard who holds them.
+// settledAfter is how long a new life waits at the most before it takes targets
+// that came to it by its place in the order: until it has heard the others of its
+// zone it does not know who holds them.
 const settledAfter = time.Second
 
 // holderOf returns the entry that holds a target or is to hold it; empty while
@@ -80,11 +81,11 @@
 		return true
 	}
 	for _, other := range view.List {
-		if other.Zone == t.self.Zone && other.Entry != t.self.Entry && other.Live() {
+		if other.Zone == t.self.Zone && other.Entry != t.self.Entry && other.Live() && !t.members.Heard(other.Entry) {
 			return false
 		}
 	}
-	return true
+	return len(view.List) > 1 || time.Since(t.started) > settledAfter/2
 }
 
 // rebalance passes targets on that others are to hold, each once it is idle:
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -168,6 +168,14 @@
 	return m.view.Load().Gone(entry, life)
 }
 
+// Heard reports whether a heartbeat of an entry has come in this life.
+func (m *Membership) Heard(entry job.EntryID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.detector.peer(entry)
+	return p != nil && p.met
+}
+
 // Silent returns for how long nothing was heard of a life of an entry. A life
 // that is over, or an entry that is not known, has been silent for ever.
 func (m *Membership) Silent(entry job.EntryID, life job.Incarnation) time.Duration {
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -19,7 +19,7 @@
 	overdueLeast = 80 * time.Millisecond
 	// moveFactor is by how much longer than a whole run elsewhere the rest must be
 	// expected to take until the run is moved: the work done here is lost with it.
-	moveFactor = 1.5
+	moveFactor = 3
 )
 
 // FirstLook is when after its start a run is looked at.
