--- /dev/null
+++ b/internal/entry/leaving_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/holder"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// A worker says that it leaves to an entry that can't reach the one which holds it.
+// Acknowledged all the same, it would believe that nothing more comes, and be given
+// work until its lease ends.
+func TestLeavingIsAcknowledgedOnlyWhenTheHolderKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &peertest.Network{Delay: time.Millisecond}
+		mesh := net.Join(job.Owner{Entry: "a", Incarnation: 1, Zone: "z"})
+		other := net.Join(job.Owner{Entry: "b", Incarnation: 1, Zone: "y"})
+		told := atomic.Int64{}
+		other.Handle(peer.TargetWithdraw, func(context.Context, job.Owner, cbor.RawMessage) (any, error) {
+			told.Add(1)
+			return true, nil
+		})
+		ts := &targets{
+			self: mesh.Self(), mesh: mesh, exclusive: true, events: timeline.Discard{}, log: slog.New(slog.DiscardHandler),
+			registry: target.NewRegistry("z", config.Fixed{}),
+			holder:   holder.New(holder.Options{Config: config.Fixed{}, Client: target.NewClient(target.ClientOptions{})}),
+			members:  membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "b", Zone: "y"}}}),
+			passed:   map[job.TargetID]passedOn{}, leaving: map[job.TargetID]job.EntryID{},
+		}
+		leaving := &job.Target{ID: "i-1", Zone: "y"}
+		qt.Assert(t, ts.Leaving(t.Context(), leaving), qt.IsNil)
+		qt.Assert(t, told.Load(), qt.Equals, int64(1))
+		net.CutBoth("a", "b", true)
+		qt.Assert(t, ts.Leaving(t.Context(), leaving), qt.IsNotNil)
+		elsewhere := &job.Target{ID: "i-2", Zone: "z"}
+		qt.Assert(t, ts.Leaving(t.Context(), elsewhere), qt.IsNil)
+		net.Leave("a")
+		net.Leave("b")
+	})
+}
--- a/internal/holder/transient_test.go
+++ b/internal/holder/transient_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,3 +132,24 @@
 		})
 	}
 }
+
+// A run fails, and the task waits for another one when the last target leaves. It
+// did run: called unstarted, its caller would be promised that nothing ever ran.
+func TestTaskThatRanIsNotCalledUnstarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		h := newHolder(f, "1")
+		f.answer = func(job.TargetID, target.Task) target.Result {
+			go h.RemoveTarget("1")
+			time.Sleep(taskTime)
+			return target.Result{Status: job.TaskErred, Reason: job.TaskFailed, Over: true}
+		}
+		var r reports
+		h.Offer(transientOf("j", "e1"), r.take)
+		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+		sum := r.tally()
+		for outcome := range sum {
+			qt.Assert(t, strings.HasPrefix(outcome, "erred"), qt.IsTrue, qt.Commentf("%v", sum))
+		}
+	})
+}
