Make the test of a task that ran fail without its mend

Ruled out: nothing more. Before: the test passes with and without the mend. After: it fails without (run with b.ran not set) and passes with it.

--- a/internal/holder/transient_test.go
+++ b/internal/holder/transient_test.go
@@ -1,13 +1,13 @@
 package holder
 
 import (
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 )
@@ -133,23 +133,20 @@
 	}
 }
 
-// A run fails, and the task waits for another one when the last target leaves. It
-// did run: called unstarted, its caller would be promised that nothing ever ran.
+// A run fails, and the task waits for another one until its answer is of no use and
+// it is given up. It did run: called unstarted, its caller would be promised that
+// nothing ever ran.
 func TestTaskThatRanIsNotCalledUnstarted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
-		h := newHolder(f, "1")
-		f.answer = func(job.TargetID, target.Task) target.Result {
-			go h.RemoveTarget("1")
-			time.Sleep(taskTime)
-			return target.Result{Status: job.TaskErred, Reason: job.TaskFailed, Over: true}
-		}
-		var r reports
-		h.Offer(transientOf("j", "e1"), r.take)
-		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
-		sum := r.tally()
-		for outcome := range sum {
-			qt.Assert(t, strings.HasPrefix(outcome, "erred"), qt.IsTrue, qt.Commentf("%v", sum))
-		}
-	})
+	p := &pool{}
+	offered := transientOf("j", "e1")
+	offered.Tasks = batchOf("j", 2).Tasks
+	b := newBatch(time.Now(), offered, config.Service{}, nil)
+	failed := &launch{batch: b}
+	failed.start.Index = 1
+	qt.Assert(t, p.mayRunAgain(failed, target.Result{Status: job.TaskErred, Reason: job.TaskFailed, Over: true}), qt.IsTrue)
+	for index := range 2 {
+		b.settle(job.TaskOutcome{Index: index, Status: job.TaskNotStarted, Reason: job.DeadlinePassed})
+	}
+	qt.Assert(t, b.outcomes[0].Status, qt.Equals, job.TaskNotStarted)
+	qt.Assert(t, b.outcomes[1].Status, qt.Equals, job.TaskErred)
 }
