Say of an unavailable change only what the call knows

The harness noted a call to an entry that was down as answered "unavailable", though nobody had said anything. And the error's text, "the change was not accepted", is false for a change that was sent before: the first call ends as unknown and is accepted, the second reaches no majority. A traced history: o2-3 unknown at 594 ms, "unavailable" at 4594 ms from an entry that is down, and o0-3 hears a conflict that names o2-3 as accepted. Ruled out: a change taken back (all later reads show o2-3 or a newer one). Conclusion: the message and the pages now speak of the call.

--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -17,9 +17,10 @@
 
 // Errors of Apply, Confirm and ReplaceVoter.
 const (
-	// ErrUnavailable says that no majority answered and that the change was
-	// certainly not accepted.
-	ErrUnavailable = errors.ConstError("no majority of the voters answers; the change was not accepted")
+	// ErrUnavailable says that no majority answered and that this call certainly
+	// had nothing accepted. It knows nothing of an earlier call of the same change:
+	// whose outcome was unknown may have been accepted by that one.
+	ErrUnavailable = errors.ConstError("no majority of the voters answers; this call changed nothing")
 	// ErrUnknown says that the change may have been accepted. Sending it again
 	// with the same change id gives its outcome.
 	ErrUnknown = errors.ConstError("no majority of the voters answered in time; the change may have been accepted")
