Answer what callers have sent before a planned stop ends their connections

Cause: at a stop the listener was closed with connections waiting to be accepted, and idle connections were closed while a request was on its way, so callers saw a reset, or the end of the stream, for a request that never ran. Now the listener takes in what waits and refuses in one step (arrivals are dropped first where the kernel has socket filters), answers tell callers that the connection ends, and only then are quiet connections ended, with the end of their stream read to the last byte. TestAPlannedStopAnswersOpenConnections and ...AnswersWhatWaitsToBeAccepted fail without the change.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -36,12 +36,14 @@
 	}
 }
 
-// Serve serves on l until ctx ends and then closes idle connections and waits
-// for requests in progress. A request is never cut; bound is only for callers
-// that do not read their answer.
+// Serve serves on l until ctx ends. Then it refuses new connections, answers what
+// callers have sent, and waits for requests in progress. A request is never cut;
+// bound is only for callers that do not read their answer.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, bound time.Duration) error {
+	listener := newStopListener(l)
+	s.Handler = Closing(s.Handler, listener.stopping.Load)
 	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(l) }()
+	go func() { failed <- s.Serve(listener) }()
 	select {
 	case err := <-failed:
 		return errors.Annotatef(err, "serving on %s", l.Addr())
@@ -49,5 +51,10 @@
 	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer cancel()
-	return errors.Trace(s.Shutdown(stop))
+	listener.stop()
+	<-failed
+	time.Sleep(lastRequestTime)
+	err := s.Shutdown(stop)
+	listener.lingering.Wait()
+	return errors.Trace(err)
 }
--- a/internal/api/stop_test.go
+++ b/internal/api/stop_test.go
@@ -1,6 +1,7 @@
 package api_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log/slog"
@@ -31,18 +32,85 @@
 	qt.Assert(t, resets, qt.Equals, 0, qt.Commentf("%d stops under %d callers", stops, callers))
 }
 
-// resetsOfAStop counts the callers whose request a stop resets.
-func resetsOfAStop(t *testing.T, callers int) int {
+// Callers keep their connections and use them without a pause while the process
+// stops as planned. Each request that is written to an open connection gets its
+// answer, which ends the connection; the caller then finds the door closed and
+// knows that nothing of it ran.
+func TestAPlannedStopAnswersOpenConnections(t *testing.T) {
+	const stops, callers = 10, 16
+	for range stops {
+		s := startStoppable(t)
+		failures := make(chan error, callers)
+		for range callers {
+			go func() {
+				client := &http.Client{Transport: &http.Transport{}}
+				defer client.CloseIdleConnections()
+				failures <- postUntilItFails(client, s.address)
+			}()
+		}
+		time.Sleep(30 * time.Millisecond)
+		s.stop()
+		qt.Assert(t, <-s.served, qt.IsNil)
+		for range callers {
+			err := <-failures
+			var op *net.OpError
+			qt.Assert(t, errors.As(err, &op) && op.Op == "dial", qt.IsTrue, qt.Commentf("%v", err))
+		}
+	}
+}
+
+// A burst of callers has connected and written its requests, and the process is
+// told to stop before it has accepted a single one. All of them get their answer
+// instead of a reset.
+func TestAPlannedStopAnswersWhatWaitsToBeAccepted(t *testing.T) {
+	const callers = 50
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", l.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer conns[i].Close()
+		_, err = io.WriteString(conns[i], "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\na job")
+		qt.Assert(t, err, qt.IsNil)
+	}
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	qt.Assert(t, api.Serve(stopped, api.Server(echo, slog.New(slog.DiscardHandler)), l, time.Second), qt.IsNil)
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("caller %d", i))
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		qt.Assert(t, resp.Close, qt.IsTrue)
+		_ = resp.Body.Close()
+	}
+}
+
+// echo answers with what was sent.
+var echo = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(w, r.Body)
+})
+
+// stoppable is a server under test.
+type stoppable struct {
+	address string
+	stop    context.CancelFunc
+	served  chan error
+}
+
+func startStoppable(t *testing.T) stoppable {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(w, r.Body)
-	})
 	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	server := api.Server(answer, slog.New(slog.DiscardHandler))
-	go func() { served <- api.Serve(ctx, server, l, time.Second) }()
+	s := stoppable{address: l.Addr().String(), stop: stop, served: make(chan error, 1)}
+	server := api.Server(echo, slog.New(slog.DiscardHandler))
+	go func() { s.served <- api.Serve(ctx, server, l, time.Second) }()
+	return s
+}
 
+// resetsOfAStop counts the callers whose request a stop resets.
+func resetsOfAStop(t *testing.T, callers int) int {
+	s := startStoppable(t)
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	resets := 0
@@ -51,7 +119,7 @@
 			// Half of the callers open a connection for each request.
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}
 			defer client.CloseIdleConnections()
-			if errors.Is(postUntilItFails(client, l.Addr().String()), syscall.ECONNRESET) {
+			if errors.Is(postUntilItFails(client, s.address), syscall.ECONNRESET) {
 				mu.Lock()
 				resets++
 				mu.Unlock()
@@ -59,8 +127,8 @@
 		})
 	}
 	time.Sleep(30 * time.Millisecond)
-	stop()
-	qt.Assert(t, <-served, qt.IsNil)
+	s.stop()
+	qt.Assert(t, <-s.served, qt.IsNil)
 	all.Wait()
 	return resets
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -281,12 +281,12 @@
 	listen := e.opts.Listeners
 	if listen.Caller != nil {
 		e.add(&g, func(ctx context.Context) error {
-			return e.serve(ctx, api.Server(e.closing(caller.Handler()), e.log), listen.Caller)
+			return e.serve(ctx, api.Server(api.Closing(caller.Handler(), e.leaving.Load), e.log), listen.Caller)
 		})
 	}
 	if e.opts.Attach != nil {
 		for _, a := range e.opts.Attach(e) {
-			a.Server.Handler = e.closing(a.Server.Handler)
+			a.Server.Handler = api.Closing(a.Server.Handler, e.leaving.Load)
 			e.add(&g, func(ctx context.Context) error { return e.serve(ctx, a.Server, a.Listener) })
 		}
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,31 +10,6 @@
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
-// closing makes each answer of a stopping entry close its connection.
-func (e *Entry) closing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: e.leaving.Load}, r)
-	})
-}
-
-// closingWriter looks again when the answer is written, for requests that
-// began before the stop.
-type closingWriter struct {
-	http.ResponseWriter
-	draining func() bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *closingWriter) WriteHeader(code int) {
-	if w.draining() {
-		w.Header().Set("Connection", "close")
-	}
-	w.ResponseWriter.WriteHeader(code)
-}
-
-// Unwrap lets http.ResponseController reach the connection.
-func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // stopAsPlanned waits for ctx and then for all work in progress. The other
 // parts of the entry keep running until it returns.
 func (e *Entry) stopAsPlanned(ctx context.Context) error {
