Send no start that was taken back while its connection opened

Cause of TestWaveOfCancellations' 37 starts for 36: a start that the scheduler has decided waits for a connection (or, on the platform, for a target that was just taken) while its caller cancels. The stop goes out on another connection, finds nothing at the target, and the start follows and runs to its end for nobody. Now the way to a target asks right before the first byte whether the task is still wanted. Ruled out: a task that left the queue after its cancellation (the extra start was decided before, and its caller was told that it may have run).

--- a/internal/holder/loopback_test.go
+++ b/internal/holder/loopback_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,37 @@
 	qt.Check(t, ledger.Starts() >= 18*40, qt.IsTrue)
 }
 
+// The connection to a target takes a moment to open, and a caller cancels while it
+// does. The request to stop, on another connection, comes first and finds nothing:
+// the task must then not start any more, or it runs to its end for nobody.
+func TestCancelledBeforeTheStartIsSent(t *testing.T) {
+	ledger := standin.NewLedger()
+	_, targets := standins(t, 1, standin.Options{Slots: 4, Ledger: ledger})
+	dialling, open := make(chan struct{}, 8), make(chan struct{})
+	client := target.NewClient(target.ClientOptions{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialling <- struct{}{}
+		<-open
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	h := New(Options{Self: owner, Config: config.Fixed{File: file}, Client: client})
+	t.Cleanup(h.Close)
+	h.SetTarget(announcement(targets[0], standin.Options{ID: "t0", Slots: 4}))
+	var sum reports
+	h.Offer(payloads(batchOf("j", 1), `{"sleep_ms":1}`), sum.take)
+	<-dialling
+	h.Cancel(owner, "j")
+	close(open)
+	qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+	qt.Assert(t, ledger.Starts(), qt.Equals, uint64(0))
+	var after reports
+	h2 := New(Options{Self: owner, Config: config.Fixed{File: file}, Client: client})
+	t.Cleanup(h2.Close)
+	h2.SetTarget(announcement(targets[0], standin.Options{ID: "t0", Slots: 4}))
+	h2.Offer(payloads(batchOf("k", 1), `{"sleep_ms":1}`), after.take)
+	qt.Assert(t, h2.Drain(t.Context()), qt.IsNil)
+	qt.Assert(t, after.tally(), qt.DeepEquals, tally{"done": 1})
+}
+
 // A target's VM dies with tasks running on it. Their jobs fail, since the
 // tasks may have run; all other tasks go to the targets that are left.
 func TestDeadTargetCostsOnlyWhatRanOnIt(t *testing.T) {
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -39,12 +39,20 @@
 		Single:     l.start.Single,
 		Run:        l.start.Attempt,
 		Expected:   l.start.Expected,
+		Wanted:     func() bool { return p.wanted(l.batch) },
 	})
 	stats.received.Add(uint64(len(res.Payload)))
 	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
 	p.change(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
 }
 
+// wanted reports whether the outcome of a batch still matters to its owner.
+func (p *pool) wanted(b *batch) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !b.reported
+}
+
 // startCause says why the scheduler chose the target. It is constant text: one
 // made up for each start would cost more than the event itself.
 func startCause(s *scheduler.Start) string {
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -145,6 +145,9 @@
 	if refused, ok := s.awaitSettled(ctx); !ok {
 		return refused
 	}
+	if t.Unwanted() {
+		return target.Withdrawn()
+	}
 	ref := Ref{t.Submission, t.Index}
 	r := &run{number: max(1, t.Run), percent: -1, expected: t.Expected, done: make(chan target.Result, 1)}
 	s.mu.Lock()
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -232,6 +232,22 @@
 	})
 }
 
+// A caller cancels while the entry still waits for a target that it has just taken.
+// The task must not start once the target answers.
+func TestUnwantedStartIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorker()
+		s := NewSession(Options{Orders: w})
+		unwanted := taskOf("a", 1)
+		unwanted.Wanted = func() bool { return false }
+		res := s.Start(t.Context(), unwanted)
+		qt.Assert(t, res.Status, qt.Equals, job.TaskNotStarted)
+		w.set(func() { qt.Check(t, len(w.running)+len(w.ended), qt.Equals, 0) })
+		s.Close()
+		settle()
+	})
+}
+
 // The answer to a start is lost and the order carried out at once, in two seconds,
 // or never. The caller gets its result, or the task comes back as never started;
 // in no case does a start that was given up run later.
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -70,7 +70,11 @@
 
 // flight follows one request through the transport.
 type flight struct {
+	// unwanted is asked when the request has its connection.
+	unwanted func() bool
+
 	mu     sync.Mutex
+	taken  bool
 	conn   *trackedConn
 	reused bool
 	sent   bool
@@ -95,6 +99,16 @@
 	c.begin()
 	f.conn = c
 	f.reused = info.Reused
+	if f.taken = f.unwanted(); f.taken {
+		c.seal()
+	}
+}
+
+// withdrawn reports whether the task was unwanted when it had its connection.
+func (f *flight) withdrawn() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.taken
 }
 
 // unsent reports, after an error, whether no byte of the request has left or
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -64,6 +64,19 @@
 	// Expected is how long the run is expected to take; zero where that is not
 	// known.
 	Expected time.Duration
+	// Wanted is asked right before the start is sent; nil says that it is wanted
+	// for certain. A start that overtakes the stop which was sent after it would
+	// otherwise run to its end for nobody.
+	Wanted func() bool
+}
+
+// Unwanted reports whether nobody waits for the task any more.
+func (t *Task) Unwanted() bool { return t.Wanted != nil && !t.Wanted() }
+
+// Withdrawn is the result of a task that was unwanted before anything of it was
+// sent.
+func Withdrawn() Result {
+	return Result{Status: job.TaskNotStarted, Reason: job.CancelledByCall, Refusal: Abandoned, Detail: "taken back before the start was sent"}
 }
 
 // Result is how a task ended on its target.
@@ -96,12 +109,15 @@
 // connection and wrote nothing.
 func (l *Link) try(ctx context.Context, t Task) Result {
 	for attempt := 1; ; attempt++ {
-		f := &flight{}
+		f := &flight{unwanted: t.Unwanted}
 		resp, err := l.transport.RoundTrip(l.request(httptrace.WithClientTrace(ctx, f.trace()), t))
 		if err == nil {
 			return l.read(resp, t)
 		}
 		unsent := f.unsent()
+		if unsent && f.withdrawn() {
+			return Withdrawn()
+		}
 		if unsent && f.stale() && attempt <= maxStale && ctx.Err() == nil {
 			continue
 		}
