Let a job pause while holders pass its targets on

Cause of TestPlannedStopFinishesWhatWaits' refusals (no_target, "not run"): the bound of three refusals, meant for load, also counts tasks that come back because a stopping holder passes its targets on. Entries that know of each other give them back to one another within a millisecond, so a waiting job was refused although its targets were held again a moment later. Ruled out: the hand-over of targets itself (they arrive, the job is gone); the bound for load, which stays.

--- a/internal/pipeline/placing.go
+++ b/internal/pipeline/placing.go
@@ -35,6 +35,9 @@
 	refusals int
 	// since is when tasks first had no holder; zero when all have one.
 	since time.Time
+	// fluxSince is when holders had first given the tasks back maxRefusals times
+	// because targets change hands; zero once one has taken them.
+	fluxSince time.Time
 }
 
 func newPlacing() placing {
@@ -84,6 +87,7 @@
 		}
 	}
 	clear(p.refused)
+	p.fluxSince = time.Time{}
 }
 
 // unplaced decides on tasks without a holder: they wait, or end with the
@@ -99,7 +103,7 @@
 	if len(p.open) > 0 {
 		return end, true
 	}
-	if !p.committed(done) && !p.inFlux() {
+	if !p.committed(done) && !p.inFlux(now) {
 		return end, false
 	}
 	// Holders that refused may have room by the next try.
@@ -116,13 +120,25 @@
 
 // inFlux reports whether tasks came back because targets or holders are just
 // changing hands, which is over in moments. A refusal for load is not: its caller
-// is told at once when to come back.
-func (p *placing) inFlux() bool {
+// is told at once when to come back. While a holder passes its targets on, holders
+// that know of each other give the tasks back to one another within a millisecond;
+// so maxRefusals of them only make the tasks pause, for placeBound in all.
+func (p *placing) inFlux(now time.Time) bool {
 	switch p.refusal.Reason {
-	case job.NoTarget, job.Draining, job.HolderLost, job.TargetRefused:
+	case job.TargetRefused:
 		return p.refusals < maxRefusals
+	case job.NoTarget, job.Draining, job.HolderLost:
+	default:
+		return false
 	}
-	return false
+	if p.refusals < maxRefusals {
+		return true
+	}
+	if p.fluxSince.IsZero() {
+		p.fluxSince = now
+	}
+	p.refusals = 1
+	return now.Sub(p.fluxSince) < placeBound
 }
 
 // ending words the end of tasks that found no holder: by the last holder's
--- a/internal/pipeline/placing_test.go
+++ b/internal/pipeline/placing_test.go
@@ -56,6 +56,37 @@
 	qt.Assert(t, wait, qt.IsFalse)
 }
 
+// A holder stops, and its zone's entries give the tasks of a waiting job back to
+// one another, since none holds the targets yet. The job must not be refused for
+// that: the targets are held again some hundred milliseconds later. A job that
+// holders are too full for is refused after as many words.
+func TestPlacingPausesWhileHoldersPassTargetsOn(t *testing.T) {
+	refusedBy := func(p *placing, reasons ...job.Reason) {
+		for i, r := range reasons {
+			h := []job.EntryID{"a", "b"}[i%2]
+			p.offered([]Part{{Holder: h}})
+			p.reported(h, refusal(r))
+		}
+	}
+	p := newPlacing()
+	for at := time.Duration(0); at < placeBound; at += placeAgainAfter {
+		refusedBy(&p, job.Draining, job.NoTarget, job.NoTarget)
+		qt.Assert(t, p.exhausted(0), qt.IsTrue)
+		_, wait := p.unplaced(noon.Add(at), job.NoTarget, 0)
+		qt.Assert(t, wait, qt.IsTrue, qt.Commentf("after %s", at))
+		qt.Assert(t, p.exhausted(0), qt.IsFalse)
+	}
+	refusedBy(&p, job.NoTarget, job.NoTarget)
+	_, wait := p.unplaced(noon.Add(placeBound), job.NoTarget, 0)
+	qt.Assert(t, wait, qt.IsFalse)
+
+	p = newPlacing()
+	refusedBy(&p, job.Draining, job.NoTarget, job.Overloaded)
+	qt.Assert(t, p.exhausted(0), qt.IsTrue)
+	_, wait = p.unplaced(noon, job.Overloaded, 0)
+	qt.Assert(t, wait, qt.IsFalse)
+}
+
 // One of two holders refuses its share while the other works on the rest. The
 // refused tasks must wait, and go to neither of the two meanwhile: a holder
 // takes one batch of a job at a time, and a job whose tasks run must not fail
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -138,14 +138,13 @@
 		fl.mu.Unlock()
 		return
 	}
-	if fl.placing.exhausted(fl.collector.Done()) {
-		end := fl.placing.ending(fl.placing.refusal.Reason)
-		fl.mu.Unlock()
-		fl.giveUp(tasks, end)
+	exhausted := fl.placing.exhausted(fl.collector.Done())
+	refused, without := fl.placing.refusal.Reason, fl.placing.without()
+	fl.mu.Unlock()
+	if exhausted {
+		fl.unplaced(now, tasks, refused)
 		return
 	}
-	without := fl.placing.without()
-	fl.mu.Unlock()
 	parts, reason := fl.stage.Holders.Place(now, fl.flow, tasks, without)
 	if len(parts) == 0 {
 		fl.unplaced(now, tasks, reason)
