Take every request that has arrived before a stop ends its connection

Cause: under load the new test of waiting connections failed once in a check: the server's shutdown drops a request that it is just reading, and a starved process reads late. Now a stop ends the connections itself: each that brings no request for 150 ms is ended after one last look for bytes that have arrived, and the server's shutdown comes when none is left. Ruled out: read deadlines alone (a request that arrives at that moment is lost).

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -40,7 +40,7 @@
 // callers have sent, and waits for requests in progress. A request is never cut;
 // bound is only for callers that do not read their answer.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, bound time.Duration) error {
-	listener := newStopListener(l)
+	listener := newStopListener(l, s)
 	s.Handler = Closing(s.Handler, listener.stopping.Load)
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
@@ -53,7 +53,7 @@
 	defer cancel()
 	listener.stop()
 	<-failed
-	time.Sleep(lastRequestTime)
+	listener.endAll(stop)
 	err := s.Shutdown(stop)
 	listener.lingering.Wait()
 	return errors.Trace(err)
--- a/internal/api/stop.go
+++ b/internal/api/stop.go
@@ -1,6 +1,8 @@
 package api
 
 import (
+	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -18,9 +20,12 @@
 	// kernel's queue holds 4,096 at most.
 	queueMost = 4096
 	// lastRequestTime is how long open connections may still bring a request,
-	// whose answer tells the caller that the connection ends: above the few
-	// milliseconds that a request takes from a caller.
-	lastRequestTime = 20 * time.Millisecond
+	// whose answer tells the caller that the connection ends: the few
+	// milliseconds that a request takes from a caller, and the tenth of a second
+	// for which a caller on a small share of a processor may stand still.
+	lastRequestTime = 150 * time.Millisecond
+	// endPoll is how often a stop looks whether its last connection has ended.
+	endPoll = 5 * time.Millisecond
 	// lingerTime bounds how long a connection whose end was sent is read on:
 	// several round trips to a caller.
 	lingerTime = 100 * time.Millisecond
@@ -43,10 +48,23 @@
 	waited chan net.Conn
 	// lingering counts the connections whose end the caller has not seen yet.
 	lingering sync.WaitGroup
+
+	mu sync.Mutex
+	// open are the connections that the server has not closed.
+	open map[*stopConn]bool
+	// ending says that connections without a request end at once.
+	ending bool
 }
 
-func newStopListener(l net.Listener) *stopListener {
-	return &stopListener{Listener: l, log: slog.Default(), waited: make(chan net.Conn, queueMost)}
+func newStopListener(l net.Listener, server *http.Server) *stopListener {
+	out := &stopListener{
+		Listener: l,
+		log:      slog.Default(),
+		waited:   make(chan net.Conn, queueMost),
+		open:     map[*stopConn]bool{},
+	}
+	server.ConnState = out.observe
+	return out
 }
 
 // Accept implements net.Listener. After a stop it returns the connections that
@@ -62,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stopConn{Conn: conn, listener: l}, nil
+	return &stopConn{Conn: conn, listener: l, unused: true}, nil
 }
 
 // stop refuses new connections. Accept ends once what waited is handed out.
@@ -128,10 +146,139 @@
 	l.waited <- conn
 }
 
+// observe follows the connections of the server.
+func (l *stopListener) observe(c net.Conn, s http.ConnState) {
+	conn, ok := c.(*stopConn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		l.open[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(l.open, conn)
+	case http.StateIdle:
+		conn.rest()
+		if l.ending {
+			conn.endUnused()
+		}
+	}
+}
+
+// endAll ends the connections once they bring no request any more, and returns
+// when none is left or ctx is over. The server's own shutdown would drop requests
+// that it is just reading.
+func (l *stopListener) endAll(ctx context.Context) {
+	last, cancel := context.WithTimeout(ctx, lastRequestTime)
+	defer cancel()
+	if l.awaitEnds(last) {
+		return
+	}
+	l.mu.Lock()
+	l.ending = true
+	for c := range l.open {
+		c.endUnused()
+	}
+	l.mu.Unlock()
+	l.awaitEnds(ctx)
+}
+
+// awaitEnds reports whether no connection is left before ctx is over.
+func (l *stopListener) awaitEnds(ctx context.Context) bool {
+	tick := time.NewTicker(endPoll)
+	defer tick.Stop()
+	for l.anyOpen() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (l *stopListener) anyOpen() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open) > 0
+}
+
 // stopConn is a connection that ends without a reset once its listener stops.
 type stopConn struct {
 	net.Conn
 	listener *stopListener
+
+	mu sync.Mutex
+	// unused is set while the connection brings no request.
+	unused bool
+	// ended is set when no further request is waited for. One that has arrived
+	// by then is still taken.
+	ended bool
+}
+
+// rest notes that the last request is answered.
+func (c *stopConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unused = true
+}
+
+// endUnused ends the wait for a request.
+func (c *stopConn) endUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unused {
+		c.ended = true
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only on a closed connection
+	}
+}
+
+// SetReadDeadline implements net.Conn. The server's idle time does not prolong a
+// wait that was ended.
+func (c *stopConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *stopConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended && n == 0 {
+		n, err = readArrived(c.Conn, p)
+	}
+	if n > 0 && c.ended {
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+	c.unused = c.unused && n == 0
+	return n, err
+}
+
+// readArrived reads what has arrived without waiting; io.EOF says that nothing
+// has.
+func readArrived(conn net.Conn, p []byte) (int, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0, io.EOF
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, io.EOF
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), p) })
+	if err != nil || n <= 0 {
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // Close implements net.Conn. While stopping it sends the end of the stream and
