Know each loss of records once, and sync a zone's records in one call a pair

Cause: at each sync every entry tells every other which records the zone has lost, and what was told was added to what was known: eleven entries multiplied the list by eleven at each restart. Now a known loss adds nothing, at most 64 are told apart, and they come with the last part only. A sync asks for as many shards in one call as hold 512 records, not for one. Ruled out: too few holders (starts a second of the starved entry are those of a well one), targets (other holders reach theirs), logs (bounded). Found by counting messages and bytes by kind on one entry (trial, not kept).

--- a/internal/registrar/memory.go
+++ b/internal/registrar/memory.go
@@ -42,8 +42,8 @@
 	coldUntil time.Time
 }
 
-// loss says that ids all of whose registrars were among dead may be unknown
-// although they were started.
+// loss says that ids all of whose registrars in base were among dead may be
+// unknown although they were started. Without a base it is said of every id.
 type loss struct {
 	base  []job.EntryID
 	dead  []job.EntryID
@@ -92,12 +92,49 @@
 	if len(m.deaths) == 0 {
 		m.before = m.bases[len(m.bases)-1]
 	}
-	m.deaths = append(m.deaths, gone...)
+	for _, id := range gone {
+		if !slices.Contains(m.deaths, id) {
+			m.deaths = append(m.deaths, id)
+		}
+	}
 	if len(m.deaths) >= replicas {
-		m.losses = append(m.losses, loss{base: m.before, dead: slices.Clone(m.deaths), until: now.Add(m.retain)})
+		m.know(loss{base: m.before, dead: slices.Clone(m.deaths), until: now.Add(m.retain + lossSlack)})
 	}
 }
 
+const (
+	// lossSlack is by how much two entries may differ on how long one loss counts:
+	// each takes the other's word as of its arrival, which a call's time bounds.
+	lossSlack = syncTimeout
+	// maxLosses bounds the losses that are told apart, and with them the answer to
+	// a sync, to some 20 KB. Beyond it every id counts as lost for as long.
+	maxLosses = 64
+)
+
+// know notes a loss. In each sync all entries tell all others what they know, so
+// what is known already must add nothing: else a zone of eleven has eleven times
+// as many losses after each restart of one of them, and the answers to its syncs
+// soon fill its links.
+func (m *memory) know(l loss) {
+	for i := range m.losses {
+		if m.losses[i].contains(&l) {
+			return
+		}
+	}
+	m.losses = slices.DeleteFunc(m.losses, func(known loss) bool { return l.contains(&known) })
+	m.losses = append(m.losses, l)
+	if len(m.losses) <= maxLosses {
+		return
+	}
+	all := loss{}
+	for i := range m.losses {
+		if m.losses[i].until.After(all.until) {
+			all.until = m.losses[i].until
+		}
+	}
+	m.losses = []loss{all}
+}
+
 // set is a digest of the present live entries and their lives.
 func (m *memory) set() uint64 {
 	h := xxhash.New()
@@ -120,7 +157,7 @@
 			m.coldUntil = until
 		}
 		for _, l := range r.Losses {
-			m.losses = append(m.losses, loss{l.Base, l.Dead, now.Add(l.Left)})
+			m.know(loss{l.Base, l.Dead, now.Add(l.Left)})
 		}
 	}
 	m.bases = m.bases[len(m.bases)-1:]
@@ -179,6 +216,18 @@
 	return Authoritative
 }
 
+// contains reports whether l says all that other does.
+func (l *loss) contains(other *loss) bool {
+	if l.until.Add(lossSlack).Before(other.until) {
+		return false
+	}
+	if len(l.base) == 0 {
+		return true
+	}
+	missing := func(id job.EntryID) bool { return !slices.Contains(l.dead, id) }
+	return slices.Equal(l.base, other.base) && !slices.ContainsFunc(other.dead, missing)
+}
+
 func (l loss) covers(id job.ID) bool {
 	ranked := membership.Rank(l.base, string(id))
 	for _, entry := range ranked[:min(replicas, len(ranked))] {
--- a/internal/registrar/messages.go
+++ b/internal/registrar/messages.go
@@ -96,8 +96,8 @@
 	To      job.Owner    `cbor:"2,keyasint,omitempty"`
 }
 
-// syncRequest asks for one shard of the records that For keeps when the zone's
-// live entries are Base.
+// syncRequest asks for the records that For keeps when the zone's live entries
+// are Base, from Shard on.
 type syncRequest struct {
 	For   job.EntryID   `cbor:"1,keyasint"`
 	Base  []job.EntryID `cbor:"2,keyasint"`
@@ -112,8 +112,10 @@
 	Records []Record `cbor:"1,keyasint,omitempty"`
 	// Cold is how long the sender's memory still counts as young.
 	Cold time.Duration `cbor:"2,keyasint,omitempty"`
-	// Losses are what the sender knows to be lost.
+	// Losses are what the sender knows to be lost. They come with the last shard.
 	Losses []lossMessage `cbor:"3,keyasint,omitempty"`
+	// Next is the shard to ask for next; shardCount after the last one.
+	Next int `cbor:"4,keyasint"`
 }
 
 type lossMessage struct {
--- a/internal/registrar/sync.go
+++ b/internal/registrar/sync.go
@@ -14,8 +14,14 @@
 )
 
 const (
-	// syncTimeout bounds one shard of one entry: some megabytes at most.
+	// syncTimeout bounds one part of one entry's records: some megabytes at most.
 	syncTimeout = 2 * time.Second
+	// syncRecords is how many records make a part full, in whole shards: some
+	// 100 KB. A zone without records, where jobs are transient or young, then
+	// needs one call for each pair of entries and not one for each shard: with
+	// eleven entries restarted in turn, 16 calls took the smallest VMs a twelfth
+	// of a second of processor time for each change.
+	syncRecords = 512
 	syncPause   = 50 * time.Millisecond
 	// housekeeping is how often old records are removed, and entries that have
 	// not heard that this one has synced are told again.
@@ -126,9 +132,9 @@
 			}
 			continue
 		}
-		r.take(i, part.Records)
+		r.take(part.Records)
 		out.Cold, out.Losses = part.Cold, part.Losses
-		i++
+		i = max(part.Next, i+1)
 	}
 	return true
 }
@@ -139,15 +145,13 @@
 	return r.memory.set() == set
 }
 
-func (r *Registrar) take(shard int, records []Record) {
+func (r *Registrar) take(records []Record) {
 	now := time.Now()
-	s := &r.shards[shard]
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, record := range records {
-		if shardOf(record.ID) == shard {
-			s.table.take(now, record)
-		}
+		s := r.shard(record.ID)
+		s.mu.Lock()
+		s.table.take(now, record)
+		s.mu.Unlock()
 	}
 }
 
@@ -190,11 +194,21 @@
 	if req.Shard < 0 || req.Shard >= shardCount {
 		return nil, errors.NotValidf("shard %d", req.Shard)
 	}
-	s := &r.shards[req.Shard]
+	for answer.Next = req.Shard; answer.Next < shardCount && len(answer.Records) < syncRecords; answer.Next++ {
+		answer.Records = append(answer.Records, r.export(answer.Next, now, from.Entry, req.Base)...)
+	}
+	if answer.Next < shardCount {
+		answer.Losses = nil
+	}
+	return answer, nil
+}
+
+// export returns the records of one shard that an entry keeps when base is live.
+func (r *Registrar) export(shard int, now time.Time, to job.EntryID, base []job.EntryID) []Record {
+	s := &r.shards[shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer.Records = append(s.table.export(now, from.Entry, req.Base), s.owned.export(from.Entry, req.Base)...)
-	return answer, nil
+	return append(s.table.export(now, to, base), s.owned.export(to, base)...)
 }
 
 // handleJoin answers an entry whose caller sent a submission that this one
