Start the rest of a job that has results before jobs that are not begun

Cause: only a job of which a task runs at the moment went first. Ruled out: admission (those jobs were begun), the bound of use (it stays).

--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -44,7 +44,9 @@
 	order    []int32
 	returned []int32 // proved not started, to be placed before order
 	running  int
-	racks    map[string]int // running tasks by rack
+	// done counts the tasks that have ended with a result.
+	done  int
+	racks map[string]int // running tasks by rack
 }
 
 // taskState is where a task stands.
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -43,6 +43,9 @@
 	if t == nil {
 		return false
 	}
+	if r.Status == job.TaskDone {
+		b.done++
+	}
 	p.learn(now, b, t, r)
 	p.rerank(now, t.target)
 	p.dropIfIdle(t.target)
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -28,8 +28,8 @@
 	// lateShift orders jobs that miss their objective behind all that may meet it:
 	// above any objective.
 	lateShift = time.Hour
-	// begunShift orders the rest of a job of which tasks run before jobs of which
-	// none does: the time of those that run would be lost with it.
+	// begunShift orders the rest of a job of which tasks run or have ended before
+	// jobs that are not begun: the time of those tasks would be lost with it.
 	begunShift = 2 * time.Hour
 )
 
@@ -56,11 +56,16 @@
 	}
 }
 
-// order ranks a batch with an objective.
+// begun reports whether work was done for the job that is lost if its rest does
+// not start in time. A task that comes back late, after a start that got no
+// answer, often finds its siblings done and none running.
+func (b *batch) begun() bool { return b.running > 0 || b.done > 0 }
+
+// objectiveOrder ranks a batch with an objective.
 func (b *batch) objectiveOrder() int64 {
 	at := b.goal.meets
 	switch {
-	case b.running > 0:
+	case b.begun():
 		at = at.Add(-begunShift)
 	case b.goal.late:
 		at = at.Add(lateShift)
@@ -79,7 +84,7 @@
 					break
 				}
 				b := head.Value
-				if !b.goal.set() || b.goal.late || b.running > 0 || !now.After(b.goal.meets) {
+				if !b.goal.set() || b.goal.late || b.begun() || !now.After(b.goal.meets) {
 					break
 				}
 				b.goal.late = true
--- a/internal/scheduler/objective_test.go
+++ b/internal/scheduler/objective_test.go
@@ -107,6 +107,37 @@
 	return sum / float64(max(1, n))
 }
 
+// One task of a job comes back unstarted, since its target never answered, when its
+// sibling is done and the job can't meet its objective any more. It goes before jobs
+// that are not begun: put behind them, in a crowd it would wait until its answer is
+// of no use, and the work that was done would be lost with the caller's time.
+func TestRestOfAJobWithResultsGoesFirst(t *testing.T) {
+	timed := func(id string, n int) *job.Batch {
+		b := batchOf(id, "thumb", n)
+		b.Stretch, b.Slack = mixStretch, mixSlack
+		for i := range b.Tasks {
+			b.Tasks[i].RunMillis = 60
+		}
+		return b
+	}
+	p := smallPool(2, 1)
+	qt.Assert(t, p.Offer(epoch, timed("begun", 2)).Accepted, qt.IsTrue)
+	started := p.Next(epoch).Starts
+	qt.Assert(t, started, qt.HasLen, 2)
+	p.Finished(at(60), started[0].Key, ranFor(60*time.Millisecond))
+	qt.Assert(t, p.Offer(at(60), timed("fills", 1)).Accepted, qt.IsTrue)
+	fills := p.Next(at(60)).Starts
+	qt.Assert(t, fills, qt.HasLen, 1)
+	qt.Assert(t, p.Offer(at(190), timed("first", 1)).Accepted, qt.IsTrue)
+	qt.Assert(t, p.Retry(at(200), started[1].Key, Result{Status: job.TaskNotStarted}), qt.IsTrue)
+	qt.Assert(t, p.Next(at(200)).Starts, qt.HasLen, 1) // on the target that did not answer
+	qt.Assert(t, p.Offer(at(201), timed("second", 1)).Accepted, qt.IsTrue)
+	p.Finished(at(210), fills[0].Key, ranFor(150*time.Millisecond))
+	next := p.Next(at(210)).Starts
+	qt.Assert(t, next, qt.HasLen, 1)
+	qt.Assert(t, next[0].Submission, qt.Equals, job.ID("begun"))
+}
+
 // Everybody comes at once for four seconds: half as much again as the pool can do.
 // Served in order of arrival nearly all answers come late together, and for
 // seconds after the burst; counted in slots the pool takes in three times what it
