Know a lost start in time, and hold no target back for it

A pool whose network loses orders so lost most of its places while callers were refused. Now a start is doubted after 120 ms, or later where the target's answers have been taking longer (the means and deviations by which TCP does it), and a lost one is judged like a failure: by what one target loses beyond the others.

--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -153,6 +153,7 @@
 		Status:        res.Status,
 		Reason:        res.Reason,
 		TargetRefused: res.Refusal == target.Busy || res.Refusal == target.Leaving,
+		Unanswered:    res.Refusal == target.Unanswered,
 		Lost:          res.Reason == job.TargetLost,
 	}
 }
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -290,7 +290,7 @@
 		case !r.confirmed.IsZero() && r.confirmed.Before(sent):
 			s.end(ref, r, erred(job.TargetLost, "the target does not list the run any more", true))
 		case r.doubted != 0 && o.Epoch >= r.doubted && r.confirmed.IsZero():
-			s.end(ref, r, notStarted(target.Unreachable, "the target never took the start"))
+			s.end(ref, r, notStarted(target.Unanswered, "the target never took the start"))
 		}
 	}
 	return strays
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -15,13 +15,15 @@
 	renumbered := 0
 	for fenced := 0; fenced < maxFenced; {
 		o := s.startOrder(ref, r, spec)
-		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(s.ctx, s.startWait())
 		reply, err := s.opts.Orders.Start(ctx, o)
 		cancel()
 		if err != nil {
 			s.doubt(ref, r, err)
 			return
 		}
+		s.answered(time.Since(sent))
 		s.hear(reply.Clock)
 		switch reply.Refusal {
 		case Accepted:
@@ -57,6 +59,18 @@
 	s.finish(ref, r, notStarted(target.Unreachable, "the target refuses each epoch"))
 }
 
+func (s *Session) startWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers.wait()
+}
+
+func (s *Session) answered(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers.learn(took)
+}
+
 func refusedBy(reply Reply) target.Result {
 	switch reply.Refusal {
 	case Elsewhere:
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -61,9 +61,10 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
-	mu    sync.Mutex
-	clock clock
-	epoch uint64
+	mu      sync.Mutex
+	clock   clock
+	answers answerTimes
+	epoch   uint64
 	// acked is the number of the last end that was taken, told the one that the
 	// target was last told of.
 	acked, told uint64
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -58,6 +58,12 @@
 	tg := t.target
 	kind := t.kind(b)
 	switch {
+	case r.Unanswered:
+		// A target that is full or going says so. Orders that get lost everywhere
+		// are judged like failures, by what one target loses beyond the others: if
+		// each loss held its target back, a network that loses half of the orders
+		// would leave a pool with one task at a time on each target.
+		p.fleet.Failed(now, &tg.health, tg.ID, kind, t.probe)
 	case r.TargetRefused || r.Status == job.TaskNotStarted:
 		p.fleet.Refused(now, &tg.health, t.probe)
 	case r.Status == job.TaskDone:
--- a/internal/scheduler/objective_test.go
+++ b/internal/scheduler/objective_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -107,6 +108,43 @@
 	return sum / float64(max(1, n))
 }
 
+// Half of all starts get lost on the way, to every target alike. Targets that answer
+// must go on getting as many tasks as they hold: held back for each loss, they would
+// run one task at a time, and callers would be refused before targets that are idle.
+// A single target that takes no start is held back, or it would draw everything.
+func TestLostStartsHoldNoTargetBack(t *testing.T) {
+	lost := Result{Status: job.TaskNotStarted, Unanswered: true}
+	p := smallPool(4, 2)
+	now := 0
+	for round := range 40 {
+		qt.Assert(t, p.Offer(at(now), batchOf(fmt.Sprint("j", round), "thumb", 8)).Accepted, qt.IsTrue)
+		started := p.Next(at(now)).Starts
+		qt.Assert(t, started, qt.HasLen, 8, qt.Commentf("round %d", round))
+		for i, s := range started {
+			if (i+round)%2 == 0 {
+				p.Finished(at(now+120), s.Key, lost)
+			} else {
+				p.Finished(at(now+60), s.Key, ranFor(60*time.Millisecond))
+			}
+		}
+		now += 200
+	}
+	p = smallPool(4, 2)
+	for round := range 12 {
+		p.Offer(at(now), batchOf(fmt.Sprint("k", round), "thumb", 8))
+		for _, s := range p.Next(at(now)).Starts {
+			if s.Target == "w00" {
+				p.Finished(at(now+120), s.Key, lost)
+			} else {
+				p.Finished(at(now+60), s.Key, ranFor(60*time.Millisecond))
+			}
+		}
+		p.Cancel(at(now+130), owner, job.ID(fmt.Sprint("k", round)))
+		now += 200
+	}
+	qt.Assert(t, p.targets["w00"].health.Quarantined(), qt.IsTrue)
+}
+
 // One task of a job comes back unstarted, since its target never answered, when its
 // sibling is done and the job can't meet its objective any more. It goes before jobs
 // that are not begun: put behind them, in a crowd it would wait until its answer is
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -81,6 +81,8 @@
 	Reason job.Reason
 	// TargetRefused is set when the target said that it did not start the task.
 	TargetRefused bool
+	// Unanswered is set when a start was lost on the way to a target that answers.
+	Unanswered bool
 	// Lost is set when the connection broke or the answer never came.
 	Lost bool
 }
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -48,6 +48,9 @@
 	Busy
 	// Leaving says that the target takes no more work (503).
 	Leaving
+	// Unanswered says that the target answers, and never took a start that was
+	// sent to it.
+	Unanswered
 	// Abandoned says that the dispatcher gave up before it sent anything.
 	Abandoned
 )
