End callers' connections when a stopping entry takes no more submissions

Cause: two seconds after a planned stop the entry refused with "draining" what came on connections that had stayed open; the balancer steers new connections only, so these callers were lost to a stop that was planned. Now the servers that only take submissions end first: what has been sent is answered, quiet connections end, and who connects is refused before anything is sent and turns to another entry. Ruled out: taking submissions to the end (a job of 2 s would outlast the grace).

--- a/internal/api/stop.go
+++ b/internal/api/stop.go
@@ -19,11 +19,11 @@
 	// queueMost bounds the connections that a stopping listener takes in: the
 	// kernel's queue holds 4,096 at most.
 	queueMost = 4096
-	// lastRequestTime is how long open connections may still bring a request,
+	// LastRequestTime is how long open connections may still bring a request,
 	// whose answer tells the caller that the connection ends: the few
 	// milliseconds that a request takes from a caller, and the tenth of a second
 	// for which a caller on a small share of a processor may stand still.
-	lastRequestTime = 150 * time.Millisecond
+	LastRequestTime = 150 * time.Millisecond
 	// endPoll is how often a stop looks whether its last connection has ended.
 	endPoll = 5 * time.Millisecond
 	// lingerTime bounds how long a connection whose end was sent is read on:
@@ -171,7 +171,7 @@
 // when none is left or ctx is over. The server's own shutdown would drop requests
 // that it is just reading.
 func (l *stopListener) endAll(ctx context.Context) {
-	last, cancel := context.WithTimeout(ctx, lastRequestTime)
+	last, cancel := context.WithTimeout(ctx, LastRequestTime)
 	defer cancel()
 	if l.awaitEnds(last) {
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,11 @@
 type Attached struct {
 	Listener net.Listener
 	Server   *http.Server
+	// Intake says that the server only takes submissions. It ends when a stopping
+	// entry takes no more: whoever comes then is not connected, knows that nothing
+	// of it ran and turns to another entry at once. Answered "draining" instead, a
+	// caller whose connection had stayed open would be lost to a planned stop.
+	Intake bool
 }
 
 // Entry is one entry process.
@@ -129,6 +134,8 @@
 	stopping chan struct{}
 	started  time.Time
 	leaving  atomic.Bool // a planned stop has begun
+	// intakeOver is closed when a stopping entry takes no more submissions.
+	intakeOver chan struct{}
 	// decisions writes events to the log; nil where it doesn't.
 	decisions *eventlog.Sink
 	metrics   *metrics.Sink
@@ -175,9 +182,10 @@
 		clock:  timeline.NewClock(time.Now),
 		memory: api.NewByteBudget(bodyMemory),
 
-		stopping: make(chan struct{}),
-		started:  time.Now(),
-		killed:   make(chan struct{}),
+		stopping:   make(chan struct{}),
+		started:    time.Now(),
+		killed:     make(chan struct{}),
+		intakeOver: make(chan struct{}),
 	}
 	e.ring = timeline.NewRing(self.Entry, e.clock, o.Events)
 	e.events = e.ring
@@ -287,7 +295,7 @@
 	if e.opts.Attach != nil {
 		for _, a := range e.opts.Attach(e) {
 			a.Server.Handler = api.Closing(a.Server.Handler, e.leaving.Load)
-			e.add(&g, func(ctx context.Context) error { return e.serve(ctx, a.Server, a.Listener) })
+			e.add(&g, func(ctx context.Context) error { return e.serveAttached(ctx, a) })
 		}
 	}
 	if e.joiner != nil {
@@ -352,6 +360,26 @@
 	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
 
+func (e *Entry) serveAttached(ctx context.Context, a Attached) error {
+	if !a.Intake {
+		return e.serve(ctx, a.Server, a.Listener)
+	}
+	intake, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.intakeOver:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := e.serve(intake, a.Server, a.Listener)
+	if err == nil {
+		<-ctx.Done()
+	}
+	return err
+}
+
 func (e *Entry) serve(ctx context.Context, server *http.Server, l net.Listener) error {
 	served := make(chan struct{})
 	defer close(served)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -26,6 +27,7 @@
 		defer last.Stop()
 	}
 	e.waitForNotice()
+	e.endIntake()
 	e.check.Drain()
 	linger := time.NewTimer(e.opts.Linger)
 	defer linger.Stop()
@@ -51,6 +53,19 @@
 	}
 }
 
+// endIntake ends the servers that only take submissions, and returns once their
+// open connections have had the time for a last request.
+func (e *Entry) endIntake() {
+	close(e.intakeOver)
+	if e.opts.Notice > 0 {
+		time.Sleep(api.LastRequestTime + intakeMargin)
+	}
+}
+
+// intakeMargin is the time in which a request that came last gets past the check: a
+// scheduling pause of a small VM.
+const intakeMargin = 50 * time.Millisecond
+
 // drainPoll is how often a stopping entry looks whether its last submission
 // has ended; it delays the stop, never an answer.
 const drainPoll = 20 * time.Millisecond
