Tell when a target is held back and when it gets work again

Cause: the time line has names for it and nothing recorded them, so a pool that is short of places since three of its targets fail looked like a pool under load. Now the holder records the change of its judgement, once, with the last failure. TestTargetHeldBackIsTold fails without it (no event).

--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -67,6 +67,7 @@
 	delete(b.running, l.start.Index)
 	l.link.running--
 	p.release(l.link, e)
+	defer p.noteHealth(l, res, p.sched.Quarantined(l.start.Target))
 	if p.sendAgain(now, l, res) {
 		return
 	}
@@ -80,6 +81,19 @@
 	p.conclude(now, b, e)
 }
 
+// noteHealth tells that a target is held back from now on, or gets work again: the
+// tasks that wait or are refused meanwhile have their cause here.
+func (p *pool) noteHealth(l *launch, res target.Result, before bool) {
+	after := p.sched.Quarantined(l.start.Target)
+	switch {
+	case after && !before:
+		cause := "it fails or loses more than a third of its tasks more than the others do; the last: " + res.Detail
+		p.record(timeline.Event{Kind: timeline.TargetSuspect, Target: l.start.Target, Reason: res.Reason, Cause: cause})
+	case before && !after:
+		p.record(timeline.Event{Kind: timeline.TargetHealthy, Target: l.start.Target, Cause: "its probes went well"})
+	}
+}
+
 // sendAgain queues a task again that its target provably did not start, or
 // that may be repeated. The scheduler bounds the attempts.
 func (p *pool) sendAgain(now time.Time, l *launch, res target.Result) bool {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -54,6 +54,13 @@
 	return true
 }
 
+// Quarantined reports whether a target is held back for what it failed or lost, and
+// gets single probes only.
+func (p *Pool) Quarantined(id job.TargetID) bool {
+	tg := p.targets[id]
+	return tg != nil && tg.health.Quarantined()
+}
+
 func (p *Pool) learn(now time.Time, b *batch, t *task, r Result) {
 	tg := t.target
 	kind := t.kind(b)
