Wait for no silent seed when joining

Cause: the joins of one round were waited for together, so that a seed without power, which answers nothing, held up the next round for 500 ms, while the others refused at once and were there a moment later.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -45,11 +46,11 @@
 }
 
 // newEntry makes an entry whose listener opens only with listen.
-func newEntry(net *peertest.Network, name job.EntryID, seeds func() []string, secret string) *entry {
+func newEntry(mesh *peertest.Network, name job.EntryID, seeds func() []string, secret string) *entry {
 	e := &entry{server: httptest.NewUnstartedServer(nil)}
 	self := record(name, 1, e.server.Listener.Addr().String())
 	e.Joiner = New(Options{
-		Book: NewBook(self), Mesh: net.Join(self.Owner), Seeds: seeds, Secret: []byte(secret), OnNews: func(Record) {},
+		Book: NewBook(self), Mesh: mesh.Join(self.Owner), Seeds: seeds, Secret: []byte(secret), OnNews: func(Record) {},
 	})
 	mux := http.NewServeMux()
 	mux.Handle("POST "+peer.JoinPath, e.Joiner)
@@ -60,11 +61,11 @@
 // Entries start in any order with three seeds, of which one never listens and one
 // starts late. Each must find all others.
 func TestEntriesFindEachOther(t *testing.T) {
-	var net peertest.Network
+	var mesh peertest.Network
 	var seeds []string
 	entries := []*entry{}
 	for _, name := range []job.EntryID{"a", "b", "c", "d", "e"} {
-		entries = append(entries, newEntry(&net, name, func() []string { return seeds }, "s"))
+		entries = append(entries, newEntry(&mesh, name, func() []string { return seeds }, "s"))
 	}
 	seeds = []string{"127.0.0.1:1", entries[1].server.Listener.Addr().String(), entries[3].server.Listener.Addr().String()}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -90,12 +91,44 @@
 	}
 }
 
+// The whole fleet comes back from a power cut. One seed does not answer at all yet,
+// another refuses connections for a moment and is there 150 ms later. The entry must
+// find it as soon as it is there: until then it refuses what callers send.
+func TestSilentSeedHoldsUpNoOther(t *testing.T) {
+	var mesh peertest.Network
+	silent := newEntry(&mesh, "silent", nil, "s") // its listener is open, and nobody accepts
+	defer silent.server.Listener.Close()
+	late := newEntry(&mesh, "late", nil, "s")
+	address := late.server.Listener.Addr().String()
+	qt.Assert(t, late.server.Listener.Close(), qt.IsNil)
+	a := newEntry(&mesh, "a", func() []string { return []string{silent.server.Listener.Addr().String(), address} }, "s")
+	a.server.Start()
+	defer a.server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	time.Sleep(150 * time.Millisecond)
+	l, err := net.Listen("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	late.server.Listener = l
+	late.server.Start()
+	defer late.server.Close()
+	back := time.Now()
+	for !a.Joined() && time.Since(back) < joinTimeout {
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The pace of joins, with its jitter, and a busy machine.
+	qt.Assert(t, time.Since(back) < joinTimeout/2+firstJoins/2, qt.IsTrue, qt.Commentf("%v", time.Since(back)))
+	cancel()
+	qt.Assert(t, <-ended, qt.IsNil)
+}
+
 // Somebody without the secret asks who the entries are, and tells of one that is
 // none. It must learn and change nothing.
 func TestJoinNeedsTheSecret(t *testing.T) {
-	var net peertest.Network
-	a := newEntry(&net, "a", func() []string { return nil }, "right")
-	b := newEntry(&net, "b", func() []string { return nil }, "wrong")
+	var mesh peertest.Network
+	a := newEntry(&mesh, "a", func() []string { return nil }, "right")
+	b := newEntry(&mesh, "b", func() []string { return nil }, "wrong")
 	a.server.Start()
 	defer a.server.Close()
 	b.join(t.Context(), a.server.Listener.Addr().String())
@@ -106,8 +139,8 @@
 // A VM restarts after its time of day jumped back by seconds. The seeds know its
 // last life, and one that does not answer must not hold the start up for long.
 func TestLastLifeIsLearnedBeforeTheStart(t *testing.T) {
-	var net peertest.Network
-	a := newEntry(&net, "a", func() []string { return nil }, "s")
+	var mesh peertest.Network
+	a := newEntry(&mesh, "a", func() []string { return nil }, "s")
 	a.server.Start()
 	defer a.server.Close()
 	a.Learn(record("b", 77, "10.0.0.2:1"))
--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -125,7 +125,7 @@
 		wait := exchangePeriod
 		if !j.Joined() {
 			wait = firstJoins
-			j.joinAll(ctx)
+			j.joinAll(ctx, &wg)
 		} else {
 			j.exchangeOne(ctx)
 		}
@@ -137,15 +137,17 @@
 	return nil
 }
 
-// joinAll asks all seeds side by side: each may be down.
-func (j *Joiner) joinAll(ctx context.Context) {
-	var wg sync.WaitGroup
+// joinAll asks all seeds side by side, and waits for none: each may be down. A seed
+// without power swallows the first packet, and the kernel sends the next a second
+// later; only a new connection finds it once it is back. Waited for, it would also
+// hold up the others: after a power cut of the whole fleet, entries found each other
+// half a second late, and refused what callers sent meanwhile.
+func (j *Joiner) joinAll(ctx context.Context, wg *sync.WaitGroup) {
 	for _, seed := range j.opts.Seeds() {
 		if !j.isSelf(seed) {
 			wg.Go(func() { j.join(ctx, seed) })
 		}
 	}
-	wg.Wait()
 }
 
 func (j *Joiner) isSelf(address string) bool {
