Tell whom an entry hears to a few others in turn

Once a second each heartbeat lists all entries that its sender hears, so that bytes grow with the cube of the fleet. Now the list goes to 16 entries of the own and 8 of other zones in one period, in turn; smaller fleets see no difference. Ruled out: leaving it out across zones (a broken way between two entries would pass for a death there); a shorter list (each entry must be vouched for). TestListsOfWhomIsHeardGoInTurn fails without it (299 lists in a period).

--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -30,6 +31,16 @@
 // the longest part of a heartbeat; vouchHold is longer than this.
 const hearsPeriod = time.Second
 
+// hearsInZone and hearsAcross are to how many entries of the own and of other zones
+// the list goes in one period; larger fleets get it in turn. The list is as long as
+// the fleet: told to everybody, 300 entries sent 3.7 MB a second each, and had no
+// processor left for callers. Told to so many in turn, each entry still hears from as
+// many others in one period, of whom a single one keeps alive whom it hears too.
+const (
+	hearsInZone = 16
+	hearsAcross = 8
+)
+
 // slack keeps a tick that comes a little early from skipping a heartbeat.
 const slack = 60 * time.Millisecond
 
@@ -62,21 +73,50 @@
 func (m *Membership) due(now time.Time, all bool) []due {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []due
+	var peers []*peerState
 	for _, p := range m.detector.peers {
-		if !all && now.Sub(m.sent[p.Entry]) < p.timings.Period-slack {
-			continue
+		if all || now.Sub(m.sent[p.Entry]) >= p.timings.Period-slack {
+			peers = append(peers, p)
 		}
+	}
+	turns := m.turns(now, peers)
+	list := make([]due, len(peers))
+	for i, p := range peers {
+		hears := all || turns[p.Entry]
+		list[i] = due{p.Entry, hears}
 		m.sent[p.Entry] = now
-		hears := all || now.Sub(m.told[p.Entry]) >= hearsPeriod-slack
 		if hears {
 			m.told[p.Entry] = now
 		}
-		list = append(list, due{p.Entry, hears})
 	}
 	return list
 }
 
+// turns returns which of the peers get the list of whom this entry hears: those whom
+// it was told longest ago, so many of each distance as a period allows. The caller
+// holds the lock.
+func (m *Membership) turns(now time.Time, peers []*peerState) map[job.EntryID]bool {
+	recent := func(p *peerState) bool { return now.Sub(m.told[p.Entry]) < hearsPeriod-slack }
+	left := map[bool]int{true: hearsInZone, false: hearsAcross}
+	for _, p := range m.detector.peers {
+		if recent(p) {
+			left[m.inZone(p)]--
+		}
+	}
+	waiting := slices.DeleteFunc(slices.Clone(peers), recent)
+	slices.SortStableFunc(waiting, func(a, b *peerState) int { return m.told[a.Entry].Compare(m.told[b.Entry]) })
+	out := map[job.EntryID]bool{}
+	for _, p := range waiting {
+		if left[m.inZone(p)] > 0 {
+			left[m.inZone(p)]--
+			out[p.Entry] = true
+		}
+	}
+	return out
+}
+
+func (m *Membership) inZone(p *peerState) bool { return p.Zone == m.detector.self.Zone }
+
 func (m *Membership) compose(now time.Time) beat {
 	var b beat
 	if m.opts.Config != nil {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -293,3 +294,45 @@
 	qt.Assert(t, err, qt.IsNil)
 	return len(data)
 }
+
+// A fleet of 300 entries in three zones. Each heartbeat list is as long as the fleet:
+// told to everybody once a second it fills the links, and starts of tasks wait behind
+// it. Each entry must still be told by some others in every period, or a broken way
+// between two entries would pass for a death.
+func TestListsOfWhomIsHeardGoInTurn(t *testing.T) {
+	const zones, each, seconds = 3, 100, 60
+	self := job.Owner{Entry: "e-0-0", Incarnation: 1, Zone: "z0"}
+	m := &Membership{sent: map[job.EntryID]time.Time{}, told: map[job.EntryID]time.Time{}}
+	now := time.Unix(1_000, 0)
+	var peers []Peer
+	for z := range zones {
+		for i := range each {
+			peers = append(peers, Peer{Entry: job.EntryID(fmt.Sprintf("e-%d-%d", z, i)), Zone: job.Zone(fmt.Sprint("z", z))})
+		}
+	}
+	m.detector = NewDetector(now, self, peers)
+	told := map[job.EntryID]int{}
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(InZone.Period) {
+		lists := 0
+		for _, d := range m.due(now, false) {
+			if d.hears {
+				told[d.to]++
+				lists++
+			}
+		}
+		qt.Assert(t, lists <= hearsInZone+hearsAcross, qt.IsTrue)
+	}
+	sum := 0
+	for _, p := range peers {
+		if p.Entry == self.Entry {
+			continue
+		}
+		period := float64(each) / hearsInZone
+		if p.Zone != self.Zone {
+			period = float64((zones-1)*each) / hearsAcross
+		}
+		sum += told[p.Entry]
+		qt.Assert(t, float64(told[p.Entry]) >= seconds/math.Ceil(period)-1, qt.IsTrue, qt.Commentf("%s: %d", p.Entry, told[p.Entry]))
+	}
+	qt.Assert(t, sum <= (seconds+1)*(hearsInZone+hearsAcross), qt.IsTrue, qt.Commentf("%d lists", sum))
+}
