Say why two errors of a stop are not acted on

Found in the read-through: an ignored error of the socket filter and of the last read had no reason beside them.

--- a/internal/api/stop.go
+++ b/internal/api/stop.go
@@ -130,6 +130,8 @@
 func dropArrivals(fd uintptr) {
 	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
 	program := unix.SockFprog{Len: 1, Filter: &dropAll}
+	// The error says that the kernel has no socket filters, at each stop alike:
+	// nothing can be done about it then, and the pages for operators say so.
 	_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
 }
 
@@ -271,7 +273,7 @@
 }
 
 // readArrived reads what has arrived without waiting; io.EOF says that nothing
-// has.
+// has. A failed read ends the connection like an empty one: it was to end anyway.
 func readArrived(conn net.Conn, p []byte) (int, error) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
