Bound the heartbeats, probes, dials and news of a large fleet

Each of 300 entries sent 1,200 heartbeats a second, built a list of the whole fleet for each that it took in, looked four times a second at each of 150 peers that had not dialled it yet, dialled 150 at once, and passed each piece of news on to all others, as did all others. Links without processor were silent for a second, broke and were dialled again. Now heartbeats go to 64 others in turn and to those with which work is shared at the full pace; times that count missing ones stretch with the fleet; a view is built only when something changed; 16 peers are looked at in one round, 32 links opened at once, news passed on to 64. Work that is handed over counts as a sign of life. Fleets of up to 64 others send as before. Ruled out: fewer links (owners and holders of a zone need them; 150 links to open cost a third of a second of processor in all); heartbeats stretched for all alike (transient work ends with 0.9 s of silence).

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -151,3 +153,49 @@
 	qt.Assert(t, LastLife(t.Context(), []string{address}, []byte("s"), "c"), qt.Equals, job.Incarnation(0))
 	qt.Assert(t, time.Since(begun) < 2*lastLifeTime, qt.IsTrue)
 }
+
+// Three hundred entries start at once, and each is news to all others. If everybody told
+// everybody, an entry would read each piece of news three hundred times, and have no
+// processor left for the links that it needs. Each must still learn of all.
+func TestNewsOfALargeFleetAreToldToSome(t *testing.T) {
+	const entries, most = 300, 70 // messages that each sends
+	synctest.Test(t, func(t *testing.T) {
+		mesh := &peertest.Network{Delay: time.Millisecond}
+		ctx, cancel := context.WithCancel(t.Context())
+		var joiners []*Joiner
+		var wg sync.WaitGroup
+		for i := range entries {
+			name := job.EntryID(fmt.Sprintf("e-%03d", i))
+			self := record(name, 1, fmt.Sprintf("10.0.0.%d:1", i))
+			j := New(Options{
+				Book: NewBook(self), Mesh: mesh.Join(self.Owner), OnNews: func(Record) {},
+				Seeds: func() []string { return nil },
+			})
+			joiners = append(joiners, j)
+			wg.Go(func() { j.tellNews(ctx) })
+		}
+		// All know the first, which tells of a new one.
+		var all []Record
+		for _, j := range joiners {
+			all = append(all, j.opts.Book.self)
+		}
+		for _, j := range joiners {
+			j.opts.Book.Learn(time.Now(), all...)
+		}
+		before := mesh.Sent(peer.MemberNews)
+		joiners[0].Learn(record("late", 1, "10.0.9.9:1"))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for _, j := range joiners {
+			_, known := j.opts.Book.Get("late")
+			qt.Assert(t, known, qt.IsTrue, qt.Commentf("%s", j.opts.Book.self.Owner.Entry))
+		}
+		told := mesh.Sent(peer.MemberNews) - before
+		qt.Assert(t, told <= entries*most, qt.IsTrue, qt.Commentf("%d messages", told))
+		cancel()
+		wg.Wait()
+		for _, j := range joiners {
+			mesh.Leave(j.opts.Book.self.Owner.Entry)
+		}
+	})
+}
--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,11 @@
 	// newsPeriod joins the news of many entries that come at once into one
 	// message to each other entry.
 	newsPeriod = 50 * time.Millisecond
+	// toldAtOnce is to how many entries each one passes news on. Everybody who
+	// hears them first does, so that all hear them within a few steps (one in
+	// e^64 is left out by the lot); told to everybody by everybody, the news of a
+	// fleet that starts would grow with the cube of its size.
+	toldAtOnce = 64
 	// maxBody bounds a join or its answer, in bytes: some thousand records.
 	maxBody = 1 << 20
 )
@@ -309,11 +315,21 @@
 		news := j.news
 		j.news = nil
 		j.mu.Unlock()
-		for _, r := range j.opts.Book.All() {
-			if r.Owner.Entry != j.opts.Mesh.Self().Entry {
-				// A link that is down misses the news; the exchange repairs it.
-				_ = j.opts.Mesh.Send(r.Owner.Entry, peer.MemberNews, exchange{news})
-			}
-		}
+		j.tell(news)
+	}
+}
+
+// tell passes news on to some entries, drawn by lot: all of a small fleet.
+func (j *Joiner) tell(news []Record) {
+	body, err := cbor.Marshal(exchange{news})
+	if err != nil {
+		j.opts.Log.Error("news of entries not encoded", "error", err)
+		return
+	}
+	others := slices.DeleteFunc(j.opts.Book.All(), func(r Record) bool { return r.Owner.Entry == j.opts.Mesh.Self().Entry })
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	for _, r := range others[:min(len(others), toldAtOnce)] {
+		// A link that is down misses the news; the exchange repairs it.
+		_ = j.opts.Mesh.Send(r.Owner.Entry, peer.MemberNews, cbor.RawMessage(body))
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -259,6 +259,7 @@
 	})
 	e.assembleMembership()
 	e.served = handover.Serve(e.links, e.holder)
+	e.served.OnOffer(e.members.Touch)
 	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Silent: e.members.Silent, Events: e.events})
 	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -36,9 +36,20 @@
 		Loads:   e.holder.Loads,
 		Linked:  e.links.Up,
 		Refused: e.links.Refused,
+		Busy:    e.sharesWorkWith,
 	})
 }
 
+// sharesWorkWith lists the entries that hold work of this one, and those whose work
+// this one holds.
+func (e *Entry) sharesWorkWith() []job.EntryID {
+	out := e.remote.Holders()
+	for _, owner := range e.holder.Owners() {
+		out = append(out, owner.Entry)
+	}
+	return out
+}
+
 // setView acts on a new view of the entries. Membership calls it from one
 // goroutine.
 func (e *Entry) setView(view membership.Members) {
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +122,19 @@
 	}
 }
 
+// Holders lists the entries that have batches of this owner.
+func (r *Remote) Holders() []job.EntryID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := map[job.EntryID]bool{}
+	for _, offers := range r.flying {
+		for _, to := range offers {
+			found[to] = true
+		}
+	}
+	return slices.Collect(maps.Keys(found))
+}
+
 // Cancel asks an entry to drop what it holds of a submission of this owner.
 func (r *Remote) Cancel(to job.EntryID, id job.ID) {
 	r.mu.Lock()
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -55,6 +55,8 @@
 type Server struct {
 	holder Holder
 	self   job.Owner
+	// heard is told of each owner that hands over a batch.
+	heard func(job.Owner)
 
 	mu      sync.Mutex
 	records map[key]*record
@@ -79,7 +81,7 @@
 // Serve lets other entries hand batches to holder.
 func Serve(mesh peer.Mesh, holder Holder) *Server {
 	s := &Server{
-		holder: holder, self: mesh.Self(), records: map[key]*record{},
+		holder: holder, self: mesh.Self(), heard: func(job.Owner) {}, records: map[key]*record{},
 		forgotten: map[job.Owner]uint64{}, cancelled: map[key]bool{},
 	}
 	mesh.Handle(peer.BatchOffer, s.handleOffer)
@@ -88,6 +90,10 @@
 	return s
 }
 
+// OnOffer sets a function that is told of each owner that hands over a batch, before
+// the holder gets it. It is called before the links start.
+func (s *Server) OnOffer(heard func(job.Owner)) { s.heard = heard }
+
 func (s *Server) handleOffer(ctx context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
 	var o offer
 	if err := cbor.Unmarshal(body, &o); err != nil {
@@ -96,6 +102,7 @@
 	if o.To != s.self.Incarnation {
 		return report{Verdict: verdictNotMine}, nil
 	}
+	s.heard(from)
 	o.Batch.Owner = from
 	rec, early, isNew := s.admit(time.Now(), from, &o)
 	if rec == nil {
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
@@ -56,29 +58,44 @@
 	if len(list) == 0 {
 		return
 	}
-	full := m.compose(now)
-	brief := full
-	brief.Hears = nil
+	b := m.compose(now)
+	full, err := cbor.Marshal(b)
+	if err != nil {
+		m.opts.Log.Error("heartbeat not encoded", "error", err)
+		return
+	}
+	b.Hears = nil
+	brief, err := cbor.Marshal(b)
+	if err != nil {
+		m.opts.Log.Error("heartbeat not encoded", "error", err)
+		return
+	}
 	for _, d := range list {
-		b := brief
+		body := cbor.RawMessage(brief)
 		if d.hears {
-			b = full
+			body = full
 		}
 		// A heartbeat that can't be sent is worth nothing later.
-		_ = m.opts.Mesh.Send(d.to, peer.Heartbeat, b)
+		_ = m.opts.Mesh.Send(d.to, peer.Heartbeat, body)
 	}
 }
 
 // due lists the heartbeats that are due and notes them as sent.
 func (m *Membership) due(now time.Time, all bool) []due {
+	busy := m.busy()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var peers []*peerState
+	var peers, others []*peerState
 	for _, p := range m.detector.peers {
-		if all || now.Sub(m.sent[p.Entry]) >= p.timings.Period-slack {
+		switch {
+		case !all && now.Sub(m.sent[p.Entry]) < p.timings.Period-slack:
+		case all || busy[p.Entry]:
 			peers = append(peers, p)
+		default:
+			others = append(others, p)
 		}
 	}
+	peers = append(peers, m.longestWaiting(now, others)...)
 	turns := m.turns(now, peers)
 	list := make([]due, len(peers))
 	for i, p := range peers {
@@ -92,6 +109,40 @@
 	return list
 }
 
+// longestWaiting returns those who get their heartbeat now: whose turn it is to be told
+// whom this entry hears, and then those who have waited longest, so that the heartbeats
+// of a large fleet spread over time. The caller holds the lock.
+func (m *Membership) longestWaiting(now time.Time, peers []*peerState) []*peerState {
+	if len(peers) <= peer.FullPace {
+		return peers
+	}
+	turns := m.turns(now, peers)
+	var first, rest []*peerState
+	for _, p := range peers {
+		if turns[p.Entry] {
+			first = append(first, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b *peerState) int { return m.sent[a.Entry].Compare(m.sent[b.Entry]) })
+	return slices.Concat(first, rest)[:peer.FullPace]
+}
+
+// busy returns the entries that share transient work with this one. They get
+// heartbeats at the full pace also in a large fleet, since that work ends with the
+// silence of either side. In a small fleet everybody gets them.
+func (m *Membership) busy() map[job.EntryID]bool {
+	if m.opts.Busy == nil || len(m.View().List) <= 1 || peer.Stretch(len(m.View().List)-1) <= 1 {
+		return nil
+	}
+	out := map[job.EntryID]bool{}
+	for _, id := range m.opts.Busy() {
+		out[id] = true
+	}
+	return out
+}
+
 // turns returns which of the peers get the list of whom this entry hears: those whom
 // it was told longest ago, so many of each distance as a period allows. The caller
 // holds the lock.
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 )
 
 // Timings are the detector's figures for entries at one distance.
@@ -72,6 +73,7 @@
 type Detector struct {
 	self    Member
 	peers   []*peerState
+	byName  map[job.EntryID]*peerState
 	version uint64
 	// across is how entries of other zones are watched.
 	across Timings
@@ -82,7 +84,7 @@
 func NewDetector(now time.Time, self job.Owner, peers []Peer) *Detector {
 	d := &Detector{
 		self:    Member{Entry: self.Entry, Zone: self.Zone, Incarnation: self.Incarnation, State: Alive, Since: now},
-		version: 1, across: AcrossZones,
+		version: 1, across: AcrossZones, byName: map[job.EntryID]*peerState{},
 	}
 	for _, p := range peers {
 		d.Add(now, p)
@@ -111,10 +113,12 @@
 	if p.Zone == d.self.Zone {
 		timings = InZone
 	}
-	d.peers = append(d.peers, &peerState{
+	added := &peerState{
 		Member:  Member{Entry: p.Entry, Zone: p.Zone, State: Suspect, Since: now, Reserve: p.Reserve},
 		timings: timings, heard: now,
-	})
+	}
+	d.peers = append(d.peers, added)
+	d.byName[p.Entry] = added
 	d.version++
 }
 
@@ -123,6 +127,7 @@
 	for i, p := range d.peers {
 		if p.Entry == id {
 			d.peers = slices.Delete(d.peers, i, i+1)
+			delete(d.byName, id)
 			d.version++
 			return
 		}
@@ -130,12 +135,7 @@
 }
 
 func (d *Detector) peer(id job.EntryID) *peerState {
-	for _, p := range d.peers {
-		if p.Entry == id {
-			return p
-		}
-	}
-	return nil
+	return d.byName[id]
 }
 
 // set moves a member to a state and notes the change.
@@ -167,6 +167,20 @@
 	return changes
 }
 
+// Touch takes another message than a heartbeat for a sign of life. It says nothing of
+// the state of a life that has told it, and makes one alive that has not yet.
+func (d *Detector) Touch(now time.Time, from job.Owner) []Change {
+	p := d.peer(from.Entry)
+	if p == nil || from.Incarnation < p.Incarnation {
+		return nil
+	}
+	said := p.State
+	if !p.met || from.Incarnation > p.Incarnation || p.State == Suspect || p.State == Dead {
+		said = Alive
+	}
+	return d.Hear(now, from, said, nil)
+}
+
 // vouch takes another entry's word that it hears somebody.
 func (d *Detector) vouch(now time.Time, by job.EntryID, h Heard, changes []Change) []Change {
 	p := d.peer(h.Entry)
@@ -183,21 +197,27 @@
 	return changes
 }
 
+// stretched is a time of a small fleet in this one.
+func (d *Detector) stretched(t time.Duration) time.Duration {
+	return peer.Stretched(t, len(d.peers))
+}
+
 // Tick declares what silence has made certain. refused reports whether
 // connections to an entry are refused by its machine, which proves that the
 // process does not run.
 func (d *Detector) Tick(now time.Time, refused func(job.EntryID) bool) []Change {
 	var changes []Change
+	hold := d.stretched(vouchHold)
 	for _, p := range d.peers {
 		silent := now.Sub(p.heard)
-		vouched := now.Sub(p.vouched) <= vouchHold
+		vouched := now.Sub(p.vouched) <= hold
 		switch {
 		case p.State == Left, p.State == Dead:
 		case silent > refusedAfter && !vouched && refused(p.Entry):
 			changes = d.set(p, now, Dead, p.Incarnation, "its machine refuses connections", changes)
-		case silent > p.timings.DeadAfter && !vouched:
+		case silent > d.stretched(p.timings.DeadAfter) && !vouched:
 			changes = d.set(p, now, Dead, p.Incarnation, fmt.Sprintf("silent for %s and heard by nobody", silent), changes)
-		case silent > p.timings.SuspectAfter && p.State == Alive:
+		case silent > d.stretched(p.timings.SuspectAfter) && p.State == Alive:
 			changes = d.set(p, now, Suspect, p.Incarnation, fmt.Sprintf("silent for %s", silent), changes)
 		}
 	}
@@ -216,7 +236,7 @@
 func (d *Detector) Hears(now time.Time, linked func(job.EntryID) bool) []Heard {
 	var hears []Heard
 	for _, p := range d.peers {
-		if p.met && p.State != Left && now.Sub(p.heard) <= p.timings.VouchWithin && linked(p.Entry) {
+		if p.met && p.State != Left && now.Sub(p.heard) <= d.stretched(p.timings.VouchWithin) && linked(p.Entry) {
 			hears = append(hears, Heard{Entry: p.Entry, Incarnation: p.Incarnation})
 		}
 	}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -83,12 +83,11 @@
 
 // Get returns one member.
 func (m *Members) Get(id job.EntryID) (Member, bool) {
-	for _, member := range m.List {
-		if member.Entry == id {
-			return member, true
-		}
+	i, found := slices.BinarySearchFunc(m.List, id, func(m Member, id job.EntryID) int { return cmp.Compare(m.Entry, id) })
+	if !found {
+		return Member{}, false
 	}
-	return Member{}, false
+	return m.List[i], true
 }
 
 // Gone reports whether that life of an entry has ended or is taken for ended.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -56,6 +56,9 @@
 	// its machine refuses connections. Both may be nil.
 	Linked  func(job.EntryID) bool
 	Refused func(job.EntryID) bool
+	// Busy lists the entries that share transient work with this one: work that
+	// ends with the silence of either. May be nil.
+	Busy func() []job.EntryID
 	// Across is how entries of other zones are watched; zero takes AcrossZones.
 	Across Timings
 }
@@ -189,6 +192,17 @@
 	return time.Since(p.heard)
 }
 
+// Touch notes that a life of an entry was heard by something else than a heartbeat,
+// such as work that it handed over. Between two heartbeats of a large fleet it would
+// be taken for silent.
+func (m *Membership) Touch(from job.Owner) {
+	m.mu.Lock()
+	changes := m.detector.Touch(time.Now(), from)
+	m.publish()
+	m.mu.Unlock()
+	m.tell(changes)
+}
+
 // Run sends heartbeats and watches those of others until ctx ends.
 func (m *Membership) Run(ctx context.Context) error {
 	tick := time.NewTicker(InZone.Period)
@@ -232,16 +246,18 @@
 	m.tell(changes)
 }
 
-// publish stores the view; the caller holds m.mu.
+// publish stores the view if it differs; the caller holds m.mu. It comes with each
+// heartbeat, of which nearly all change nothing: a list of the whole fleet made for
+// each would cost with the square of the fleet.
 func (m *Membership) publish() {
-	view := m.detector.Members(m.opts.Refused)
 	old := m.view.Load()
-	if view.Version != old.Version || view.Isolated != old.Isolated {
-		m.view.Store(view)
-		select {
-		case m.changed <- struct{}{}:
-		default:
-		}
+	if m.detector.version == old.Version && m.detector.isolated(m.opts.Refused) == old.Isolated {
+		return
+	}
+	m.view.Store(m.detector.Members(m.opts.Refused))
+	select {
+	case m.changed <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -289,7 +289,7 @@
 }
 
 func (l *link) next() ([]byte, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, l.owner.opts.Silence)
+	ctx, cancel := context.WithTimeout(l.ctx, l.owner.silence())
 	defer cancel()
 	_, message, err := l.conn.Read(ctx)
 	return message, errors.Trace(err)
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -36,8 +36,16 @@
 	// what is queued.
 	closeTimeout = 3 * time.Second
 	// probePeriod is how often an entry that waits to be dialled looks whether
-	// the peer's process runs at all.
+	// the processes of its peers run at all, and maxProbes at how many of them it
+	// looks each time, in turn. When a large fleet starts, each entry waits for
+	// hundreds of others; looked at all at once four times a second, they had no
+	// processor left for the links themselves.
 	probePeriod = 250 * time.Millisecond
+	maxProbes   = 16
+	// maxDials bounds the links that are being opened at once. Each of some hundred
+	// entries that start together gets that many for each other one; more than
+	// maxHandshakes at one entry are turned away and would have to come again.
+	maxDials = 32
 	// maxHandshakes bounds the connections that have not proved themselves, so
 	// that strangers can't hold many goroutines and buffers.
 	maxHandshakes     = 64
@@ -97,6 +105,8 @@
 	client *http.Client
 	// unproven counts the connections in their handshake.
 	unproven atomic.Int64
+	// dials holds a token for each link that is being opened.
+	dials chan struct{}
 
 	mu       sync.RWMutex
 	remotes  map[job.EntryID]*remote
@@ -115,6 +125,7 @@
 	l := &Links{
 		opts: opts, log: opts.Log, stats: counters{kinds: map[Kind]*KindStats{}},
 		remotes: map[job.EntryID]*remote{}, handlers: map[Kind]Handler{}, ordered: map[Kind]bool{},
+		dials: make(chan struct{}, maxDials),
 	}
 	if l.log == nil {
 		l.log = slog.New(slog.DiscardHandler)
@@ -219,14 +230,19 @@
 	return err
 }
 
+// silence is how long a link may bring nothing.
+func (l *Links) silence() time.Duration {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return Stretched(l.opts.Silence, len(l.remotes))
+}
+
 func (l *Links) current(to job.EntryID) *link {
 	r := l.remote(to)
 	if r == nil {
 		return nil
 	}
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.link
+	return r.current()
 }
 
 // Run dials the peers with a larger name and keeps the links up until ctx
@@ -245,12 +261,11 @@
 			case <-ctx.Done():
 			}
 		})
-		if l.opts.Self.Entry < r.Entry {
+		if l.dialsTo(r) {
 			wg.Go(func() { l.keepDialling(ctx, r) })
-		} else {
-			wg.Go(func() { l.keepProbing(ctx, r) })
 		}
 	}
+	wg.Go(func() { l.keepProbing(ctx) })
 	l.mu.Lock()
 	l.keep = keep
 	for _, r := range l.remotes {
@@ -324,43 +339,87 @@
 	}
 }
 
-// keepProbing watches a peer that should dial this entry: while it does not, a
+// dialsTo reports whether this side opens the link to an entry.
+func (l *Links) dialsTo(r *remote) bool { return l.opts.Self.Entry < r.Entry }
+
+// keepProbing watches the peers that should dial this entry: while one does not, a
 // bare connection tells whether its process runs.
-func (l *Links) keepProbing(ctx context.Context, r *remote) {
+func (l *Links) keepProbing(ctx context.Context) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(probePeriod):
 		}
-		if l.current(r.Entry) != nil {
-			r.refused.Store(false)
-			continue
+		for _, r := range l.toProbe() {
+			wg.Go(func() {
+				defer r.probing.Store(false)
+				conn, err := dialer.DialContext(ctx, "tcp", r.address())
+				r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+				if err == nil {
+					conn.Close()
+				}
+			})
 		}
-		conn, err := dialer.DialContext(ctx, "tcp", r.address())
-		r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
-		if err == nil {
-			conn.Close()
+	}
+}
+
+// toProbe draws the peers to look at now. They are marked as being looked at.
+func (l *Links) toProbe() []*remote {
+	var missing []*remote
+	for _, r := range l.all() {
+		switch {
+		case l.dialsTo(r):
+		case r.current() != nil:
+			r.refused.Store(false)
+		case !r.probing.Load():
+			missing = append(missing, r)
 		}
 	}
+	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	missing = missing[:min(len(missing), maxProbes)]
+	for _, r := range missing {
+		r.probing.Store(true)
+	}
+	return missing
 }
 
 // dial opens one link and serves it until it breaks.
 func (l *Links) dial(ctx context.Context, r *remote) error {
+	k, err := l.open(ctx, r)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return l.serve(r, k)
+}
+
+// open opens one link once it is among the few that are being opened.
+func (l *Links) open(ctx context.Context, r *remote) (*link, error) {
+	select {
+	case l.dials <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Trace(ctx.Err())
+	}
+	defer func() { <-l.dials }()
+	if ctx.Err() != nil { // both were ready
+		return nil, errors.Trace(ctx.Err())
+	}
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(dialing, "ws://"+r.address()+Path, &websocket.DialOptions{HTTPClient: l.client})
 	r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	theirs, err := dialHandshake(ctx, conn, l.hello(r.Entry), l.opts.Secret, r.check)
 	if err != nil {
 		_ = conn.CloseNow()
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	return l.serve(r, newLink(l, theirs, conn))
+	return newLink(l, theirs, conn), nil
 }
 
 // serve makes k the link to r and serves it until it breaks. A link of an
--- /dev/null
+++ b/internal/peer/pace_test.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// A fleet of 300 entries starts, or comes back from a loss of power, and nobody has got
+// round to dialling this entry yet. It must not spend the processor of all of them on
+// looking whether they run: a caller then finds no entry that serves for as long.
+func TestProbesOfALargeFleetAreBounded(t *testing.T) {
+	const peers, looked, most = 200, 1500 * time.Millisecond, 100
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var probes atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			probes.Add(1)
+			conn.Close()
+		}
+	}()
+	defer ln.Close()
+	var others []Peer
+	for i := range peers {
+		others = append(others, Peer{Entry: job.EntryID(fmt.Sprintf("a-%03d", i)), Zone: "z", Address: ln.Addr().String()})
+	}
+	l := New(Options{Self: job.Owner{Entry: "b", Incarnation: 1, Zone: "z"}, Peers: others})
+	ctx, cancel := context.WithTimeout(t.Context(), looked)
+	defer cancel()
+	qt.Assert(t, l.Run(ctx), qt.IsNil)
+	qt.Assert(t, probes.Load() <= most, qt.IsTrue, qt.Commentf("%d connections", probes.Load()))
+	qt.Assert(t, probes.Load() >= most/10, qt.IsTrue, qt.Commentf("%d connections", probes.Load()))
+}
+
+// A fleet of 300 entries starts, and those that this entry should dial accept its
+// connections but have no processor to answer yet. It must not open hundreds of links
+// at the same time, of which each one that times out is dialled again.
+func TestLinksBeingOpenedAreBounded(t *testing.T) {
+	const peers, most = 200, 40
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer ln.Close()
+	var open atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			defer conn.Close()
+		}
+	}()
+	var others []Peer
+	for i := range peers {
+		others = append(others, Peer{Entry: job.EntryID(fmt.Sprintf("b-%03d", i)), Zone: "z", Address: ln.Addr().String()})
+	}
+	l := New(Options{Self: job.Owner{Entry: "a", Incarnation: 1, Zone: "z"}, Peers: others})
+	ctx, cancel := context.WithTimeout(t.Context(), dialTimeout/2)
+	defer cancel()
+	qt.Assert(t, l.Run(ctx), qt.IsNil)
+	qt.Assert(t, open.Load() <= most, qt.IsTrue, qt.Commentf("%d links", open.Load()))
+	qt.Assert(t, open.Load() >= most/2, qt.IsTrue, qt.Commentf("%d links", open.Load()))
+}
--- a/internal/peer/remotes.go
+++ b/internal/peer/remotes.go
@@ -21,6 +21,8 @@
 	link   *link
 	// refused is set while the peer's machine refuses connections.
 	refused atomic.Bool
+	// probing is set while this entry looks whether the peer's process runs.
+	probing atomic.Bool
 }
 
 func newRemote(p Peer) *remote { return &remote{Peer: p, forgotten: make(chan struct{})} }
@@ -32,6 +34,13 @@
 	return r.Address
 }
 
+// current is the link that stands, or nil.
+func (r *remote) current() *link {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.link
+}
+
 func (l *Links) remote(id job.EntryID) *remote {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -79,10 +88,7 @@
 		return
 	}
 	close(r.forgotten)
-	r.mu.RLock()
-	k := r.link
-	r.mu.RUnlock()
-	if k != nil {
+	if k := r.current(); k != nil {
 		k.breakOff()
 	}
 }
