Record who gives a target its orders, leases that ran out, and changes of voters

Cause: of a lost run the time line told the end, but not that the target had changed hands or that its lease had run out before the task went elsewhere, and voters that changed stood in one entry's log only. New events target_taken and target_yielded (with the epoch), lease_run_out and voters_changed; the first two take the place of two log lines, since each event is one already. explain brings the last two of a target beside a lost task. Ruled out: batches received and reported as events: one line more for each job, while task_queued already names the owner.

--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -27,6 +27,7 @@
 			Lease:   e.opts.Lease,
 			Gone:    func() { e.targets.drop(t.ID) },
 			Yielded: func() { e.targets.yield(t.ID) },
+			Events:  e.events,
 			Log:     e.log,
 		})
 	}
--- a/internal/register/fleet_test.go
+++ b/internal/register/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // fleet is a set of entries on a network in memory.
@@ -30,6 +31,8 @@
 	life  job.Incarnation
 	// mend, when set, has the voters mended.
 	mend *Mend
+	// events, when set, gets what all entries record.
+	events timeline.Sink
 	// wrap, when set, goes around the link of an entry that starts.
 	wrap func(peer.Mesh) peer.Mesh
 }
@@ -82,7 +85,7 @@
 		jump := rand.New(rand.NewPCG(life, uint64(now.UnixNano()))).Int64N(int64(48 * time.Hour))
 		return now.Add(time.Duration(jump) - 24*time.Hour)
 	}
-	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock, Mend: f.mend}
+	opts := Options{Mesh: mesh, Voters: f.voters, Entries: f.entries, Clock: clock, Mend: f.mend, Events: f.events}
 	if fs != nil {
 		store, err := storage.Open("data", fs)
 		qt.Assert(f.t, err, qt.IsNil)
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -10,6 +10,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/policy/voters"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 const (
@@ -93,4 +94,13 @@
 		return
 	}
 	r.log.Info("the voters were mended", "old", a.Old, "new", a.New, "identity", voter.Identity, "cause", a.Cause)
+	r.ev.Record(timeline.Event{Kind: timeline.VotersChanged, Peer: a.New, Cause: changeOf(a)})
+}
+
+// changeOf words a change of the voters for the time line.
+func changeOf(a voters.Action) string {
+	if a.Old == "" {
+		return "added: " + a.Cause
+	}
+	return "in place of " + string(a.Old) + ": " + a.Cause
 }
--- a/internal/register/mend_test.go
+++ b/internal/register/mend_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/policy/voters"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // mending has the fleet mend its voters. An entry counts as alive while it runs.
@@ -80,6 +82,45 @@
 	}
 }
 
+// voterChanges keeps the causes of changes of the voters.
+type voterChanges struct {
+	mu     sync.Mutex
+	causes []string
+}
+
+func (v *voterChanges) Record(ev timeline.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if ev.Kind == timeline.VotersChanged {
+		v.causes = append(v.causes, string(ev.Peer)+" "+ev.Cause)
+	}
+}
+
+// A fleet that has to bear two lost disks forms with three and widens itself. Who later asks why
+// another disk votes finds each change of the voters in the time line, with its cause.
+func TestChangesOfVotersAreRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := &voterChanges{}
+		f := &fleet{t: t, nodes: map[job.EntryID]*member{}, events: changes}
+		f.net = newNetwork()
+		f.voters = []job.EntryID{"v1", "v2", "v3"}
+		f.entries = []job.EntryID{"v1", "v2", "v3", "v4", "v5"}
+		f.mending(5)
+		for _, e := range f.entries {
+			f.start(e, &storagetest.FS{})
+		}
+		defer f.stopAll()
+		time.Sleep(8 * time.Second)
+		qt.Assert(t, f.voterCount("v1"), qt.Equals, 5)
+		changes.mu.Lock()
+		defer changes.mu.Unlock()
+		slices.Sort(changes.causes)
+		qt.Assert(t, changes.causes, qt.HasLen, 2)
+		qt.Assert(t, changes.causes[0], qt.Matches, "v4 added: .+")
+		qt.Assert(t, changes.causes[1], qt.Matches, "v5 added: .+")
+	})
+}
+
 // strike takes power from all entries; the first and another one lose their disks.
 func (f *fleet) strike(r *rand.Rand, aimed job.EntryID) {
 	others := slices.DeleteFunc(slices.Clone(f.entries), func(e job.EntryID) bool { return e == aimed })
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // keepLooking starts the loop of looks unless it runs; the caller holds the
@@ -163,9 +164,10 @@
 // lapse ends the runs of a target whose lease has certainly run out; the caller
 // holds the lock.
 func (s *Session) lapse(now time.Time) {
-	if now.Before(s.until) {
+	if now.Before(s.until) || len(s.runs) == 0 {
 		return
 	}
+	s.record(timeline.LeaseRunOut, "the target is silent, and its last lease of epoch %d has ended by any clock; %d runs", s.epoch, len(s.runs))
 	for ref, r := range s.runs {
 		s.end(ref, r, erred(job.TargetLost, "the target was silent until its lease had run out", true))
 	}
@@ -204,7 +206,7 @@
 	if !s.settled {
 		s.settled = true
 		close(s.ready)
-		s.opts.Log.Info("target settled", "target", s.opts.Target, "epoch", s.epoch, "runs", len(s.runs))
+		s.record(timeline.TargetTaken, "it has obeyed epoch %d; %d runs", s.epoch, len(s.runs))
 	}
 	return 0
 }
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 const (
@@ -51,7 +53,10 @@
 	// Yielded once that another entry has taken the target.
 	Gone    func()
 	Yielded func()
-	Log     *slog.Logger
+	// Events gets each change of who gives the target its orders, and each lease
+	// that has run out; nil keeps none.
+	Events timeline.Sink
+	Log    *slog.Logger
 }
 
 // Session gives orders to one target and renews its lease while anything of
@@ -126,6 +131,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Events == nil {
+		o.Events = timeline.Discard{}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Session{opts: o, ctx: ctx, stop: stop, runs: map[Ref]*run{}, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.mu.Lock()
@@ -221,6 +229,11 @@
 	return false
 }
 
+// record notes what concerns the whole target.
+func (s *Session) record(kind timeline.Kind, format string, args ...any) {
+	s.opts.Events.Record(timeline.Event{Kind: kind, Target: s.opts.Target, Cause: fmt.Sprintf(format, args...)})
+}
+
 // yield gives the target up to the entry that has taken it, which is the one that
 // heard of it last; the caller holds the lock. Two entries that took it from each
 // other in turn would each stop what the other one started.
@@ -229,7 +242,7 @@
 		return
 	}
 	s.deposed = true
-	s.opts.Log.Info("target taken by another entry", "target", s.opts.Target, "epoch", s.epoch, "runs", len(s.runs))
+	s.record(timeline.TargetYielded, "a higher epoch than %d was seen there; %d runs", s.epoch, len(s.runs))
 	s.keepLooking()
 	if s.opts.Yielded != nil {
 		go s.opts.Yielded()
--- a/internal/timeline/explain.go
+++ b/internal/timeline/explain.go
@@ -88,7 +88,7 @@
 	var kinds []Kind
 	switch ev.Reason {
 	case job.TargetLost, job.TargetRefused:
-		subject, kinds = string(ev.Target), []Kind{TargetLapsed, TargetLeaving, TargetSuspect}
+		subject, kinds = string(ev.Target), []Kind{TargetLapsed, TargetLeaving, TargetSuspect, TargetYielded, LeaseRunOut}
 	case job.HolderLost, job.OwnerLost, job.ZoneUnreachable:
 		subject, kinds = string(ev.Peer), []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped}
 	}
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -123,6 +123,10 @@
 	TargetLapsed:       "the lease of target %s lapsed",
 	TargetSuspect:      "target %s is suspected and gets only probes",
 	TargetHealthy:      "target %s is healthy again",
+	TargetTaken:        "this entry gives target %s its orders from now on",
+	TargetYielded:      "this entry gives target %s up to another one, and its runs there are over",
+	LeaseRunOut:        "the lease of the runs on target %s has run out",
+	VotersChanged:      "the voters change: %s votes",
 	EntryAlive:         "entry %s is alive",
 	EntrySuspect:       "entry %s is suspected",
 	EntryDead:          "entry %s is taken for dead",
@@ -144,7 +148,7 @@
 	}
 	subject := string(ev.Peer)
 	switch ev.Kind {
-	case TargetAnnounced, TargetLeaving, TargetLapsed, TargetSuspect, TargetHealthy:
+	case TargetAnnounced, TargetLeaving, TargetLapsed, TargetSuspect, TargetHealthy, TargetTaken, TargetYielded, LeaseRunOut:
 		subject = string(ev.Target)
 	case EntryStarted, EntryDraining, EntryStopped:
 		subject = string(ev.Entry)
