--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
@@ -25,27 +22,9 @@
 const JoinPath = "/v1/join"
 
 const (
-	dialTimeout = 2 * time.Second
-	// The pause between dials starts short, since most broken links are
-	// restarts, and grows to one that costs nothing while a peer is away for
-	// days. Jitter keeps the entries of a zone from dialling a returning one
-	// all at the same moment.
-	minPause = 50 * time.Millisecond
-	maxPause = time.Second
 	// closeTimeout is how long a planned stop waits until its peers have read
 	// what is queued.
 	closeTimeout = 3 * time.Second
-	// probePeriod is how often an entry that waits to be dialled looks whether
-	// the processes of its peers run at all, and maxProbes at how many of them it
-	// looks each time, in turn. When a large fleet starts, each entry waits for
-	// hundreds of others; looked at all at once four times a second, they had no
-	// processor left for the links themselves.
-	probePeriod = 250 * time.Millisecond
-	maxProbes   = 16
-	// maxDials bounds the links that are being opened at once. Each of some hundred
-	// entries that start together gets that many for each other one; more than
-	// maxHandshakes at one entry are turned away and would have to come again.
-	maxDials = 32
 	// maxHandshakes bounds the connections that have not proved themselves, so
 	// that strangers can't hold many goroutines and buffers.
 	maxHandshakes     = 64
@@ -320,108 +299,6 @@
 	return l.closed
 }
 
-func (l *Links) keepDialling(ctx context.Context, r *remote) {
-	pause := minPause
-	for ctx.Err() == nil {
-		start := time.Now()
-		err := l.dial(ctx, r)
-		if time.Since(start) > maxPause {
-			pause = minPause
-		}
-		if pause == minPause && ctx.Err() == nil {
-			l.log.Warn("peer link not up", "peer", r.Entry, "address", r.address(), "cause", err)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
-		pause = min(2*pause, maxPause)
-	}
-}
-
-// dialsTo reports whether this side opens the link to an entry.
-func (l *Links) dialsTo(r *remote) bool { return l.opts.Self.Entry < r.Entry }
-
-// keepProbing watches the peers that should dial this entry: while one does not, a
-// bare connection tells whether its process runs.
-func (l *Links) keepProbing(ctx context.Context) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(probePeriod):
-		}
-		for _, r := range l.toProbe() {
-			wg.Go(func() {
-				defer r.probing.Store(false)
-				conn, err := dialer.DialContext(ctx, "tcp", r.address())
-				r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
-				if err == nil {
-					conn.Close()
-				}
-			})
-		}
-	}
-}
-
-// toProbe draws the peers to look at now. They are marked as being looked at.
-func (l *Links) toProbe() []*remote {
-	var missing []*remote
-	for _, r := range l.all() {
-		switch {
-		case l.dialsTo(r):
-		case r.current() != nil:
-			r.refused.Store(false)
-		case !r.probing.Load():
-			missing = append(missing, r)
-		}
-	}
-	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-	missing = missing[:min(len(missing), maxProbes)]
-	for _, r := range missing {
-		r.probing.Store(true)
-	}
-	return missing
-}
-
-// dial opens one link and serves it until it breaks.
-func (l *Links) dial(ctx context.Context, r *remote) error {
-	k, err := l.open(ctx, r)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return l.serve(r, k)
-}
-
-// open opens one link once it is among the few that are being opened.
-func (l *Links) open(ctx context.Context, r *remote) (*link, error) {
-	select {
-	case l.dials <- struct{}{}:
-	case <-ctx.Done():
-		return nil, errors.Trace(ctx.Err())
-	}
-	defer func() { <-l.dials }()
-	if ctx.Err() != nil { // both were ready
-		return nil, errors.Trace(ctx.Err())
-	}
-	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, _, err := websocket.Dial(dialing, "ws://"+r.address()+Path, &websocket.DialOptions{HTTPClient: l.client})
-	r.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	theirs, err := dialHandshake(ctx, conn, l.hello(r.Entry), l.opts.Secret, r.check)
-	if err != nil {
-		_ = conn.CloseNow()
-		return nil, errors.Trace(err)
-	}
-	return newLink(l, theirs, conn), nil
-}
-
 // serve makes k the link to r and serves it until it breaks. A link of an
 // earlier life of the peer never replaces one of a later life.
 func (l *Links) serve(r *remote, k *link) error {
