Record for whom an unanswered submission waited, and which batch was given up

The lines of what had been handed over are of successes and left out under load, and the holder beyond the cut could not be asked. Now the owner records batch_awaited for each holder that has not reported when a submission is stopped, and batch_lost when it gives a batch up, both as failures, which the budget keeps.

--- a/internal/handover/lost_test.go
+++ b/internal/handover/lost_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // flapping is a mesh whose link to the holder breaks again and again: each call
@@ -76,6 +77,32 @@
 	})
 }
 
+// lossesKept counts the batches that were recorded as lost.
+type lossesKept struct{ lost []timeline.Event }
+
+func (k *lossesKept) Record(ev timeline.Event) {
+	if ev.Kind == timeline.BatchLost {
+		k.lost = append(k.lost, ev)
+	}
+}
+
+// A holder is gone for good, and its tasks run a second time elsewhere. Who wonders why
+// a job took two seconds finds which holder was lost and by what its owner judged.
+func TestLostHolderIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kept := &lossesKept{}
+		gone := func(job.EntryID, job.Incarnation) time.Duration { return time.Hour }
+		r := NewRemote(RemoteOptions{Mesh: &flapping{breaks: 1, takes: 100 * time.Millisecond, down: true}, Silent: gone, Events: kept})
+		got := make(chan []job.TaskOutcome, 1)
+		r.Offer(context.Background(), "h", 1, transientBatch(), func(o []job.TaskOutcome) { got <- o })
+		<-got
+		qt.Assert(t, kept.lost, qt.HasLen, 1)
+		qt.Assert(t, kept.lost[0].Peer, qt.Equals, job.EntryID("h"))
+		qt.Assert(t, kept.lost[0].Submission, qt.Equals, job.ID("j"))
+		qt.Assert(t, kept.lost[0].Cause, qt.Matches, "no link for .+, unheard for 1h0m0s")
+	})
+}
+
 // A holder is gone for good. Its owner may place the tasks anew, but not before
 // the holder, if it lives, has stopped them, or the leases of its targets have run
 // out.
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -182,7 +183,7 @@
 			// Its earlier life ended before this answer, and the leases that it
 			// gave run out within the same bound.
 			r.wait(ctx, lostAfter)
-			return lost(&b)
+			return r.lose(to, &b, start, "it runs a later life")
 		}
 		if err == nil && answer.Verdict != verdictSuperseded {
 			r.ack(to, o.Number)
@@ -209,7 +210,7 @@
 			broken = time.Now() // until now the holder may have heard this owner
 		}
 		if b.Transient && time.Since(broken) > lostAfter && r.silent(to, o.To) > lostAfter {
-			return lost(&b)
+			return r.lose(to, &b, start, fmt.Sprintf("no link for %s, unheard for %s", time.Since(broken).Round(time.Millisecond), r.silent(to, o.To).Round(time.Millisecond)))
 		}
 		if b.Transient {
 			r.wait(ctx, pause)
@@ -222,6 +223,15 @@
 	}
 }
 
+// lose gives a batch up whose holder is lost and whose runs have ended.
+func (r *Remote) lose(to job.EntryID, b *job.Batch, since time.Time, cause string) []job.TaskOutcome {
+	r.events.Record(timeline.Event{
+		Kind: timeline.BatchLost, Submission: b.Submission, Peer: to, Count: len(b.Tasks),
+		Took: time.Since(since), Reason: job.HolderLost, Cause: cause,
+	})
+	return lost(b)
+}
+
 // lost is the outcome of tasks whose holder is lost and whose runs have ended.
 func lost(b *job.Batch) []job.TaskOutcome {
 	outcomes := whole(b, job.TaskErred, job.HolderLost, "the holder was lost and its runs have ended")
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,10 +68,18 @@
 	mu        sync.Mutex
 	collector *Collector
 	placing   placing
+	// handed is what holders have and have not reported.
+	handed map[job.EntryID]handed
 	// granted are the tasks that the keeper has granted to this flight.
 	granted map[int]bool
 }
 
+// handed is a batch on its way.
+type handed struct {
+	tasks int
+	at    time.Time
+}
+
 // Process implements Stage. It returns when the answer is decided; it never
 // waits for a task whose job can no longer be complete.
 func (r *Run) Process(ctx context.Context, f *Flow, _ Next) job.Answer {
@@ -79,6 +89,7 @@
 		done:      make(chan job.Answer, 1),
 		collector: NewCollector(f.Submission, f.Started, f.Held),
 		placing:   newPlacing(),
+		handed:    map[job.EntryID]handed{},
 		granted:   map[int]bool{},
 	}
 	fl.offer(fl.collector.Open())
@@ -160,6 +171,9 @@
 	if !finished {
 		fl.collector.Offered()
 		fl.placing.offered(parts)
+		for _, p := range parts {
+			fl.handed[p.Holder] = handed{len(p.Tasks), now}
+		}
 	}
 	fl.mu.Unlock()
 	if finished {
@@ -290,6 +304,7 @@
 	fl.mu.Lock()
 	v := fl.collector.Add(outcomes)
 	fl.placing.reported(from, outcomes)
+	delete(fl.handed, from)
 	fl.mu.Unlock()
 	fl.act(v)
 }
@@ -308,13 +323,30 @@
 	}
 }
 
+// stop ends a submission before all its tasks have ended.
 func (fl *flight) stop(outcome job.Outcome, reason job.Reason, detail string) {
+	fl.tellAwaited(reason)
 	fl.mu.Lock()
 	v := fl.collector.Stop(outcome, reason, detail)
 	fl.mu.Unlock()
 	fl.act(v)
 }
 
+// tellAwaited records for whom a submission waited that ends without them: the owner
+// alone knows, and where the holder is cut off or paused its own records can't be had.
+func (fl *flight) tellAwaited(reason job.Reason) {
+	fl.mu.Lock()
+	awaited := maps.Clone(fl.handed)
+	fl.mu.Unlock()
+	for _, holder := range slices.Sorted(maps.Keys(awaited)) {
+		h := awaited[holder]
+		fl.stage.Events.Record(timeline.Event{
+			Kind: timeline.BatchAwaited, Submission: fl.flow.Submission.ID, Peer: holder,
+			Count: h.tasks, Took: time.Since(h.at), Reason: reason,
+		})
+	}
+}
+
 // withdrawTime bounds how long a failed submission waits for its holders' word
 // that nothing of it ran: a crossing both ways and the pause of a busy VM. A
 // caller that is told "not run" may turn elsewhere; any other word leaves it in
--- a/internal/pipeline/run_test.go
+++ b/internal/pipeline/run_test.go
@@ -1,8 +1,11 @@
 package pipeline
 
 import (
+	"context"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -59,3 +62,42 @@
 		}
 	}
 }
+
+// silentHolder is a pair of holders of which the second never reports.
+type silentHolder struct{ twoHolders }
+
+func (h *silentHolder) Offer(to job.EntryID, _ string, b *job.Batch, report func([]job.TaskOutcome)) {
+	if to == "h1" {
+		report([]job.TaskOutcome{{Index: b.Tasks[0].Index, Status: job.TaskDone}})
+	}
+}
+
+// keptEvents keeps what the stages record.
+type keptEvents struct {
+	mu  sync.Mutex
+	all []timeline.Event
+}
+
+func (k *keptEvents) Record(ev timeline.Event) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.all = append(k.all, ev)
+}
+
+// A holder is cut off with a part of a job. The caller waits two seconds and hangs up,
+// and the holder's own records can't be had. The engineer on call, who has the
+// request's id, must learn from the owner which entry the answer waited for.
+func TestWhomAnUnansweredSubmissionWaitedForIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		events := &keptEvents{}
+		r := &Run{Holders: &silentHolder{}, Events: events}
+		ctx, hangUp := context.WithCancelCause(t.Context())
+		time.AfterFunc(2*time.Second, func() { hangUp(ErrCallerGone) })
+		r.Process(ctx, &Flow{Submission: &job.Submission{ID: "j", Tasks: make([]job.TaskSpec, 2)}}, nil)
+		awaited := slices.DeleteFunc(events.all, func(ev timeline.Event) bool { return ev.Kind != timeline.BatchAwaited })
+		qt.Assert(t, awaited, qt.DeepEquals, []timeline.Event{{
+			Kind: timeline.BatchAwaited, Submission: "j", Peer: "h2", Count: 1,
+			Took: 2 * time.Second, Reason: job.CallerGone,
+		}})
+	})
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -27,6 +27,8 @@
 	BatchOffered       Kind = "batch_offered"
 	BatchReceived      Kind = "batch_received"
 	BatchReported      Kind = "batch_reported"
+	BatchLost          Kind = "batch_lost"
+	BatchAwaited       Kind = "batch_awaited"
 	TaskQueued         Kind = "task_queued"
 	TaskStarted        Kind = "task_started"
 	TaskEnded          Kind = "task_ended"
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -76,6 +76,10 @@
 		return fmt.Sprintf("%s handed to holder %s%s", batch(ev), ev.Peer, why(ev))
 	case BatchReceived:
 		return fmt.Sprintf("%s taken from owner %s%s", batch(ev), ev.Peer, why(ev))
+	case BatchLost:
+		return fmt.Sprintf("%s lost with holder %s%s%s", batch(ev), ev.Peer, after(ev), why(ev))
+	case BatchAwaited:
+		return fmt.Sprintf("%s still with holder %s when the submission ended%s%s", batch(ev), ev.Peer, after(ev), why(ev))
 	case BatchReported:
 		return fmt.Sprintf("%s reported to owner %s%s%s", batch(ev), ev.Peer, after(ev), why(ev))
 	}
