--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -133,7 +133,7 @@
 // heartbeats at the full pace also in a large fleet, since that work ends with the
 // silence of either side. In a small fleet everybody gets them.
 func (m *Membership) busy() map[job.EntryID]bool {
-	if m.opts.Busy == nil || len(m.View().List) <= 1 || peer.Stretch(len(m.View().List)-1) <= 1 {
+	if m.opts.Busy == nil || len(m.View().List)-1 <= peer.FullPace {
 		return nil
 	}
 	out := map[job.EntryID]bool{}
