--- a/internal/register/mend_test.go
+++ b/internal/register/mend_test.go
@@ -43,6 +43,22 @@
 // voterCount returns how many voters the entry knows of.
 func (f *fleet) voterCount(e job.EntryID) int { return len(f.nodes[e].State().Voters) }
 
+// newWidenedFleet starts five entries with disks, of which three form the register,
+// and lets them widen it to five voters.
+func newWidenedFleet(t *testing.T, events timeline.Sink) *fleet {
+	f := &fleet{t: t, nodes: map[job.EntryID]*member{}, events: events}
+	f.net = newNetwork()
+	f.voters = []job.EntryID{"v1", "v2", "v3"}
+	f.entries = []job.EntryID{"v1", "v2", "v3", "v4", "v5"}
+	f.mending(5)
+	for _, e := range f.entries {
+		f.start(e, &storagetest.FS{})
+	}
+	time.Sleep(8 * time.Second)
+	qt.Assert(t, f.voterCount("v1"), qt.Equals, 5)
+	return f
+}
+
 // The fleet has to bear two lost disks and starts with three voters. It widens
 // itself to five, and then two disks are lost together right after a change was
 // acknowledged, while all others lose power: aimed at those that took it. The
@@ -52,17 +68,8 @@
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fleet{t: t, nodes: map[job.EntryID]*member{}}
-				f.net = newNetwork()
-				f.voters = []job.EntryID{"v1", "v2", "v3"}
-				f.entries = []job.EntryID{"v1", "v2", "v3", "v4", "v5"}
-				f.mending(5)
-				for _, e := range f.entries {
-					f.start(e, &storagetest.FS{})
-				}
+				f := newWidenedFleet(t, nil)
 				defer f.stopAll()
-				time.Sleep(8 * time.Second)
-				qt.Assert(t, f.voterCount("v1"), qt.Equals, 5)
 				r := rand.New(rand.NewPCG(seed, 1))
 				for round := range 3 {
 					number := round + 1
@@ -96,22 +103,14 @@
 	}
 }
 
-// A fleet that has to bear two lost disks forms with three and widens itself. Who later asks why
-// another disk votes finds each change of the voters in the time line, with its cause.
+// A fleet that has to bear two lost disks forms with three and widens itself. Who later
+// asks why another disk votes finds each change of the voters in the time line, with its
+// cause.
 func TestChangesOfVotersAreRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		changes := &voterChanges{}
-		f := &fleet{t: t, nodes: map[job.EntryID]*member{}, events: changes}
-		f.net = newNetwork()
-		f.voters = []job.EntryID{"v1", "v2", "v3"}
-		f.entries = []job.EntryID{"v1", "v2", "v3", "v4", "v5"}
-		f.mending(5)
-		for _, e := range f.entries {
-			f.start(e, &storagetest.FS{})
-		}
+		f := newWidenedFleet(t, changes)
 		defer f.stopAll()
-		time.Sleep(8 * time.Second)
-		qt.Assert(t, f.voterCount("v1"), qt.Equals, 5)
 		changes.mu.Lock()
 		defer changes.mu.Unlock()
 		slices.Sort(changes.causes)
