Keep once what holders have of a submission

The flight kept beside its placing which holders had not reported; the placing has that set already and now keeps the count and the time with it. The tests of the placing pass a time; nothing else of them changes.

--- a/internal/pipeline/placing.go
+++ b/internal/pipeline/placing.go
@@ -27,7 +27,7 @@
 type placing struct {
 	// open are holders with a batch of the submission that is not reported. A
 	// holder takes one batch of a submission at a time.
-	open map[job.EntryID]bool
+	open map[job.EntryID]handed
 	// refused are holders that gave tasks back since the last acceptance.
 	refused map[job.EntryID]bool
 	// refusal is the last of these refusals, refusals their number.
@@ -40,8 +40,14 @@
 	fluxSince time.Time
 }
 
+// handed is a batch on its way.
+type handed struct {
+	tasks int
+	at    time.Time
+}
+
 func newPlacing() placing {
-	return placing{open: map[job.EntryID]bool{}, refused: map[job.EntryID]bool{}}
+	return placing{open: map[job.EntryID]handed{}, refused: map[job.EntryID]bool{}}
 }
 
 // working returns the holders that have tasks of the submission.
@@ -57,7 +63,7 @@
 func (p *placing) without() []job.EntryID {
 	out := p.working()
 	for h := range p.refused {
-		if !p.open[h] {
+		if _, open := p.open[h]; !open {
 			out = append(out, h)
 		}
 	}
@@ -68,10 +74,10 @@
 // refusal of the others for load would waste them.
 func (p *placing) committed(done int) bool { return done > 0 || len(p.open) > 0 }
 
-func (p *placing) offered(parts []Part) {
+func (p *placing) offered(now time.Time, parts []Part) {
 	p.since = time.Time{}
 	for _, part := range parts {
-		p.open[part.Holder] = true
+		p.open[part.Holder] = handed{len(part.Tasks), now}
 	}
 }
 
--- a/internal/pipeline/placing_test.go
+++ b/internal/pipeline/placing_test.go
@@ -21,7 +21,7 @@
 func TestPlacingGivesUpAtOnceWhenNothingWasAccepted(t *testing.T) {
 	p := newPlacing()
 	for _, h := range []job.EntryID{"a", "b", "c"} {
-		p.offered([]Part{{Holder: h}})
+		p.offered(time.Now(), []Part{{Holder: h}})
 		p.reported(h, refusal(job.Overloaded))
 	}
 	end, wait := p.unplaced(noon, job.NoTarget, 0)
@@ -35,7 +35,7 @@
 	qt.Assert(t, end.Reason, qt.Equals, job.NoTarget)
 
 	p = newPlacing()
-	p.offered([]Part{{Holder: "a"}})
+	p.offered(time.Now(), []Part{{Holder: "a"}})
 	p.reported("a", refusal(job.Overloaded))
 	_, wait = p.unplaced(noon, job.NoTarget, 0)
 	qt.Assert(t, wait, qt.IsFalse)
@@ -46,7 +46,7 @@
 // failing, though nothing of it was accepted elsewhere.
 func TestPlacingWaitsWhileTargetsChangeHands(t *testing.T) {
 	p := newPlacing()
-	p.offered([]Part{{Holder: "a"}})
+	p.offered(time.Now(), []Part{{Holder: "a"}})
 	p.reported("a", refusal(job.NoTarget))
 	for i := range 3 {
 		_, wait := p.unplaced(noon.Add(time.Duration(i)*placeAgainAfter), job.NoTarget, 0)
@@ -64,7 +64,7 @@
 	refusedBy := func(p *placing, reasons ...job.Reason) {
 		for i, r := range reasons {
 			h := []job.EntryID{"a", "b"}[i%2]
-			p.offered([]Part{{Holder: h}})
+			p.offered(time.Now(), []Part{{Holder: h}})
 			p.reported(h, refusal(r))
 		}
 	}
@@ -93,7 +93,7 @@
 // for a moment's fullness.
 func TestPlacingWaitsWhileTheJobRunsElsewhere(t *testing.T) {
 	p := newPlacing()
-	p.offered([]Part{{Holder: "a"}, {Holder: "b"}})
+	p.offered(time.Now(), []Part{{Holder: "a"}, {Holder: "b"}})
 	p.reported("b", refusal(job.Overloaded))
 	qt.Assert(t, p.committed(0), qt.IsTrue)
 	qt.Assert(t, p.working(), qt.DeepEquals, []job.EntryID{"a"})
@@ -110,7 +110,7 @@
 // them to come back for as long as a lease, and then fails.
 func TestPlacingWaitsOneLeaseForTargets(t *testing.T) {
 	p := newPlacing()
-	p.offered([]Part{{Holder: "a"}})
+	p.offered(time.Now(), []Part{{Holder: "a"}})
 	p.reported("a", refusal(job.NoTarget))
 	_, wait := p.unplaced(noon, job.NoTarget, 1)
 	qt.Assert(t, wait, qt.IsTrue)
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -68,18 +68,10 @@
 	mu        sync.Mutex
 	collector *Collector
 	placing   placing
-	// handed is what holders have and have not reported.
-	handed map[job.EntryID]handed
 	// granted are the tasks that the keeper has granted to this flight.
 	granted map[int]bool
 }
 
-// handed is a batch on its way.
-type handed struct {
-	tasks int
-	at    time.Time
-}
-
 // Process implements Stage. It returns when the answer is decided; it never
 // waits for a task whose job can no longer be complete.
 func (r *Run) Process(ctx context.Context, f *Flow, _ Next) job.Answer {
@@ -89,7 +81,6 @@
 		done:      make(chan job.Answer, 1),
 		collector: NewCollector(f.Submission, f.Started, f.Held),
 		placing:   newPlacing(),
-		handed:    map[job.EntryID]handed{},
 		granted:   map[int]bool{},
 	}
 	fl.offer(fl.collector.Open())
@@ -170,10 +161,7 @@
 	committed := fl.placing.committed(fl.collector.Done())
 	if !finished {
 		fl.collector.Offered()
-		fl.placing.offered(parts)
-		for _, p := range parts {
-			fl.handed[p.Holder] = handed{len(p.Tasks), now}
-		}
+		fl.placing.offered(now, parts)
 	}
 	fl.mu.Unlock()
 	if finished {
@@ -304,7 +292,6 @@
 	fl.mu.Lock()
 	v := fl.collector.Add(outcomes)
 	fl.placing.reported(from, outcomes)
-	delete(fl.handed, from)
 	fl.mu.Unlock()
 	fl.act(v)
 }
@@ -336,7 +323,7 @@
 // alone knows, and where the holder is cut off or paused its own records can't be had.
 func (fl *flight) tellAwaited(reason job.Reason) {
 	fl.mu.Lock()
-	awaited := maps.Clone(fl.handed)
+	awaited := maps.Clone(fl.placing.open)
 	fl.mu.Unlock()
 	for _, holder := range slices.Sorted(maps.Keys(awaited)) {
 		h := awaited[holder]
