Show that entries which stood still act on what was true before

Cause: an entry counts an owner's silence from when it reads a heartbeat, so word that lay unread while it stood still makes the owner seem alive; and nothing tells an entry that it stood still itself. What waits or is retried is then started beside the second run. Ruled out: that only late ticks are to blame, since the first test serves the tick right after the unread word and still sees the start.

--- /dev/null
+++ b/internal/entry/pause_test.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/handover"
+	"github.com/vanillagrade/vanillagrade/internal/holder"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/membership"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+	"github.com/vanillagrade/vanillagrade/internal/target"
+)
+
+// slowConn is the way to a target whose runs end when the test says so.
+type slowConn struct {
+	starts atomic.Int64
+	ends   chan target.Result
+}
+
+func (c *slowConn) Start(ctx context.Context, t target.Task) target.Result {
+	if t.Unwanted() {
+		return target.Withdrawn()
+	}
+	c.starts.Add(1)
+	select {
+	case res := <-c.ends:
+		return res
+	case <-ctx.Done():
+		return target.Result{Status: job.TaskErred, Reason: job.TargetLost, Over: true}
+	}
+}
+
+func (c *slowConn) Stop(context.Context, job.ID, int) error { return nil }
+func (c *slowConn) Close()                                  {}
+
+// pausable are the parts of an entry that hold work, beside another entry that owns
+// some of it. The entry can be made to stand still: nothing of it acts, and what is sent
+// to it meanwhile arrives when it goes on.
+type pausable struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *peertest.Network
+	entry *Entry
+	conn  *slowConn
+	owner *handover.Remote
+	life  job.Owner
+	rest  context.CancelFunc
+	leave context.CancelFunc
+}
+
+func newPausable(t *testing.T) *pausable {
+	p := &pausable{
+		t: t, net: &peertest.Network{Delay: time.Millisecond},
+		conn: &slowConn{ends: make(chan target.Result)},
+	}
+	p.ctx, p.leave = context.WithCancel(t.Context())
+	p.life = job.Owner{Entry: "h", Incarnation: 1, Zone: "z"}
+	mesh := p.net.Join(p.life)
+	other := p.net.Join(job.Owner{Entry: "o", Incarnation: 1, Zone: "y"})
+	p.entry = p.assemble(mesh)
+	theirs := membership.New(membership.Options{Mesh: other, Peers: []membership.Peer{{Entry: "h", Zone: "z"}}, Across: sharedWork})
+	p.owner = handover.NewRemote(handover.RemoteOptions{Mesh: other, Silent: theirs.Silent})
+	go func() { _ = theirs.Run(p.ctx) }()
+	p.goOn()
+	p.entry.holder.SetTarget(job.Target{ID: "t", Pool: "p", Zone: "z", Slots: 1, Connections: 1})
+	time.Sleep(time.Second)
+	return p
+}
+
+// assemble joins the parts as an entry does.
+func (p *pausable) assemble(mesh *peertest.Node) *Entry {
+	e := &Entry{self: p.life, log: discard()}
+	e.holder = holder.New(holder.Options{Self: p.life, Config: config.Fixed{}, Connect: func(job.Target) holder.Connection { return p.conn }})
+	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: sharedWork})
+	e.served = handover.Serve(mesh, e.holder)
+	e.served.OnOffer(e.members.Touch)
+	return e
+}
+
+// goOn has the entry run again.
+func (p *pausable) goOn() {
+	p.net.SetDelay(time.Millisecond)
+	ctx, cancel := context.WithCancel(p.ctx)
+	p.rest = cancel
+	go func() { _ = p.entry.members.Run(ctx) }()
+	go func() { _ = p.entry.dropTheSilent(ctx) }()
+}
+
+// standStill has it stand still for some time and go on. The messages that came
+// meanwhile are read before any of its timers is served: either may come first.
+func (p *pausable) standStill(d time.Duration) {
+	p.rest()
+	p.net.SetDelay(d)
+	time.Sleep(d)
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+	p.goOn()
+}
+
+// batch is a job of two tasks, of which the target can run one at a time.
+func (p *pausable) batch(id job.ID, owner job.Owner) *job.Batch {
+	return &job.Batch{
+		Owner: owner, Submission: id, Service: "s", Pool: "p", Transient: true, Attempts: 3, Stretch: 8, Slack: time.Minute,
+		Tasks: []job.BatchTask{{Index: 0, TaskSpec: job.TaskSpec{RunMillis: 900}}, {Index: 1, TaskSpec: job.TaskSpec{RunMillis: 900}}},
+	}
+}
+
+func (p *pausable) end(res target.Result) {
+	p.conn.ends <- res
+	synctest.Wait()
+}
+
+func (p *pausable) close() {
+	p.rest()
+	p.leave()
+	p.entry.holder.Close()
+	p.net.Leave("h")
+	p.net.Leave("o")
+	time.Sleep(10 * time.Second) // what is under way arrives nowhere
+}
+
+var (
+	wellDone = target.Result{Status: job.TaskDone}
+	lapsed   = target.Result{Status: job.TaskErred, Reason: job.TargetLost, Over: true}
+)
+
+// An entry holds a job of another one when it stands still for three seconds. The owner
+// can't reach it, gives it up and has the job run elsewhere. What the owner had said
+// before lies unread meanwhile. When the entry goes on it must not take that for a sign
+// of life, and start what waits beside the second run: the studio is billed twice.
+func TestWordFromBeforeAPauseStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		p.owner.Offer(p.ctx, "h", 1, p.batch("a", job.Owner{}), func([]job.TaskOutcome) {})
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(1))
+		p.standStill(3 * time.Second)
+		p.end(wellDone)
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(1))
+	})
+}
+
+// An entry runs a job of its own caller when it stands still for three seconds. Its
+// target stops the run, since nobody renews the lease, and the caller sends the job
+// through another entry. When the entry goes on it learns that the run is over: to start
+// the task again then is to run it beside the other one.
+func TestOwnWorkFromBeforeAPauseIsNotStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		p.entry.holder.Offer(p.batch("a", p.life), func([]job.TaskOutcome) {})
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(1))
+		p.standStill(3 * time.Second)
+		p.end(lapsed)
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(1))
+	})
+}
+
+// A short pause, which callers sit out, costs no work.
+func TestWorkGoesOnAfterAShortPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		p.owner.Offer(p.ctx, "h", 1, p.batch("a", job.Owner{}), func([]job.TaskOutcome) {})
+		time.Sleep(10 * time.Millisecond)
+		p.standStill(300 * time.Millisecond)
+		p.end(wellDone)
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(2))
+		p.end(wellDone)
+	})
+}
+
+func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -94,6 +94,19 @@
 	n.Drop = drop
 }
 
+// SetDelay replaces Delay while the network is in use.
+func (n *Network) SetDelay(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Delay = d
+}
+
+func (n *Network) delay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Delay
+}
+
 func (n *Network) dropping() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -175,7 +188,7 @@
 		err  error
 	}
 	done := make(chan result, 1)
-	node.deliver(d.self, kind, body, d.net.Delay, func(value any, err error) {
+	node.deliver(d.self, kind, body, d.net.delay(), func(value any, err error) {
 		back, ok := d.net.route(to, d.self.Entry, kind, true)
 		if !ok || back != d || !node.running() {
 			return
@@ -184,7 +197,7 @@
 		if err == nil {
 			b, err = cbor.Marshal(value)
 		}
-		time.Sleep(d.net.Delay)
+		time.Sleep(d.net.delay())
 		done <- result{b, err}
 	})
 	select {
@@ -217,7 +230,7 @@
 	if !ok {
 		return errors.Annotatef(peer.ErrNotSent, "to %s", to)
 	}
-	node.deliver(d.self, kind, body, d.net.Delay, nil)
+	node.deliver(d.self, kind, body, d.net.delay(), nil)
 	return nil
 }
 
