Record when an entry stood still, and how old an owner's last word is

Ruled out: reading it from metrics, which are fetched every 5 s. entry_paused says for how long nothing of an entry ran, by the clock that counts suspension too; owner_silent has the age that decided.

--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/discovery"
 	"github.com/vanillagrade/vanillagrade/internal/entry"
 	"github.com/vanillagrade/vanillagrade/internal/eventlog"
@@ -44,6 +45,7 @@
 		return fail(stderr, exitUsage, err)
 	}
 	last := discovery.LastLife(ctx, seeds.list(), nil, options.Settings.Name)
+	options.Suspended = awake.Suspended()
 	options.Incarnation = max(job.Incarnation(time.Now().UnixNano()), last+1)
 	e, err := entry.New(options)
 	if err != nil {
--- /dev/null
+++ b/internal/awake/awake_test.go
@@ -0,0 +1,43 @@
+package awake
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A VM is suspended for three seconds; its steady clock does not count them. Whoever asks
+// for the time afterwards must see that they have passed.
+func TestSuspensionCounts(t *testing.T) {
+	suspended := time.Duration(0)
+	c := Clock{Suspended: func() time.Duration { return suspended }}
+	before := c.Now()
+	suspended = 3 * time.Second
+	qt.Assert(t, c.Now().Sub(before) >= 3*time.Second, qt.IsTrue)
+}
+
+func TestClockWithoutSuspensionIsSteadyTime(t *testing.T) {
+	var c Clock
+	before := c.Now()
+	qt.Assert(t, c.Now().Before(before), qt.IsFalse)
+}
+
+// This machine is not suspended while the test runs.
+func TestNoSuspensionIsSeenWhereThereIsNone(t *testing.T) {
+	suspended := Suspended()
+	if suspended == nil {
+		t.Log("no clock here counts suspension")
+		return
+	}
+	time.Sleep(20 * time.Millisecond)
+	qt.Assert(t, suspended() < 20*time.Millisecond, qt.IsTrue, qt.Commentf("%v", suspended()))
+}
+
+func TestReadingsComeBackAsTheirTimes(t *testing.T) {
+	zero := time.Now()
+	r := NewRuler(zero)
+	at := zero.Add(1234567 * time.Microsecond)
+	qt.Assert(t, r.Time(r.Reading(at)).Equal(at), qt.IsTrue)
+	qt.Assert(t, r.Reading(zero), qt.Equals, Reading(1))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/discovery"
 	"github.com/vanillagrade/vanillagrade/internal/eventlog"
@@ -74,6 +75,9 @@
 	Orders func(job.Target) runs.Orders
 	// Lease is the longest lease that such a target gives; zero takes the default.
 	Lease time.Duration
+	// Suspended returns for how long the VM was suspended so far; nil stands for
+	// never.
+	Suspended func() time.Duration
 	// Seeds, when set, replaces the seeds of the settings, which may change.
 	Seeds func() []string
 	// LogEvents writes each decision as a log line too, within a budget, and
@@ -100,6 +104,8 @@
 	self  job.Owner
 	log   *slog.Logger
 	clock *timeline.Clock
+	// awake is the clock by which this entry notices that it stood still.
+	awake awake.Clock
 	ring  *timeline.Ring
 	// events is the ring, and the log where the entry tells its decisions there.
 	events timeline.Sink
@@ -180,6 +186,7 @@
 		self:   self,
 		log:    o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
 		clock:  timeline.NewClock(time.Now),
+		awake:  awake.Clock{Suspended: o.Suspended},
 		memory: api.NewByteBudget(bodyMemory),
 
 		stopping:   make(chan struct{}),
@@ -303,6 +310,7 @@
 		e.add(&g, e.joiner.Run)
 		e.add(&g, e.forgetTheGone)
 	}
+	e.add(&g, e.noticePauses)
 	e.add(&g, e.dropTheSilent)
 	e.add(&g, func(ctx context.Context) error {
 		return e.serve(ctx, api.Server(e.operator().Handler(), e.log), listen.Operator)
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/runs"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // connect returns the way to targets that run tasks under a lease; nil where
@@ -42,11 +44,19 @@
 func (e *Entry) dropTheSilent(ctx context.Context) error {
 	return every(ctx, silenceEvery, func(time.Time) {
 		for _, owner := range e.holder.Owners() {
-			if owner.Entry == e.self.Entry || e.members.Silent(owner.Entry, owner.Incarnation) <= handover.OwnerSilence {
+			silent := e.members.Silent(owner.Entry, owner.Incarnation)
+			if owner.Entry == e.self.Entry || silent <= handover.OwnerSilence {
 				continue
 			}
-			e.log.Warn("owner silent, its transient work is stopped", "owner", owner.Entry, "incarnation", owner.Incarnation)
+			e.tellSilent(owner, silent)
 			e.holder.Abandon(owner)
 		}
 	})
 }
+
+// tellSilent records that the work of an owner is given up, and how old the last word of
+// it is.
+func (e *Entry) tellSilent(owner job.Owner, silent time.Duration) {
+	cause := fmt.Sprintf("no word of its life %d for %d ms; its transient work here is stopped", owner.Incarnation, silent.Milliseconds())
+	e.events.Record(timeline.Event{Kind: timeline.OwnerSilent, Peer: owner.Entry, Took: silent, Reason: job.OwnerLost, Cause: cause})
+}
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -17,6 +17,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
 	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // slowConn is the way to a target whose runs end when the test says so.
@@ -77,7 +78,7 @@
 
 // assemble joins the parts as an entry does.
 func (p *pausable) assemble(mesh *peertest.Node) *Entry {
-	e := &Entry{self: p.life, log: discard()}
+	e := &Entry{self: p.life, log: discard(), events: timeline.Discard{}}
 	e.holder = holder.New(holder.Options{Self: p.life, Config: config.Fixed{}, Connect: func(job.Target) holder.Connection { return p.conn }})
 	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: sharedWork})
 	e.served = handover.Serve(mesh, e.holder)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -53,6 +53,8 @@
 	EntryStarted       Kind = "entry_started"
 	EntryDraining      Kind = "entry_draining"
 	EntryStopped       Kind = "entry_stopped"
+	EntryPaused        Kind = "entry_paused"
+	OwnerSilent        Kind = "owner_silent"
 )
 
 // Event is one thing that one process did or learned, with its cause.
--- a/internal/timeline/explain.go
+++ b/internal/timeline/explain.go
@@ -90,7 +90,7 @@
 	case job.TargetLost, job.TargetRefused:
 		subject, kinds = string(ev.Target), []Kind{TargetLapsed, TargetLeaving, TargetSuspect, TargetYielded, LeaseRunOut}
 	case job.HolderLost, job.OwnerLost, job.ZoneUnreachable:
-		subject, kinds = string(ev.Peer), []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped}
+		subject, kinds = string(ev.Peer), []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped, EntryPaused, OwnerSilent}
 	}
 	if subject == "" {
 		return ""
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -140,6 +140,8 @@
 	EntryStarted:       "entry %s starts",
 	EntryDraining:      "entry %s drains",
 	EntryStopped:       "entry %s stops",
+	EntryPaused:        "entry %s stood still",
+	OwnerSilent:        "the work of owner %s is given up",
 }
 
 func fleetSentence(ev *Event) string {
@@ -154,7 +156,7 @@
 	switch ev.Kind {
 	case TargetAnnounced, TargetLeaving, TargetLapsed, TargetSuspect, TargetHealthy, TargetTaken, TargetYielded, LeaseRunOut:
 		subject = string(ev.Target)
-	case EntryStarted, EntryDraining, EntryStopped:
+	case EntryStarted, EntryDraining, EntryStopped, EntryPaused:
 		subject = string(ev.Entry)
 	case ConfigurationSet, ConfigurationTry, ConfigurationStale:
 		subject = ""
