Write the lines of a busy moment in pieces

The lines that were lost are those of the moment that matters, such as entry_paused. Now one write has 4 KiB of whole lines at the most, what a pipe takes as a whole.

--- a/internal/eventlog/writer.go
+++ b/internal/eventlog/writer.go
@@ -8,6 +8,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,10 @@
 	maxBuffered = 256 << 10
 	// flushEvery joins the lines of a moment into one write.
 	flushEvery = 50 * time.Millisecond
+	// maxWrite bounds one write, in bytes: a pipe takes no more of it as a whole
+	// (PIPE_BUF of Linux). Readers that take one piece at a time cut a longer one off,
+	// and the lines that say why are the last of a busy moment.
+	maxWrite = 4 << 10
 )
 
 // Writer is an io.Writer that never blocks: what finds the buffer full is dropped
@@ -90,12 +95,28 @@
 	lines := w.buffer
 	w.buffer = spare[:0]
 	w.mu.Unlock()
-	if len(lines) == 0 {
+	for rest := lines; len(rest) > 0; {
+		piece := wholeLines(rest)
+		rest = rest[len(piece):]
+		if _, err := w.out.Write(piece); err != nil {
+			// Nobody reads any more; the count is all that can be kept.
+			w.dropped.Add(1)
+		}
+	}
+	return lines
+}
+
+// wholeLines returns the lines from the beginning that fit into one write; a line that is
+// longer by itself goes alone.
+func wholeLines(lines []byte) []byte {
+	if len(lines) <= maxWrite {
 		return lines
 	}
-	if _, err := w.out.Write(lines); err != nil {
-		// Nobody reads any more; the count is all that can be kept.
-		w.dropped.Add(1)
+	if end := bytes.LastIndexByte(lines[:maxWrite], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return lines[:end+1]
 	}
 	return lines
 }
