Act for an owner only by a proof that it was alive, and for oneself only while awake

Cause: the right to act for the owner of a transient job rested on when its word was read. A holder that stood still read old heartbeats and took its owners for alive; an owner that stood still knew nothing of it, started tasks again whose runs had lapsed, and took requests that had lain unread for new ones. In both the caller or the owner had turned elsewhere, and the job ran twice.

Now the right is a lease (internal/policy/ownership). What renews it is the entry's own clock reading that the owner sent back, so it says when the owner was alive, however long the message was under way or lay unread; for its own callers an entry proves that it ran, by the clock that counts suspension. A lease that ran out stays over. It is asked for at each start, each sending of a start, each retry and each offer, right before, whatever the order of events after a pause; requests that may be as old as a pause are refused, not run, with a time to return. A target's lease is not lengthened past the time by which a run there must be over, so lost stops keep nothing alive. Nobody waits for a transient job past its deadline, so it ends then, hang-up or not.

Ruled out: a start from before the pause carried out late (its order lies after the pause); a late tick alone (the test serves it right after the unread word). Weighed: asking registrars for each transient job (a crossing and two messages a job, and a cut zone could not serve); silence after each pause (refuses healthy work, and does not help a holder whose link held messages up).

--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -87,6 +87,7 @@
 	job.TargetRefused:   http.StatusServiceUnavailable,
 	job.HolderLost:      http.StatusBadGateway,
 	job.OwnerLost:       http.StatusBadGateway,
+	job.Paused:          http.StatusServiceUnavailable,
 	job.NoTarget:        http.StatusServiceUnavailable,
 	job.Draining:        http.StatusServiceUnavailable,
 	job.NotConfigured:   http.StatusServiceUnavailable,
--- a/internal/entry/awake.go
+++ b/internal/entry/awake.go
@@ -5,31 +5,114 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillagrade/vanillagrade/internal/awake"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/ownership"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 const (
-	// awakeEvery is how often the entry looks whether it stood still: well below the
-	// terms that end by it.
+	// awakeEvery is how often the entry proves to itself that it runs, and looks for
+	// owners that it has no proof of: well below the term of a proof.
 	awakeEvery = 50 * time.Millisecond
 	// pauseWorthALine is the shortest pause that is told: twice the tenth of a second for
 	// which a small VM's share of its processor may be used up, and a tick.
 	pauseWorthALine = 250 * time.Millisecond
+	// backlogTime is how long after a pause requests may still be read that were sent
+	// before or in it. A VM of 0.2 of a core reads its whole backlog of accepted
+	// connections, some hundreds of requests of 0.2 ms each, in less.
+	backlogTime = 250 * time.Millisecond
 )
 
-// noticePauses tells when the entry stood still, until ctx ends. Whoever asks why work was
-// given up, or why an entry answered nothing, finds the cause here: nothing else in the
-// log shows a pause but the lines that are missing.
-func (e *Entry) noticePauses(ctx context.Context) error {
+// rights are this entry's rights to act for the owners of transient work, itself included.
+type rights struct {
+	self    job.Owner
+	clock   *awake.Clock
+	table   ownership.Table
+	proofOf func(life job.Incarnation, at awake.Reading) (time.Time, bool)
+	reading func() awake.Reading
+}
+
+func newRights(e *Entry) *rights {
+	return &rights{
+		self: e.self, clock: &e.awake,
+		proofOf: func(life job.Incarnation, at awake.Reading) (time.Time, bool) { return e.members.Proof(life, at) },
+		reading: func() awake.Reading { return e.members.Reading() },
+	}
+}
+
+// right is a lease by this entry's clock.
+type right struct {
+	lease *ownership.Lease
+	clock *awake.Clock
+}
+
+// Holds implements job.Right.
+func (r right) Holds() bool { return r.lease.Holds(r.clock.Now()) }
+
+// Left implements job.Right.
+func (r right) Left() time.Duration { return r.lease.OverBy().Sub(r.clock.Now()) }
+
+// Lost implements job.Right.
+func (r right) Lost() <-chan struct{} { return r.lease.Lost() }
+
+// Right implements handover.Rights.
+func (r *rights) Right(owner job.Owner, proof awake.Reading) job.Right {
+	at, ok := r.proofOf(r.self.Incarnation, proof)
+	if !ok {
+		return nil
+	}
+	lease := r.table.Renew(r.clock.Now(), owner, at)
+	if lease == nil {
+		return nil
+	}
+	return right{lease, r.clock}
+}
+
+// Reading implements handover.Rights.
+func (r *rights) Reading() awake.Reading { return r.reading() }
+
+// proved takes the word that an owner was alive.
+func (r *rights) proved(owner job.Owner, at time.Time) { r.table.Renew(r.clock.Now(), owner, at) }
+
+// own returns this entry's right to go on for its own callers, for a request that was read
+// now. It reports false where the request may be as old as a pause.
+func (r *rights) own() (job.Right, bool) {
+	now := r.clock.Now()
+	lease := r.table.Of(now, r.self)
+	if lease == nil {
+		return nil, false
+	}
+	if lease.Resumed() && now.Sub(lease.Begun()) < backlogTime {
+		return nil, false
+	}
+	return right{lease, r.clock}, true
+}
+
+// watchOwners renews this entry's right to act for itself, tells when it stood still, and
+// stops the work of owners that it has no proof of any more, until ctx ends. Each start
+// asks for itself as well; this ends what waits and what runs.
+func (e *Entry) watchOwners(ctx context.Context) error {
 	last := e.awake.Now()
+	e.rights.table.Renew(last, e.self, last)
 	return every(ctx, awakeEvery, func(time.Time) {
 		now := e.awake.Now()
 		e.tellPause(now.Sub(last))
 		last = now
+		silent := e.rights.table.Sweep(now)
+		for owner, age := range silent {
+			e.tellSilent(owner, age)
+		}
+		e.rights.table.Renew(now, e.self, now)
+		if len(silent) > 0 {
+			e.holder.DropLapsed()
+		}
 	})
 }
 
-// tellPause records a pause that is worth a line.
+// tellPause records a pause that is worth a line. Whoever asks why work was given up, or
+// why an entry answered nothing, finds the cause here: nothing else in the log shows a
+// pause but the lines that are missing.
 func (e *Entry) tellPause(gap time.Duration) {
 	if gap < pauseWorthALine {
 		return
@@ -37,3 +120,10 @@
 	cause := fmt.Sprintf("nothing of it ran for %d ms", gap.Milliseconds())
 	e.events.Record(timeline.Event{Kind: timeline.EntryPaused, Peer: e.self.Entry, Took: gap, Cause: cause})
 }
+
+// tellSilent records that the work of an owner is given up, and how old the last proof of
+// its life is.
+func (e *Entry) tellSilent(owner job.Owner, age time.Duration) {
+	cause := fmt.Sprintf("no proof of its life %d for %d ms; its transient work here is stopped", owner.Incarnation, age.Milliseconds())
+	e.events.Record(timeline.Event{Kind: timeline.OwnerSilent, Peer: owner.Entry, Took: age, Reason: job.OwnerLost, Cause: cause})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,7 +106,10 @@
 	clock *timeline.Clock
 	// awake is the clock by which this entry notices that it stood still.
 	awake awake.Clock
-	ring  *timeline.Ring
+	// rights are those to act for owners of transient work; nil where heartbeats are too
+	// sparse for it, and no work is transient.
+	rights *rights
+	ring   *timeline.Ring
 	// events is the ring, and the log where the entry tells its decisions there.
 	events timeline.Sink
 	config config.View
@@ -267,7 +270,10 @@
 	e.assembleMembership()
 	e.served = handover.Serve(e.links, e.holder)
 	e.served.OnOffer(e.members.Touch)
-	e.remote = handover.NewRemote(handover.RemoteOptions{Mesh: e.links, Gone: e.members.Gone, Silent: e.members.Silent, Events: e.events})
+	e.remote = handover.NewRemote(handover.RemoteOptions{
+		Mesh: e.links, Gone: e.members.Gone, Silent: e.members.Silent,
+		Proof: e.members.Last, Learn: e.members.Learn, Events: e.events,
+	})
 	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
 	e.record = &pipeline.Record{Events: e.events}
@@ -276,8 +282,14 @@
 	e.admit = pipeline.NewAdmit(e.events)
 	e.assembleClaims()
 	e.serveSearches()
+	fresh := &pipeline.Fresh{Events: e.events}
+	if e.rights != nil {
+		e.served.NeedRights(e.rights)
+		fresh.Right = e.rights.own
+	}
 	e.chain = pipeline.Chain(
 		e.record,
+		fresh,
 		e.check,
 		e.join,
 		&pipeline.Claim{Registrar: e.registrar, Owned: e.join.Owned, Collect: e.collect, Kept: e.kept, Find: e.find, Events: e.events},
@@ -310,8 +322,9 @@
 		e.add(&g, e.joiner.Run)
 		e.add(&g, e.forgetTheGone)
 	}
-	e.add(&g, e.noticePauses)
-	e.add(&g, e.dropTheSilent)
+	if e.rights != nil {
+		e.add(&g, e.watchOwners)
+	}
 	e.add(&g, func(ctx context.Context) error {
 		return e.serve(ctx, api.Server(e.operator().Handler(), e.log), listen.Operator)
 	})
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/status"
@@ -26,7 +28,14 @@
 			e.members.Add(membership.Peer{Entry: e.self.Entry, Zone: e.self.Zone, Reserve: e.opts.Settings.DataDir != ""})
 		}
 	}()
+	var proved func(job.Owner, time.Time)
+	if e.opts.Settings.Discover {
+		e.rights = newRights(e)
+		proved = e.rights.proved
+	}
 	e.members = membership.New(membership.Options{
+		Now:     e.awake.Now,
+		Proved:  proved,
 		Mesh:    e.links,
 		Peers:   peers,
 		Across:  across,
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -68,7 +68,7 @@
 	other := p.net.Join(job.Owner{Entry: "o", Incarnation: 1, Zone: "y"})
 	p.entry = p.assemble(mesh)
 	theirs := membership.New(membership.Options{Mesh: other, Peers: []membership.Peer{{Entry: "h", Zone: "z"}}, Across: sharedWork})
-	p.owner = handover.NewRemote(handover.RemoteOptions{Mesh: other, Silent: theirs.Silent})
+	p.owner = handover.NewRemote(handover.RemoteOptions{Mesh: other, Silent: theirs.Silent, Proof: theirs.Last, Learn: theirs.Learn})
 	go func() { _ = theirs.Run(p.ctx) }()
 	p.goOn()
 	p.entry.holder.SetTarget(job.Target{ID: "t", Pool: "p", Zone: "z", Slots: 1, Connections: 1})
@@ -80,9 +80,11 @@
 func (p *pausable) assemble(mesh *peertest.Node) *Entry {
 	e := &Entry{self: p.life, log: discard(), events: timeline.Discard{}}
 	e.holder = holder.New(holder.Options{Self: p.life, Config: config.Fixed{}, Connect: func(job.Target) holder.Connection { return p.conn }})
-	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: sharedWork})
+	e.rights = newRights(e)
+	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: sharedWork, Proved: e.rights.proved})
 	e.served = handover.Serve(mesh, e.holder)
 	e.served.OnOffer(e.members.Touch)
+	e.served.NeedRights(e.rights)
 	return e
 }
 
@@ -92,7 +94,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.rest = cancel
 	go func() { _ = p.entry.members.Run(ctx) }()
-	go func() { _ = p.entry.dropTheSilent(ctx) }()
+	go func() { _ = p.entry.watchOwners(ctx) }()
 }
 
 // standStill has it stand still for some time and go on. The messages that came
@@ -159,7 +161,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPausable(t)
 		defer p.close()
-		p.entry.holder.Offer(p.batch("a", p.life), func([]job.TaskOutcome) {})
+		own := p.batch("a", p.life)
+		own.Right, _ = p.entry.rights.own()
+		p.entry.holder.Offer(own, func([]job.TaskOutcome) {})
 		time.Sleep(10 * time.Millisecond)
 		qt.Assert(t, p.conn.starts.Load(), qt.Equals, int64(1))
 		p.standStill(3 * time.Second)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,6 +15,7 @@
 package handover
 
 import (
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
@@ -39,6 +40,9 @@
 	// Acked lists offers whose outcomes arrived, so that the holder may forget
 	// them. They ride on the next offer since they are worth no message.
 	Acked []uint64 `cbor:"4,keyasint,omitempty"`
+	// Proof is the last reading of the holder's clock that the owner has: the owner was
+	// alive when it was made, and had not given the batch up.
+	Proof awake.Reading `cbor:"5,keyasint,omitempty"`
 }
 
 // verdict is the holder's word on an offer as a whole.
@@ -54,12 +58,17 @@
 	verdictForgotten
 	// verdictSuperseded ends an older asking when the owner asks again.
 	verdictSuperseded
+	// verdictStale says that the proof of the owner's life is too old to act on, and that
+	// nothing of the offer ran.
+	verdictStale
 )
 
 // report is the answer of peer.BatchOffer.
 type report struct {
 	Verdict  verdict           `cbor:"1,keyasint"`
 	Outcomes []job.TaskOutcome `cbor:"2,keyasint,omitempty"`
+	// Reading is of the holder's clock, for the owner to send back.
+	Reading awake.Reading `cbor:"3,keyasint,omitempty"`
 }
 
 // cancel is the message of peer.BatchCancel. It names the offers, because it
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -10,8 +10,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/policy/ownership"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
@@ -32,16 +34,13 @@
 	// fetchTimeout is how long a caller that came back waits for the results of
 	// its lost owner: a few crossings and the sending of a large answer.
 	fetchTimeout = time.Second
-	// OwnerSilence is how long a holder runs the transient work of an owner that
-	// it does not hear: nobody could receive its results. It is above three
-	// heartbeats and the pause of a busy VM, and below the time after which a
-	// caller sends its submission again, so that by then the work has ended.
-	OwnerSilence = 900 * time.Millisecond
-	// lostAfter is when an owner takes the transient work at a holder that it
-	// can't reach for ended. Either the holder runs and has stopped the work:
-	// OwnerSilence and the time of some stops. Or it does not: then the leases of
-	// its targets, a second at most, have run out.
-	lostAfter = OwnerSilence + 600*time.Millisecond
+	// lostAfter is when an owner takes the transient work at a holder that it can't reach
+	// for ended: by then the holder's right to act for it has run out, and with it all that
+	// ran, and where the holder does not run any more the leases of its targets have.
+	lostAfter = ownership.Over + 100*time.Millisecond
+	// maxStale bounds how often an offer is sent again because the proof of this owner's
+	// life was too old: the answer brings a new one.
+	maxStale = 3
 	// maxAcks bounds the acknowledgements that wait for the next offer.
 	maxAcks = 4096
 )
@@ -57,6 +56,10 @@
 	// Silent returns for how long nothing was heard of a life of an entry; nil
 	// takes every entry for silent.
 	Silent func(entry job.EntryID, life job.Incarnation) time.Duration
+	// Proof returns the last reading of a holder's clock, and Learn takes one; nil where
+	// holders ask for none.
+	Proof  func(entry job.EntryID, life job.Incarnation) awake.Reading
+	Learn  func(entry job.EntryID, life job.Incarnation, at awake.Reading)
 	Events timeline.Sink
 }
 
@@ -65,6 +68,8 @@
 	mesh   peer.Mesh
 	gone   Gone
 	silent func(entry job.EntryID, life job.Incarnation) time.Duration
+	proof  func(entry job.EntryID, life job.Incarnation) awake.Reading
+	learn  func(entry job.EntryID, life job.Incarnation, at awake.Reading)
 	events timeline.Sink
 
 	mu     sync.Mutex
@@ -84,8 +89,14 @@
 	if o.Silent == nil {
 		o.Silent = func(job.EntryID, job.Incarnation) time.Duration { return 2 * lostAfter }
 	}
+	if o.Proof == nil {
+		o.Proof = func(job.EntryID, job.Incarnation) awake.Reading { return 0 }
+	}
+	if o.Learn == nil {
+		o.Learn = func(job.EntryID, job.Incarnation, awake.Reading) {}
+	}
 	return &Remote{
-		mesh: o.Mesh, gone: o.Gone, silent: o.Silent, events: o.Events,
+		proof: o.Proof, learn: o.Learn, mesh: o.Mesh, gone: o.Gone, silent: o.Silent, events: o.Events,
 		flying: map[job.ID]map[uint64]job.EntryID{}, acks: map[job.EntryID][]uint64{},
 	}
 }
@@ -175,10 +186,25 @@
 	var unreachable time.Duration
 	var broken time.Time // when the link was last known to have stood
 	sent := false        // whether the holder may have got the offer
+	stale := 0           // how often the holder had no fresh proof of this owner's life
 	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
 		o.Batch = aged(b, time.Since(start))
+		// The proof is read before the right is asked for: a pause between the two makes
+		// the proof old, one before them ends the right.
+		o.Proof = r.proof(to, o.To)
+		if !job.Holds(b.Right) {
+			return givenUp(&b, sent)
+		}
 		o.Acked = r.takeAcks(to)
 		answer, err := r.ask(ctx, to, o)
+		if err == nil && answer.Verdict == verdictStale {
+			r.ack(to, o.Acked...)
+			r.learn(to, o.To, answer.Reading)
+			if stale++; stale < maxStale {
+				continue
+			}
+			return whole(&b, job.TaskNotStarted, job.HolderLost, "the holder has no fresh word of this owner")
+		}
 		if err == nil && b.Transient && answer.Verdict == verdictNotMine {
 			// Its earlier life ended before this answer, and the leases that it
 			// gave run out within the same bound.
@@ -223,6 +249,16 @@
 	}
 }
 
+// givenUp is the outcome of a batch whose owner stood still: its caller may have turned
+// elsewhere.
+func givenUp(b *job.Batch, sent bool) []job.TaskOutcome {
+	const detail = "this entry stood still, and its caller may have sent the job elsewhere"
+	if sent {
+		return whole(b, job.TaskErred, job.OwnerLost, detail)
+	}
+	return whole(b, job.TaskNotStarted, job.OwnerLost, detail)
+}
+
 // lose gives a batch up whose holder is lost and whose runs have ended.
 func (r *Remote) lose(to job.EntryID, b *job.Batch, since time.Time, cause string) []job.TaskOutcome {
 	r.events.Record(timeline.Event{
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 )
@@ -57,6 +58,8 @@
 	self   job.Owner
 	// heard is told of each owner that hands over a batch.
 	heard func(job.Owner)
+	// rights gives the right to act for an owner of transient work; nil asks for none.
+	rights Rights
 
 	mu      sync.Mutex
 	records map[key]*record
@@ -90,6 +93,19 @@
 	return s
 }
 
+// Rights gives a holder the right to act for owners.
+type Rights interface {
+	// Right returns the right to act for an owner by the proof that came with its offer;
+	// nil where that is too old.
+	Right(owner job.Owner, proof awake.Reading) job.Right
+	// Reading is this entry's clock, for owners to send back as proof.
+	Reading() awake.Reading
+}
+
+// NeedRights has the holder act for owners of transient work only by a right. It is called
+// before the links start.
+func (s *Server) NeedRights(r Rights) { s.rights = r }
+
 // OnOffer sets a function that is told of each owner that hands over a batch, before
 // the holder gets it. It is called before the links start.
 func (s *Server) OnOffer(heard func(job.Owner)) { s.heard = heard }
@@ -144,6 +160,9 @@
 	if s.cancelled[k] {
 		return nil, report{Verdict: verdictReported, Outcomes: whole(&o.Batch, job.TaskNotStarted, job.CancelledByCall, "")}, false
 	}
+	if !s.allowed(from, o) {
+		return nil, report{Verdict: verdictStale, Reading: s.rights.Reading()}, false
+	}
 	rec = &record{
 		key: k, owner: from, submission: o.Batch.Submission, tasks: len(o.Batch.Tasks),
 		done: make(chan struct{}), asked: make(chan struct{}),
@@ -152,6 +171,16 @@
 	return rec, report{}, true
 }
 
+// allowed takes the right to act for the owner of a new offer. An owner that stood still,
+// or whose offer was under way for long, may have given it up.
+func (s *Server) allowed(from job.Owner, o *offer) bool {
+	if s.rights == nil || !o.Batch.Transient {
+		return true
+	}
+	o.Batch.Right = s.rights.Right(from, o.Proof)
+	return o.Batch.Right != nil
+}
+
 // await answers the latest asking for a record; an older one is sent away, so
 // that outcomes cross the link once.
 func (s *Server) await(ctx context.Context, rec *record) (any, error) {
--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// left returns the bound of how long a run of the batch may go on; nil for none.
+func (b *batch) left() func() time.Duration {
+	if b.offered.Right == nil {
+		return nil
+	}
+	return b.offered.Right.Left
+}
+
 // ended reports whether no task is left, also none whose result is discarded.
 func (b *batch) ended() bool { return b.reported && len(b.running) == 0 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -240,11 +240,11 @@
 	return out
 }
 
-// Abandon stops the transient work of an owner, queued and running: nobody can
-// receive its results.
-func (h *Holder) Abandon(owner job.Owner) {
+// DropLapsed stops the work, queued and running, for whose owners this entry has no right
+// to act any more: it may have been begun elsewhere.
+func (h *Holder) DropLapsed() {
 	for _, p := range h.all() {
-		p.abandon(owner)
+		p.dropLapsed()
 	}
 }
 
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -163,6 +163,10 @@
 			p.refuse(e, report, repeated(offered, first))
 			return
 		}
+		if !job.Holds(offered.Right) {
+			p.refuse(e, report, unstarted(offered.Tasks, scheduler.Verdict{Reason: job.OwnerLost, Detail: "the owner, or this entry, stood still meanwhile"}))
+			return
+		}
 		if p.park(now, &parked{offered, service, report}, e) {
 			return
 		}
@@ -176,7 +180,9 @@
 		if offered.Transient {
 			p.latest[offered.Submission] = b
 		}
-		if offered.Remaining > 0 && !service.FlagLate {
+		// Nobody waits for a transient job beyond its deadline, and its caller sends it
+		// again elsewhere then; a hang-up that would tell may not get through.
+		if offered.Remaining > 0 && (offered.Transient || !service.FlagLate) {
 			b.deadline = time.AfterFunc(offered.Remaining, func() { p.passDeadline(b) })
 		}
 		p.record(timeline.Event{Kind: timeline.TaskQueued, Submission: offered.Submission, Count: len(offered.Tasks), Peer: offered.Owner.Entry, Cause: "accepted into pool " + p.name})
@@ -301,11 +307,11 @@
 	})
 }
 
-// abandon stops the transient work of an owner.
-func (p *pool) abandon(owner job.Owner) {
+// dropLapsed stops the work for whose owners this entry has no right to act any more.
+func (p *pool) dropLapsed() {
 	p.change(func(now time.Time, e *effects) {
-		for key, b := range p.batches {
-			if key.owner == owner && b.offered.Transient {
+		for _, b := range p.batches {
+			if !b.reported && !job.Holds(b.offered.Right) {
 				p.abort(now, b, e, job.OwnerLost)
 			}
 		}
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -40,17 +40,20 @@
 		Run:        l.start.Attempt,
 		Expected:   l.start.Expected,
 		Wanted:     func() bool { return p.wanted(l.batch) },
+		Left:       l.batch.left(),
 	})
 	stats.received.Add(uint64(len(res.Payload)))
 	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
 	p.change(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
 }
 
-// wanted reports whether the outcome of a batch still matters to its owner.
+// wanted reports whether the outcome of a batch still matters to its owner, as far as this
+// entry may go by what it knows of the owner.
 func (p *pool) wanted(b *batch) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !b.reported
+	reported := b.reported
+	p.mu.Unlock()
+	return !reported && job.Holds(b.offered.Right)
 }
 
 // startCause says why the scheduler chose the target. It is constant text: one
@@ -78,6 +81,9 @@
 		p.count(res)
 		b.settle(outcomeOf(l, res))
 	}
+	if res.Status != job.TaskDone && !job.Holds(b.offered.Right) {
+		p.abort(now, b, e, job.OwnerLost)
+	}
 	p.conclude(now, b, e)
 }
 
@@ -100,6 +106,9 @@
 	if l.batch.reported || res.Status == job.TaskDone || p.holder.ctx.Err() != nil {
 		return false
 	}
+	if !job.Holds(l.batch.offered.Right) {
+		return false
+	}
 	if res.Status == job.TaskErred && !p.mayRunAgain(l, res) && !p.mayRepeat(now, l, res) {
 		return false
 	}
--- a/internal/holder/transient_test.go
+++ b/internal/holder/transient_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,6 +80,16 @@
 	})
 }
 
+// lapsing is a right to act that a test ends.
+type lapsing struct {
+	ended atomic.Bool
+	lost  chan struct{}
+}
+
+func (r *lapsing) Holds() bool           { return !r.ended.Load() }
+func (r *lapsing) Left() time.Duration   { return time.Second }
+func (r *lapsing) Lost() <-chan struct{} { return r.lost }
+
 // An owner is not heard any more. What runs for it is stopped, since nobody can
 // receive it, while the work of others goes on.
 func TestSilentOwnersWorkIsStopped(t *testing.T) {
@@ -86,11 +97,15 @@
 		f := newFleet()
 		h := newHolder(f, "1", "2")
 		var lost, other reports
-		h.Offer(transientOf("j", "e1"), lost.take)
-		h.Offer(transientOf("k", "e2"), other.take)
+		silent, heard := transientOf("j", "e1"), transientOf("k", "e2")
+		right := &lapsing{}
+		silent.Right, heard.Right = right, &lapsing{}
+		h.Offer(silent, lost.take)
+		h.Offer(heard, other.take)
 		synctest.Wait()
 		qt.Assert(t, h.Owners(), qt.HasLen, 2)
-		h.Abandon(job.Owner{Entry: "e1", Incarnation: 1, Zone: "a"})
+		right.ended.Store(true)
+		h.DropLapsed()
 		qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
 		qt.Assert(t, lost.tally(), qt.DeepEquals, tally{"erred owner_lost": 1})
 		qt.Assert(t, other.tally(), qt.DeepEquals, tally{"done": 1})
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -44,6 +44,7 @@
 	TargetRefused   Reason = "target_refused"
 	HolderLost      Reason = "holder_lost"
 	OwnerLost       Reason = "owner_lost"
+	Paused          Reason = "paused"
 	ZoneUnreachable Reason = "zone_unreachable"
 	NoRegistrar     Reason = "no_registrar"
 	NotKept         Reason = "not_kept"
@@ -193,4 +194,7 @@
 	// Stretch and Slack make the latency objective, as in config.Service.
 	Stretch float64       `cbor:"13,keyasint,omitempty"`
 	Slack   time.Duration `cbor:"14,keyasint,omitempty"`
+	// Right is the right to act for the owner, at the entry that has the batch. Nil
+	// stands for work that needs none.
+	Right Right `cbor:"-"`
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -19,7 +19,7 @@
 	Incarnation job.Incarnation
 }
 
-// beat is the message of peer.Heartbeat. Who sends it, and in which life,
+// beat is what a heartbeat says. Who sends it, and in which life,
 // stands in the link's handshake.
 type beat struct {
 	State        State            `cbor:"1,keyasint"`
@@ -76,7 +76,7 @@
 			body = full
 		}
 		// A heartbeat that can't be sent is worth nothing later.
-		_ = m.opts.Mesh.Send(d.to, peer.Heartbeat, body)
+		_ = m.opts.Mesh.Send(d.to, peer.Heartbeat, m.stamp(d.to, body))
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -22,6 +22,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
@@ -61,6 +62,11 @@
 	Busy func() []job.EntryID
 	// Across is how entries of other zones are watched; zero takes AcrossZones.
 	Across Timings
+	// Now is the clock whose readings other entries send back; nil takes time.Now.
+	Now func() time.Time
+	// Proved, when set, is told when by this entry's clock another one was alive for
+	// certain: it has sent back a reading that was made then.
+	Proved func(owner job.Owner, at time.Time)
 }
 
 // Load is one holder's load and the age of the news.
@@ -83,6 +89,9 @@
 	// sent and told are when the last heartbeat and the last list of whom this
 	// entry hears went to each entry.
 	sent, told map[job.EntryID]time.Time
+	// ruler makes this entry's readings; readings are the last of the others.
+	ruler    awake.Ruler
+	readings map[job.EntryID]reading
 }
 
 // loads is what one entry last said of its targets.
@@ -108,7 +117,14 @@
 	if o.Refused == nil {
 		o.Refused = func(job.EntryID) bool { return false }
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Proved == nil {
+		o.Proved = func(job.Owner, time.Time) {}
+	}
 	m := &Membership{
+		ruler: awake.NewRuler(o.Now()), readings: map[job.EntryID]reading{},
 		opts: o, changed: make(chan struct{}, 1), loads: map[job.EntryID]loads{},
 		sent: map[job.EntryID]time.Time{}, told: map[job.EntryID]time.Time{},
 		detector: NewDetector(time.Now(), o.Mesh.Self(), o.Peers),
@@ -145,6 +161,7 @@
 	delete(m.loads, id)
 	delete(m.sent, id)
 	delete(m.told, id)
+	delete(m.readings, id)
 	m.publish()
 }
 
@@ -321,8 +338,12 @@
 
 // handle takes a heartbeat.
 func (m *Membership) handle(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
+	var stamped stampedBeat
+	if err := cbor.Unmarshal(body, &stamped); err != nil {
+		return nil, errors.Annotate(err, "decoding a heartbeat")
+	}
 	var b beat
-	if err := cbor.Unmarshal(body, &b); err != nil {
+	if err := cbor.Unmarshal(stamped.Beat, &b); err != nil {
 		return nil, errors.Annotate(err, "decoding a heartbeat")
 	}
 	if b.State != Alive && b.State != Draining && b.State != Left {
@@ -335,9 +356,13 @@
 	m.mu.Lock()
 	changes := m.detector.Hear(now, from, b.State, b.Hears)
 	m.loads[from.Entry] = loads{now, b.Loads}
+	m.learn(from.Entry, from.Incarnation, stamped.Reading)
 	m.publish()
 	m.mu.Unlock()
 	m.tell(changes)
+	if at, ok := m.Proof(stamped.Life, stamped.Echo); ok {
+		m.opts.Proved(from, at)
+	}
 	if m.opts.Config != nil {
 		m.opts.Config.Observe(from.Entry, b.ConfigNumber, b.ConfigDigest)
 	}
--- /dev/null
+++ b/internal/pipeline/fresh_test.go
@@ -0,0 +1,46 @@
+package pipeline
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+type standing struct{ lost chan struct{} }
+
+func (s standing) Holds() bool           { return true }
+func (s standing) Left() time.Duration   { return time.Second }
+func (s standing) Lost() <-chan struct{} { return s.lost }
+
+// An entry stands still, and requests lie unread. Their callers give up and send the jobs
+// through other entries. When the entry goes on, it reads them like new ones: it must run
+// none of them, and say truly that nothing ran, and when to come back.
+func TestRequestsThatMayBeAsOldAsAPauseAreRefused(t *testing.T) {
+	s := &Fresh{Right: func() (job.Right, bool) { return nil, false }, Events: timeline.Discard{}}
+	f := &Flow{Submission: &job.Submission{ID: "j", Transient: true}}
+	a := s.Process(t.Context(), f, func(context.Context, *Flow) job.Answer {
+		t.Fatal("the job was taken")
+		return job.Answer{}
+	})
+	qt.Assert(t, a.Outcome, qt.Equals, job.Refused)
+	qt.Assert(t, a.Run.Proven(), qt.IsTrue)
+	qt.Assert(t, a.Reason, qt.Equals, job.Paused)
+	qt.Assert(t, a.RetryAfter > 0, qt.IsTrue)
+}
+
+func TestFreshRequestsGetTheirRight(t *testing.T) {
+	right := standing{make(chan struct{})}
+	s := &Fresh{Right: func() (job.Right, bool) { return right, true }, Events: timeline.Discard{}}
+	for _, transient := range []bool{true, false} {
+		f := &Flow{Submission: &job.Submission{ID: "j", Transient: transient}}
+		s.Process(t.Context(), f, func(_ context.Context, f *Flow) job.Answer {
+			qt.Assert(t, f.Right != nil, qt.Equals, transient)
+			return job.Answer{}
+		})
+	}
+}
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -98,7 +98,11 @@
 
 func (fl *flight) wait(ctx context.Context) job.Answer {
 	expired := make(<-chan time.Time)
-	if deadline := fl.flow.Submission.Deadline; !deadline.IsZero() && !fl.flow.Service.FlagLate {
+	var lost <-chan struct{}
+	if fl.flow.Right != nil {
+		lost = fl.flow.Right.Lost()
+	}
+	if deadline := fl.flow.Submission.Deadline; !deadline.IsZero() && (fl.flow.Submission.Transient || !fl.flow.Service.FlagLate) {
 		timer := time.NewTimer(time.Until(deadline) + deadlineGrace)
 		defer timer.Stop()
 		expired = timer.C
@@ -108,6 +112,8 @@
 		return a
 	case <-expired:
 		fl.stop(job.Failed, job.DeadlinePassed, "the deadline passed before every task had a result")
+	case <-lost:
+		fl.stop(job.Failed, job.Paused, pausedDetail)
 	case <-ctx.Done():
 		outcome, reason := stopReason(context.Cause(ctx))
 		fl.stop(outcome, reason, context.Cause(ctx).Error())
@@ -134,6 +140,10 @@
 		fl.report("", nil)
 		return
 	}
+	if !job.Holds(fl.flow.Right) {
+		fl.stop(job.Failed, job.Paused, pausedDetail)
+		return
+	}
 	now := time.Now()
 	fl.mu.Lock()
 	if fl.collector.Finished() {
@@ -275,6 +285,7 @@
 		Transient:  s.Transient,
 		Stretch:    fl.flow.Service.Stretch,
 		Slack:      fl.flow.Service.Slack,
+		Right:      fl.flow.Right,
 	}
 	if !s.Deadline.IsZero() {
 		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -33,6 +33,8 @@
 	Resumed bool
 	// Refusal is what the claim answers if nothing of the submission ever ran.
 	Refusal *job.Answer
+	// Right is this entry's right to go on for the caller; nil for work that needs none.
+	Right job.Right
 	// Journal is the keeper of a kept submission, nil for others.
 	Journal keep.Journal
 }
--- /dev/null
+++ b/internal/policy/ownership/ownership_test.go
@@ -0,0 +1,108 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	owner = job.Owner{Entry: "o", Incarnation: 1}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Proofs come every quarter of a second and are half a second old, as in calm times. Work
+// goes on for as long as they come.
+func TestCalmProofsKeepTheRight(t *testing.T) {
+	var table Table
+	first := table.Renew(at(500), owner, at(0))
+	for ms := 500; ms < 60_000; ms += 50 {
+		if ms%250 == 0 {
+			qt.Assert(t, table.Renew(at(ms), owner, at(ms-500)) == first, qt.IsTrue)
+		}
+		qt.Assert(t, first.Holds(at(ms)), qt.IsTrue, qt.Commentf("%d ms", ms))
+	}
+	qt.Assert(t, first.Resumed(), qt.IsFalse)
+}
+
+// An entry stands still for three seconds. Then it reads, in any order, what came
+// meanwhile: old proofs and new ones. Nothing brings back the right to what it had
+// accepted before; what is handed over afterwards has a right of its own.
+func TestARightThatRanOutStaysOver(t *testing.T) {
+	for name, proofs := range map[string][]int{
+		"nothing":            nil,
+		"old proofs":         {100, 300},
+		"a new proof":        {2990},
+		"old and new proofs": {100, 2990, 300},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+			before := table.Renew(at(0), owner, at(0))
+			for _, ms := range proofs {
+				table.Renew(at(3000), owner, at(ms))
+			}
+			qt.Assert(t, before.Holds(at(3000)), qt.IsFalse)
+			select {
+			case <-before.Lost():
+			default:
+				t.Fatal("nobody is told that the right is over")
+			}
+			after := table.Renew(at(3010), owner, at(3000))
+			qt.Assert(t, after.Holds(at(3010)), qt.IsTrue)
+			qt.Assert(t, after.Resumed(), qt.IsTrue)
+			qt.Assert(t, before.Holds(at(3010)), qt.IsFalse)
+		})
+	}
+}
+
+// A proof that was under way, or lay unread, for longer than a term gives no right; nor
+// does a reading that this clock has not reached.
+func TestOldAndForeignProofsGiveNoRight(t *testing.T) {
+	var table Table
+	qt.Assert(t, table.Renew(at(3000), owner, at(3000).Add(-Term-time.Millisecond)), qt.IsNil)
+	qt.Assert(t, table.Renew(at(3000), owner, at(3001)), qt.IsNil)
+	qt.Assert(t, table.Of(at(3000), owner), qt.IsNil)
+}
+
+// Proofs may overtake each other: an older one shortens nothing.
+func TestAnOlderProofShortensNothing(t *testing.T) {
+	var table Table
+	l := table.Renew(at(600), owner, at(500))
+	table.Renew(at(700), owner, at(100))
+	qt.Assert(t, l.Proof().Equal(at(500)), qt.IsTrue)
+	qt.Assert(t, l.OverBy().Equal(at(500).Add(Over)), qt.IsTrue)
+}
+
+// An owner's next life has nothing of the rights of the one before.
+func TestEachLifeHasItsOwnRight(t *testing.T) {
+	var table Table
+	first := table.Renew(at(0), owner, at(0))
+	later := owner
+	later.Incarnation++
+	table.Renew(at(900), later, at(900))
+	table.Renew(at(1800), later, at(1800))
+	qt.Assert(t, first.Holds(at(1800)), qt.IsFalse)
+	qt.Assert(t, table.Of(at(1800), later), qt.IsNotNil)
+}
+
+func TestSweepNamesTheSilentOnce(t *testing.T) {
+	var table Table
+	table.Renew(at(0), owner, at(0))
+	qt.Assert(t, table.Sweep(at(900)), qt.HasLen, 0)
+	qt.Assert(t, table.Sweep(at(1000)), qt.DeepEquals, map[job.Owner]time.Duration{owner: time.Second})
+	qt.Assert(t, table.Sweep(at(1050)), qt.HasLen, 0)
+}
+
+// The terms fit together: what runs for an owner is over before its callers turn elsewhere,
+// also at a target whose clock is 2% slow.
+func TestWorkIsOverBeforeCallersTurnElsewhere(t *testing.T) {
+	const callersTurn = 1300 * time.Millisecond
+	const stopAndWay = 150 * time.Millisecond
+	qt.Assert(t, Term+stopAndWay <= Over, qt.IsTrue)
+	qt.Assert(t, time.Duration(float64(Over)*1.02) < callersTurn, qt.IsTrue)
+}
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -130,11 +130,12 @@
 // it. A target that is silent is not renewed either.
 func (s *Session) renewOrder(now time.Time) RenewOrder {
 	o := RenewOrder{Epoch: s.epoch, Acked: s.acked}
+	left := s.leaseLeft(now)
 	if s.settled && !s.silent && len(s.runs) > 0 {
-		o.WaitMillis = int64(lookPart * float64(s.opts.Lease.Milliseconds()))
+		o.WaitMillis = int64(lookPart * float64(max(left, leastLease).Milliseconds()))
 	}
-	if !s.silent && !s.deposed && s.epoch > 0 && s.confirmedAny() {
-		o.Until = s.lease(now)
+	if left > 0 && !s.silent && !s.deposed && s.epoch > 0 && s.confirmedAny() {
+		o.Until = s.lease(now, left)
 	}
 	return o
 }
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -11,10 +11,19 @@
 // order sends the start, again under a newer epoch or a higher run number where
 // the target asks for it. What becomes of the run is delivered to r.done, here or
 // by a look.
-func (s *Session) order(ref Ref, r *run, spec []byte) {
+func (s *Session) order(ref Ref, r *run, t *target.Task) {
 	renumbered := 0
 	for fenced := 0; fenced < maxFenced; {
-		o := s.startOrder(ref, r, spec)
+		o, ok := s.startOrder(ref, r, t.Payload)
+		if !ok {
+			s.finish(ref, r, notStarted(target.Busy, "a run that has to end is still there"))
+			return
+		}
+		// What follows the question is bounded by the lease in the order.
+		if t.Unwanted() {
+			s.finish(ref, r, target.Withdrawn())
+			return
+		}
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(s.ctx, s.startWait())
 		reply, err := s.opts.Orders.Start(ctx, o)
@@ -81,22 +90,44 @@
 	return notStarted(target.Busy, "the target refused the task: "+reply.Detail)
 }
 
-func (s *Session) startOrder(ref Ref, r *run, spec []byte) StartOrder {
+// startOrder returns the order of a start; false where the target's lease can't be
+// lengthened for it.
+func (s *Session) startOrder(ref Ref, r *run, spec []byte) (StartOrder, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := StartOrder{Task: ref, Run: r.number, Spec: spec, Epoch: s.epoch}
-	o.Until = s.lease(time.Now())
-	return o
+	now := time.Now()
+	left := s.leaseLeft(now)
+	if left < leastLease {
+		return o, false
+	}
+	o.Until = s.lease(now, left)
+	return o, true
+}
+
+// leaseLeft is how long a lease may be that begins now: it lengthens everything that runs
+// on the target, so the run that has to end first bounds it. The caller holds the lock.
+func (s *Session) leaseLeft(now time.Time) time.Duration {
+	left := s.opts.Lease
+	for _, r := range s.runs {
+		if r.left != nil {
+			left = min(left, r.left())
+		}
+		if !r.stopAt.IsZero() {
+			left = min(left, stopBound-now.Sub(r.stopAt))
+		}
+	}
+	return left
 }
 
 // lease returns the end of a lease that begins now, and notes when it has run
 // out for certain; the caller holds the lock.
-func (s *Session) lease(now time.Time) int64 {
-	over := now.Add(time.Duration(float64(s.opts.Lease)*(1+clockDrift)) + leaseMargin)
+func (s *Session) lease(now time.Time, length time.Duration) int64 {
+	over := now.Add(time.Duration(float64(length)*(1+clockDrift)) + leaseMargin)
 	if over.After(s.until) {
 		s.until = over
 	}
-	return s.clock.at(now) + s.opts.Lease.Milliseconds()
+	return s.clock.at(now) + length.Milliseconds()
 }
 
 func (s *Session) renumber(r *run) {
@@ -146,12 +177,20 @@
 		s.mu.Unlock()
 		return nil
 	}
-	r.stopping = true
+	r.stop(time.Now())
 	s.mu.Unlock()
 	s.sendStop(ref, r)
 	return nil
 }
 
+// stop notes that the run has to end.
+func (r *run) stop(now time.Time) {
+	r.stopping = true
+	if r.stopAt.IsZero() {
+		r.stopAt = now
+	}
+}
+
 // sendStop sends a stop until the target has taken it. A look that still finds
 // the run later sends it again.
 func (s *Session) sendStop(ref Ref, r *run) {
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -51,7 +51,8 @@
 		s.mu.Unlock()
 		return
 	}
-	r.stopping, r.moved = true, true
+	r.stop(time.Now())
+	r.moved = true
 	s.opts.Log.Warn("a run is too slow and is moved", "target", s.opts.Target, "submission", ref.Submission, "task", ref.Index, "run", r.number,
 		"percent", percent, "elapsed_ms", elapsed.Milliseconds(), "expected_ms", r.expected.Milliseconds())
 	s.mu.Unlock()
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -37,6 +37,13 @@
 	renumberStep = 16
 	// maxFenced bounds how often an order takes a new epoch.
 	maxFenced = 4
+	// leastLease is the shortest lease for which anything is started: the way of the
+	// order, and a look that lengthens it.
+	leastLease = 150 * time.Millisecond
+	// stopBound is how long a run that has to end may go on where its stop gets lost: the
+	// target's lease is not lengthened beyond. Callers turn elsewhere 1.3 s after they
+	// have hung up; the rest is for clocks that differ, and for the way of the hang-up.
+	stopBound = 1100 * time.Millisecond
 	// stopTries bounds the stops of one run at a time; looks go on with it.
 	stopTries = 4
 )
@@ -113,6 +120,10 @@
 	// under it, or a higher one, tells whether the start was carried out.
 	doubted  uint64
 	stopping bool
+	// stopAt is when the stop was decided; left bounds how long the run may go on, nil
+	// sets no bound.
+	stopAt time.Time
+	left   func() time.Duration
 	// expected is how long the run is expected to take, watch the timer of its
 	// next look; moved says that it is stopped for being too slow.
 	expected time.Duration
@@ -158,7 +169,7 @@
 		return target.Withdrawn()
 	}
 	ref := Ref{t.Submission, t.Index}
-	r := &run{number: max(1, t.Run), percent: -1, expected: t.Expected, done: make(chan target.Result, 1)}
+	r := &run{number: max(1, t.Run), percent: -1, expected: t.Expected, left: t.Left, done: make(chan target.Result, 1)}
 	s.mu.Lock()
 	if s.runs[ref] != nil {
 		s.mu.Unlock()
@@ -166,7 +177,7 @@
 	}
 	s.runs[ref] = r
 	s.mu.Unlock()
-	s.order(ref, r, t.Payload)
+	s.order(ref, r, &t)
 	return <-r.done
 }
 
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -71,6 +71,9 @@
 	// for certain. A start that overtakes the stop which was sent after it would
 	// otherwise run to its end for nobody.
 	Wanted func() bool
+	// Left returns for how long the run may go on at most unless that is said anew; nil
+	// sets no bound.
+	Left func() time.Duration
 }
 
 // Unwanted reports whether nobody waits for the task any more.
