--- a/internal/awake/suspended_linux.go
+++ b/internal/awake/suspended_linux.go
@@ -7,30 +7,32 @@
 )
 
 // Suspended returns a function that says for how long the VM was suspended since the
-// call: the clock that counts suspension has then gained on the one that doesn't. It
+// call: by how much the clock that counts suspension has gained on the steady one. It
 // returns nil where the kernel has no such clock, so that only pauses on which the steady
 // clock went on are seen.
 func Suspended() func() time.Duration {
-	first, ok := gained()
+	first, ok := sinceBoot()
 	if !ok {
 		return nil
 	}
+	begun := time.Now()
 	return func() time.Duration {
-		now, ok := gained()
+		// The steady clock is read first: a pause between the two readings then looks
+		// like a suspension, which is safe, and passes with the next reading.
+		steady := time.Since(begun)
+		now, ok := sinceBoot()
 		if !ok {
 			return 0
 		}
-		return max(now-first, 0)
+		return max(now-first-steady, 0)
 	}
 }
 
-// gained returns by how much the clock that counts suspension is ahead of the other, which
-// is read first: a pause between the two readings looks like a suspension. That is safe,
-// and passes with the next reading.
-func gained() (time.Duration, bool) {
-	var steady, boot unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+// sinceBoot reads the clock that counts suspension.
+func sinceBoot() (time.Duration, bool) {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
 		return 0, false
 	}
-	return time.Duration(boot.Nano() - steady.Nano()), true
+	return time.Duration(t.Nano()), true
 }
