--- /dev/null
+++ b/internal/entry/pause_again_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// An entry stands still for three seconds, runs for a tenth of a second, in which it reads
+// a part of what lay unread, and stands still again for a shorter while. What it reads then
+// may be four seconds old: its caller has sent the job elsewhere, and would have it run
+// twice.
+func TestRequestsFromBeforeAPauseAreRefusedAfterTheNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		time.Sleep(time.Second)
+		p.standStill(3 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		_, fresh := p.entry.rights.own()
+		qt.Check(t, fresh, qt.IsFalse)
+		p.standStill(800 * time.Millisecond)
+		_, fresh = p.entry.rights.own()
+		qt.Check(t, fresh, qt.IsFalse)
+	})
+}
+
+// An offer leaves its owner and is held up: its holder stands still, or the connection is
+// cut. The owner gives the holder up and has the job run elsewhere. When the two have found
+// each other again the offer is read at last, from the earlier connection. That the owner
+// is alive now does not make the offer new: the holder would run the job beside its second
+// run.
+func TestAnOldOfferIsRefusedThoughItsOwnerIsHeardAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		time.Sleep(time.Second)
+		life := job.Owner{Entry: "o", Incarnation: 1, Zone: "y"}
+		old := p.entry.rights.Reading()
+		qt.Check(t, p.entry.rights.Right(life, old), qt.Not(qt.IsNil))
+		p.standStill(3 * time.Second)
+		p.net.SetDelay(time.Millisecond)
+		time.Sleep(5 * time.Second)
+		fresh := p.entry.rights.Reading()
+		qt.Check(t, p.entry.rights.Right(life, fresh), qt.Not(qt.IsNil))
+		qt.Check(t, p.entry.rights.Right(life, old), qt.IsNil)
+	})
+}
