Bound leases by slow clocks, take jobs back over broken links, refuse old offers

Now the end of a lease is reckoned from the last reading and the slowest clock; a cancelled offer is followed by nothing but its cancellation until that is confirmed; each proof's own age counts; the window counts time that the entry ran and begins anew at each gap. Reports carry a reading too, so that proofs are as fresh as work is frequent.

Ruled out: pinning the estimate to the exact clock (epochs need one that never falls back).

--- a/internal/entry/awake.go
+++ b/internal/entry/awake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/awake"
@@ -18,10 +19,6 @@
 	// pauseWorthALine is the shortest pause that is told: twice the tenth of a second for
 	// which a small VM's share of its processor may be used up, and a tick.
 	pauseWorthALine = 250 * time.Millisecond
-	// backlogTime is how long after a pause requests may still be read that were sent
-	// before or in it. A VM of 0.2 of a core reads its whole backlog of accepted
-	// connections, some hundreds of requests of 0.2 ms each, in less.
-	backlogTime = 250 * time.Millisecond
 )
 
 // rights are this entry's rights to act for the owners of transient work, itself included.
@@ -31,6 +28,11 @@
 	table   ownership.Table
 	proofOf func(life job.Incarnation, at awake.Reading) (time.Time, bool)
 	reading func() awake.Reading
+
+	mu     sync.Mutex
+	unread ownership.Unread
+	// last is the lease of this entry's right to act for itself at its last look.
+	last *ownership.Lease
 }
 
 func newRights(e *Entry) *rights {
@@ -78,32 +80,43 @@
 // own returns this entry's right to go on for its own callers, for a request that was read
 // now. It reports false where the request may be as old as a pause.
 func (r *rights) own() (job.Right, bool) {
-	now := r.clock.Now()
-	lease := r.table.Of(now, r.self)
-	if lease == nil {
-		return nil, false
-	}
-	if lease.Resumed() && now.Sub(lease.Begun()) < backlogTime {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lease := r.table.Of(r.clock.Now(), r.self)
+	if lease == nil || r.unread.Old() {
 		return nil, false
 	}
 	return right{lease, r.clock}, true
 }
 
+// ran notes that the entry ran until now, after a gap.
+func (r *rights) ran(now time.Time, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lease := r.table.Renew(now, r.self, now)
+	r.unread.Ran(gap)
+	if lease != nil && lease.Resumed() && lease != r.last {
+		r.unread.Paused()
+	}
+	r.last = lease
+}
+
 // watchOwners renews this entry's right to act for itself, tells when it stood still, and
 // stops the work of owners that it has no proof of any more, until ctx ends. Each start
 // asks for itself as well; this ends what waits and what runs.
 func (e *Entry) watchOwners(ctx context.Context) error {
 	last := e.awake.Now()
-	e.rights.table.Renew(last, e.self, last)
+	e.rights.ran(last, 0)
 	return every(ctx, awakeEvery, func(time.Time) {
 		now := e.awake.Now()
-		e.tellPause(now.Sub(last))
+		gap := now.Sub(last)
 		last = now
+		e.tellPause(gap)
 		silent := e.rights.table.Sweep(now)
 		for owner, age := range silent {
 			e.tellSilent(owner, age)
 		}
-		e.rights.table.Renew(now, e.self, now)
+		e.rights.ran(now, gap)
 		if len(silent) > 0 {
 			e.holder.DropLapsed()
 		}
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -74,10 +74,17 @@
 
 	mu     sync.Mutex
 	next   uint64
-	flying map[job.ID]map[uint64]job.EntryID
+	flying map[job.ID]map[uint64]*flying
 	acks   map[job.EntryID][]uint64
 }
 
+// flying is an offer whose outcomes are not known.
+type flying struct {
+	to job.EntryID
+	// cancelled is set once its job was taken back.
+	cancelled bool
+}
+
 // NewRemote returns the owner's side.
 func NewRemote(o RemoteOptions) *Remote {
 	if o.Gone == nil {
@@ -97,7 +104,7 @@
 	}
 	return &Remote{
 		proof: o.Proof, learn: o.Learn, mesh: o.Mesh, gone: o.Gone, silent: o.Silent, events: o.Events,
-		flying: map[job.ID]map[uint64]job.EntryID{}, acks: map[job.EntryID][]uint64{},
+		flying: map[job.ID]map[uint64]*flying{}, acks: map[job.EntryID][]uint64{},
 	}
 }
 
@@ -119,9 +126,9 @@
 	defer r.mu.Unlock()
 	r.next++
 	if r.flying[id] == nil {
-		r.flying[id] = map[uint64]job.EntryID{}
+		r.flying[id] = map[uint64]*flying{}
 	}
-	r.flying[id][r.next] = to
+	r.flying[id][r.next] = &flying{to: to}
 	return r.next
 }
 
@@ -140,8 +147,8 @@
 	defer r.mu.Unlock()
 	found := map[job.EntryID]bool{}
 	for _, offers := range r.flying {
-		for _, to := range offers {
-			found[to] = true
+		for _, f := range offers {
+			found[f.to] = true
 		}
 	}
 	return slices.Collect(maps.Keys(found))
@@ -151,17 +158,24 @@
 func (r *Remote) Cancel(to job.EntryID, id job.ID) {
 	r.mu.Lock()
 	var numbers []uint64
-	for n, entry := range r.flying[id] {
-		if entry == to {
+	for n, f := range r.flying[id] {
+		if f.to == to {
+			f.cancelled = true
 			numbers = append(numbers, n)
 		}
 	}
 	r.mu.Unlock()
-	// A cancellation that is lost costs work, never correctness; Offer sends it
-	// again when its context ends.
+	// One that is lost with its link is sent again by deliver, until it is confirmed.
 	_ = r.mesh.Send(to, peer.BatchCancel, cancel{Submission: id, Offers: numbers})
 }
 
+func (r *Remote) isCancelled(id job.ID, number uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.flying[id][number]
+	return f != nil && f.cancelled
+}
+
 func (r *Remote) takeAcks(to job.EntryID) []uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -192,14 +206,19 @@
 		// The proof is read before the right is asked for: a pause between the two makes
 		// the proof old, one before them ends the right.
 		o.Proof = r.proof(to, o.To)
+		if b.Transient && r.isCancelled(b.Submission, o.Number) {
+			return r.takeBack(ctx, to, &o, sent)
+		}
 		if !job.Holds(b.Right) {
 			return givenUp(&b, sent)
 		}
 		o.Acked = r.takeAcks(to)
 		answer, err := r.ask(ctx, to, o)
+		if err == nil && answer.Reading != 0 {
+			r.learn(to, o.To, answer.Reading)
+		}
 		if err == nil && answer.Verdict == verdictStale {
 			r.ack(to, o.Acked...)
-			r.learn(to, o.To, answer.Reading)
 			if stale++; stale < maxStale {
 				continue
 			}
@@ -249,6 +268,26 @@
 	}
 }
 
+// takeBack tells a holder of a cancellation that may have been lost with its link, until
+// the holder has confirmed it or can't act for this owner any more. The caller of a
+// transient job sends it elsewhere soon after it has hung up: its work must end by then,
+// and an offer that may not have arrived is not sent again.
+func (r *Remote) takeBack(ctx context.Context, to job.EntryID, o *offer, sent bool) []job.TaskOutcome {
+	if !sent {
+		return whole(&o.Batch, job.TaskNotStarted, job.CancelledByCall, "taken back before it was sent")
+	}
+	message := cancel{Submission: o.Batch.Submission, Offers: []uint64{o.Number}}
+	for begun := time.Now(); time.Since(begun) <= lostAfter || r.silent(to, o.To) <= lostAfter; r.wait(ctx, minRetryPause) {
+		call, done := context.WithTimeout(ctx, fetchTimeout)
+		err := r.mesh.Call(call, to, peer.BatchCancel, message, nil)
+		done()
+		if err == nil || errors.Is(err, peer.ErrRejected) || ctx.Err() != nil {
+			break
+		}
+	}
+	return whole(&o.Batch, job.TaskErred, job.CancelledByCall, "taken back")
+}
+
 // givenUp is the outcome of a batch whose owner stood still: its caller may have turned
 // elsewhere.
 func givenUp(b *job.Batch, sent bool) []job.TaskOutcome {
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -171,6 +171,16 @@
 	return rec, report{}, true
 }
 
+// reading is this entry's clock, which the owner sends back with its next offer: under
+// load proofs are so as fresh as reports are frequent, and a short outage of a link ends
+// no right.
+func (s *Server) reading() awake.Reading {
+	if s.rights == nil {
+		return 0
+	}
+	return s.rights.Reading()
+}
+
 // allowed takes the right to act for the owner of a new offer. An owner that stood still,
 // or whose offer was under way for long, may have given it up.
 func (s *Server) allowed(from job.Owner, o *offer) bool {
@@ -206,7 +216,7 @@
 	if rec.outcomes == nil && rec.tasks > 0 {
 		return report{Verdict: verdictForgotten}
 	}
-	return report{Verdict: verdictReported, Outcomes: rec.outcomes}
+	return report{Verdict: verdictReported, Outcomes: rec.outcomes, Reading: s.reading()}
 }
 
 // report takes the holder's outcomes.
--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -38,7 +38,8 @@
 // Lease is the right to act for one life of an owner, from its first proof on until
 // proofs have failed to come for a term. It is safe for concurrent use.
 type Lease struct {
-	begun   time.Time
+	// first is the proof on which the lease began.
+	first   time.Time
 	resumed bool
 	lost    chan struct{}
 
@@ -49,13 +50,10 @@
 
 // Begin returns a lease that rests on a proof of life. resumed says that an earlier one of
 // the same owner had run out.
-func Begin(now, proof time.Time, resumed bool) *Lease {
-	return &Lease{begun: now, resumed: resumed, proof: proof, lost: make(chan struct{})}
+func Begin(proof time.Time, resumed bool) *Lease {
+	return &Lease{first: proof, resumed: resumed, proof: proof, lost: make(chan struct{})}
 }
 
-// Begun returns when the lease began.
-func (l *Lease) Begun() time.Time { return l.begun }
-
 // Resumed reports whether an earlier lease of the same owner had run out before.
 func (l *Lease) Resumed() bool { return l.resumed }
 
@@ -126,19 +124,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.leases[owner]
-	if l != nil && l.Renew(now, proof) {
-		return l
-	}
-	if l != nil {
+	if l != nil && !l.Holds(now) {
 		t.forget(owner)
+		l = nil
 	}
-	if now.Sub(proof) > Term {
+	// That the owner is heard again makes nothing new that it sent before.
+	if now.Sub(proof) > Term || l != nil && proof.Before(l.first) {
 		return nil
 	}
+	if l != nil && l.Renew(now, proof) {
+		return l
+	}
 	if t.leases == nil {
 		t.leases, t.lapsed = map[job.Owner]*Lease{}, map[job.Owner]bool{}
 	}
-	l = Begin(now, proof, t.lapsed[owner])
+	l = Begin(proof, t.lapsed[owner])
 	t.leases[owner] = l
 	return l
 }
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -127,7 +127,7 @@
 	if over.After(s.until) {
 		s.until = over
 	}
-	return s.clock.at(now) + length.Milliseconds()
+	return s.clock.atLeast(now) + length.Milliseconds()
 }
 
 func (s *Session) renumber(r *run) {
