Send an order without an answer again in place of going elsewhere

The epoch that was then taken withdrew `settled`, so that no other task started on that target until a look had come through; half of the looks got lost as well, were waited for 300 ms, and the first lost one made the target silent: its lease was not renewed, each start there was refused at once, and the scheduler passed it over for 50 ms to 2 s. Of 48 targets, 265 times one was called silent; target i-e02fe3b0a5 was out for 0.27 to 0.93 s at a time, four times in 3 s. Admission believed its room away and refused.

A target takes a run that it has or had no second time, so an order can be repeated there: six copies, 15 ms apart. Doubt raises the epoch without holding up other tasks. A target is silent when every call has been without an answer for 0.5 s. Where orders get lost looks are short and overlap. A refusal while an earlier copy has no answer is settled under a higher epoch as well: the copy may be carried out seconds later.

--- a/internal/runs/answers.go
+++ b/internal/runs/answers.go
@@ -39,3 +39,8 @@
 func (a *answerTimes) wait() time.Duration {
 	return min(answerTime, max(leastStartWait, a.mean+deviations*a.deviation))
 }
+
+// gap returns how long to wait for the next answer before the order is sent again.
+func (a *answerTimes) gap() time.Duration {
+	return min(leastStartWait, max(leastGap, a.mean+deviations*a.deviation))
+}
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
@@ -32,6 +34,11 @@
 func (s *Session) lookLocked() {
 	s.settled = false
 	s.renewReady()
+	s.lookAgain()
+}
+
+// lookAgain has the loop look at once; the caller holds the lock.
+func (s *Session) lookAgain() {
 	s.keepLooking()
 	if s.interrupt != nil {
 		s.interrupted = true
@@ -96,14 +103,15 @@
 	s.resting = false
 	sent := time.Now()
 	o := s.renewOrder(sent)
-	ctx, cancel := context.WithTimeout(s.ctx, time.Duration(o.WaitMillis)*time.Millisecond+answerTime)
+	p := s.lookPatience(sent, &o)
+	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	s.interrupt, s.interrupted = nil, false
 	if o.WaitMillis > 0 {
 		s.interrupt = cancel
 	}
 	s.mu.Unlock()
-	l, err := s.opts.Orders.Renew(ctx, o)
+	l, _, err := firstAnswer(ctx, p, func() (Look, error) { return s.sendLook(o, p.wait) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.interrupt = nil
@@ -150,10 +158,14 @@
 
 // unanswered meets a look without an answer; the caller holds the lock.
 func (s *Session) unanswered(err error) (pause time.Duration) {
-	if s.interrupted {
+	if s.interrupted || s.ctx.Err() != nil {
 		return 0
 	}
-	if !s.silent && s.ctx.Err() == nil {
+	s.missed++
+	if pause, lost := s.onlyLost(time.Now(), err); lost {
+		return pause
+	}
+	if !s.silent {
 		s.silent = true
 		s.opts.Log.Warn("target silent", "target", s.opts.Target, "runs", len(s.runs), "epoch", s.epoch, "error", err)
 	}
@@ -161,6 +173,20 @@
 	return silentPause
 }
 
+// onlyLost reports whether a look without an answer may merely have got lost, and when
+// to look again then; the caller holds the lock. Taken for silent, the target would
+// refuse what is to be started there, and its lease would not be renewed.
+func (s *Session) onlyLost(now time.Time, err error) (pause time.Duration, lost bool) {
+	switch {
+	case s.silent || now.Sub(s.heard) >= silentAfter:
+		return 0, false
+	case errors.Is(err, errNoAnswer):
+		return 0, true
+	}
+	s.lossyUntil = now.Add(lossMemory)
+	return brokenPause, s.missed == 1
+}
+
 // lapse ends the runs of a target whose lease has certainly run out; the caller
 // holds the lock.
 func (s *Session) lapse(now time.Time) {
@@ -176,6 +202,7 @@
 // takeIn takes the answer to a look and says when to look again; the caller
 // holds the lock.
 func (s *Session) takeIn(o RenewOrder, sent time.Time, l *Look) (pause time.Duration) {
+	s.missed = 0
 	if s.silent {
 		s.silent = false
 		s.opts.Log.Info("target answers again", "target", s.opts.Target, "epoch", s.epoch)
@@ -196,6 +223,9 @@
 	s.obeyed = true
 	s.told = max(s.told, o.Acked)
 	s.takeEnds(l.Ended)
+	if s.acked > lastEnd(o, l) {
+		return 0 // it was overtaken: what it lists as running may have ended
+	}
 	strays := s.takeRunning(o, sent, l.Running)
 	if o.Epoch != s.epoch {
 		return 0 // a newer epoch is to be settled first
@@ -247,6 +277,15 @@
 	}
 }
 
+// lastEnd is the number of the last end that an answer to a look knows of.
+func lastEnd(o RenewOrder, l *Look) uint64 {
+	last := o.Acked
+	for i := range l.Ended {
+		last = max(last, l.Ended[i].Number)
+	}
+	return last
+}
+
 func (s *Session) resultOf(e *End, r *run) target.Result {
 	switch e.How {
 	case Done:
@@ -305,9 +344,7 @@
 	o := StopOrder{Task: x.Task, Run: x.Run, Epoch: s.epoch}
 	s.mu.Unlock()
 	s.opts.Log.Info("stopping a stray run", "target", s.opts.Target, "submission", x.Task.Submission, "task", x.Task.Index, "run", x.Run)
-	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
-	defer cancel()
-	if _, err := s.opts.Orders.Stop(ctx, o); err != nil {
+	if _, err := s.orderStop(o); err != nil {
 		s.opts.Log.Warn("the stop of a stray run got no answer", "target", s.opts.Target, "submission", x.Task.Submission, "error", err)
 	}
 }
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 )
@@ -12,18 +14,16 @@
 // the target asks for it. What becomes of the run is delivered to r.done, here or
 // by a look.
 func (s *Session) order(ref Ref, r *run, spec []byte) {
-	renumbered := 0
+	renumbered, unsure := 0, false
 	for fenced := 0; fenced < maxFenced; {
 		o := s.startOrder(ref, r, spec)
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(s.ctx, s.startWait())
-		reply, err := s.opts.Orders.Start(ctx, o)
-		cancel()
+		p := s.startPatience()
+		reply, sent, err := firstAnswer(s.ctx, p, func() (Reply, error) { return s.sendStart(o, p.wait) })
 		if err != nil {
 			s.doubt(ref, r, err)
 			return
 		}
-		s.answered(time.Since(sent))
+		unsure = unsure || sent > 1
 		s.hear(reply.Clock)
 		switch reply.Refusal {
 		case Accepted:
@@ -37,6 +37,9 @@
 			}
 			continue
 		case Outnumbered:
+			if unsure {
+				break // by a copy of this order, perhaps
+			}
 			if s.stopped(r) {
 				s.finish(ref, r, erred(job.CancelledByCall, "stopped before it started", true))
 				return
@@ -53,16 +56,21 @@
 		case Elsewhere:
 			s.leave("another life of the target listens at its address")
 		}
-		s.finish(ref, r, refusedBy(reply))
+		s.giveUp(ref, r, unsure, refusedBy(reply))
 		return
 	}
-	s.finish(ref, r, notStarted(target.Unreachable, "the target refuses each epoch"))
+	s.giveUp(ref, r, unsure, notStarted(target.Unreachable, "the target refuses each epoch"))
 }
 
-func (s *Session) startWait() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answers.wait()
+// giveUp ends a start that was refused. Where copies of it are without an answer, one
+// of them may have been carried out before, or may be later: then the task must not
+// go elsewhere before a look under a higher epoch has told.
+func (s *Session) giveUp(ref Ref, r *run, unsure bool, refused target.Result) {
+	if unsure {
+		s.doubt(ref, r, errors.New("refused, and an earlier copy got no answer: "+refused.Detail))
+		return
+	}
+	s.finish(ref, r, refused)
 }
 
 func (s *Session) answered(took time.Duration) {
@@ -130,10 +138,10 @@
 func (s *Session) doubt(ref Ref, r *run, err error) {
 	s.mu.Lock()
 	s.opts.Log.Warn("a start got no answer", "target", s.opts.Target, "submission", ref.Submission, "task", ref.Index, "run", r.number, "epoch", s.epoch, "error", err)
-	s.nextEpoch()
+	s.raiseEpoch()
 	r.doubted = s.epoch
+	s.lookAgain()
 	s.mu.Unlock()
-	s.look()
 }
 
 // Stop implements holder.Connection: it asks the target to stop a task. The end
@@ -163,9 +171,7 @@
 		if over {
 			return
 		}
-		ctx, cancel := context.WithTimeout(s.ctx, answerTime)
-		reply, err := s.opts.Orders.Stop(ctx, o)
-		cancel()
+		reply, err := s.orderStop(o)
 		if err != nil {
 			continue
 		}
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -1,7 +1,6 @@
 package runs
 
 import (
-	"context"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/policy/pace"
@@ -25,10 +24,10 @@
 	}
 	o := RenewOrder{Epoch: s.epoch, Acked: s.told}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, answerTime)
-	defer cancel()
-	l, err := s.opts.Orders.Renew(ctx, o)
+	p := s.startPatience()
+	l, _, err := firstAnswer(s.ctx, p, func() (Look, error) { return s.sendLook(o, p.wait) })
 	if err != nil || l.Refusal != Accepted {
+		s.checkPaceAgain(ref, r)
 		return // the loop of looks meets what is wrong with the target
 	}
 	for _, x := range l.Running {
@@ -39,6 +38,15 @@
 	}
 }
 
+// checkPaceAgain sets the next look at a run that could not be looked at.
+func (s *Session) checkPaceAgain(ref Ref, r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[ref] == r {
+		r.watch.Reset(pace.NextLook(r.expected))
+	}
+}
+
 func (s *Session) judgePace(ref Ref, r *run, percent int) {
 	s.mu.Lock()
 	if s.runs[ref] != r || r.stopping {
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -84,6 +84,12 @@
 	// silent is set while the last look got no answer. The lease is not renewed
 	// then, so that it runs out for certain while the target can't be asked.
 	silent bool
+	// heard is when the target last answered a call, missed counts the looks that got
+	// no answer since the last one that did, and lossyUntil is until when the target
+	// counts as one of which orders get lost.
+	heard      time.Time
+	missed     int
+	lossyUntil time.Time
 	// deposed is set when another entry has taken the target. What was left
 	// running is stopped there, or lapses since it is not renewed.
 	deposed bool
@@ -204,11 +210,17 @@
 // the caller holds the lock. The target's own clock makes it grow from holder to
 // holder without any agreement, also while no voter is up.
 func (s *Session) nextEpoch() {
-	s.epoch = max(s.epoch+epochStep, s.clock.epoch(time.Now(), s.opts.Salt))
+	s.raiseEpoch()
 	s.settled = false
 	s.renewReady()
 }
 
+// raiseEpoch takes a higher epoch for a target that stays settled: what runs there was
+// started by this session. The caller holds the lock.
+func (s *Session) raiseEpoch() {
+	s.epoch = max(s.epoch+epochStep, s.clock.epoch(time.Now(), s.opts.Salt))
+}
+
 func (s *Session) renewReady() {
 	select {
 	case <-s.ready:
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -36,6 +36,11 @@
 	lose   func(order string) bool
 	delay  time.Duration
 	silent bool
+	// late, where it is set, says how much later in place of delay; loseTask is a
+	// submission of which all starts get lost; full says that nothing more fits.
+	late     func() time.Duration
+	loseTask job.ID
+	full     bool
 	// most is the largest number of runs of one task that were alive together
 	// over all workers of a test.
 	starts int
@@ -92,13 +97,17 @@
 	w.mu.Lock()
 	silent := w.silent
 	lost := w.lose != nil && w.lose(order)
+	delay := w.delay
+	if lost && w.late != nil {
+		delay = w.late()
+	}
 	w.mu.Unlock()
 	if silent {
 		<-ctx.Done()
 		return Reply{}, errLost
 	}
 	if lost {
-		time.AfterFunc(w.delay, func() {
+		time.AfterFunc(delay, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			do()
@@ -119,7 +128,17 @@
 	return false
 }
 
+func (w *worker) losesTask(ref Ref) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loseTask != "" && w.loseTask == ref.Submission
+}
+
 func (w *worker) Start(ctx context.Context, o StartOrder) (Reply, error) {
+	if w.losesTask(o.Task) {
+		<-ctx.Done()
+		return Reply{}, errLost
+	}
 	return w.carry(ctx, "start", func() Reply {
 		r := Reply{Clock: w.clock()}
 		switch {
@@ -130,6 +149,8 @@
 		case w.running[o.Task] != nil && w.running[o.Task].run == o.Run:
 		case o.Run <= w.highest[o.Task]:
 			r.Refusal = Outnumbered
+		case w.full:
+			r.Refusal = NoRoom
 		default:
 			w.extend(o.Until)
 			w.highest[o.Task] = o.Run
