Have the target of a silent owner's work end what it is asked to stop

Cause: the holder now waits for the end of a run whose owner is silent, so that it can say that the run is over; the stand-in of the test went on to the end of the task and counted as done. Ruled out: reporting before the end, since an owner that lives could not place the task anew then. The test is as strict: one stop is sent, the run is reported as over, the other owner's work is done.

--- a/internal/holder/transient_test.go
+++ b/internal/holder/transient_test.go
@@ -96,6 +96,18 @@
 func TestSilentOwnersWorkIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
+		f.answer = func(_ job.TargetID, t target.Task) target.Result {
+			if t.Submission != "j" {
+				time.Sleep(100 * time.Millisecond)
+				return target.Result{Status: job.TaskDone}
+			}
+			for asked := 0; asked == 0; time.Sleep(time.Millisecond) {
+				f.mu.Lock()
+				asked = len(f.stops)
+				f.mu.Unlock()
+			}
+			return target.Result{Status: job.TaskErred, Reason: job.CancelledByCall, Over: true}
+		}
 		h := newHolder(f, "1", "2")
 		var lost, other reports
 		silent, heard := transientOf("j", "e1"), transientOf("k", "e2")
