Pass over heartbeats and rows that can't be read

Cause: a heartbeat was taken as far as it could be decoded.

Each field that a worker says must be there, of its type, and within bounds; otherwise the answer is a 4xx that names the field, nothing is announced, and the heartbeat is counted and told in one line each 10 s at the most.

Ruled out: a late heartbeat by its `seq`. One absurd number would make all true ones look late; what a late one could do (bring a leaving target back, take the address of a later life) is met by what the registry remembers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/keep"
+	"github.com/vanillagrade/vanillagrade/internal/malformed"
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/metrics"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
@@ -69,6 +70,9 @@
 	Incarnation job.Incarnation
 	// Parse reads a declarative file; nil takes config.Parse.
 	Parse func(name string, body []byte) (*config.File, error)
+	// Malformed counts what others sent that can't be used; nil takes one of the
+	// entry's own.
+	Malformed *malformed.Tally
 	// Orders, when set, is the way to a target that runs tasks under a lease, in
 	// place of the targets' HTTP interface.
 	Orders func(job.Target) runs.Orders
@@ -165,6 +169,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Malformed == nil {
+		o.Malformed = malformed.New(o.Log)
+	}
 	if o.Linger == 0 {
 		o.Linger = DefaultLinger
 	}
--- /dev/null
+++ b/internal/malformed/malformed_test.go
@@ -0,0 +1,39 @@
+package malformed
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+// A broken writer sends a thousand messages in ten seconds. Whoever is on call must
+// see from the log that there is one, what is wrong and how many there were, and
+// must not lose the other lines to it.
+func TestManyAreToldInFewLines(t *testing.T) {
+	var text bytes.Buffer
+	tally := New(slog.New(slog.NewTextHandler(&text, nil)))
+	start := time.Unix(1000, 0)
+	for i := range 1000 {
+		tally.Note(start.Add(time.Duration(i)*LogEvery/1000), Announcement, errors.New("no address"))
+	}
+	qt.Assert(t, tally.Total(Announcement), qt.Equals, uint64(1000))
+	qt.Assert(t, tally.Total(Row), qt.Equals, uint64(0))
+	qt.Assert(t, strings.Count(text.String(), "\n"), qt.Equals, 1)
+	qt.Assert(t, strings.Contains(text.String(), "no address"), qt.IsTrue)
+	tally.Note(start.Add(LogEvery), Announcement, errors.New("no zone"))
+	qt.Assert(t, strings.Contains(text.String(), "untold_before=999"), qt.IsTrue)
+	tally.Note(start.Add(LogEvery), Row, errors.New("no task"))
+	qt.Assert(t, strings.Count(text.String(), "\n"), qt.Equals, 3)
+}
+
+// Parts that are built without a tally go on.
+func TestWithoutTally(t *testing.T) {
+	var none *Tally
+	none.Note(time.Now(), Row, errors.New("x"))
+	qt.Assert(t, none.Total(Row), qt.Equals, uint64(0))
+}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -23,6 +23,8 @@
 	maxProcessors   = 4096
 	maxMemoryMB     = 64 << 20
 	maxAccelerators = 1024
+	// milli is how many thousandths make a processor.
+	milli = 1000
 )
 
 const (
@@ -252,7 +254,7 @@
 
 // Check reports what is wrong with an announcement to an entry of the zone.
 func Check(t job.Target, zone job.Zone) error {
-	if err := checkName("id", string(t.ID)); err != nil {
+	if err := CheckID(t.ID); err != nil {
 		return err
 	}
 	if err := checkName("service", t.Pool); err != nil {
@@ -264,9 +266,20 @@
 	if t.Zone != zone {
 		return errors.NotValidf("availability_zone %q: this entry is in %q, and it", t.Zone, zone)
 	}
+	if err := checkName("availability_zone", string(t.Zone)); err != nil {
+		return err
+	}
+	if t.Rack != "" {
+		if err := checkName("rack", t.Rack); err != nil {
+			return err
+		}
+	}
 	return checkAmounts(t)
 }
 
+// CheckID reports what is wrong with the name of a target.
+func CheckID(id job.TargetID) error { return checkName("id", string(id)) }
+
 func checkName(what, name string) error {
 	if name == "" {
 		return errors.NotValidf("announcement without %s", what)
@@ -298,6 +311,7 @@
 		{"slots", t.Slots, maxSlots},
 		{"connections", t.Connections, maxConnections},
 		{"processors", t.Processors, maxProcessors},
+		{"milli_processors", t.MilliProcessors, milli * maxProcessors},
 		{"memory_mb", t.MemoryMB, maxMemoryMB},
 		{"accelerators", t.Accelerators, maxAccelerators},
 		{"running", t.Running, maxSlots},
