Ask the target before an announcement displaces another one

Cause: an announcement for a held address under another name displaced the one that was held, and had it refused for a minute. A heartbeat that a cut held back and that arrives after the next life of the target was taken did just that, when it came to the holder of the later life, which had never heard of the former one. In the same way a known name with another address or pool moved the target, and "leaving" went by the name alone: whatever the rest of the heartbeat said, the target of that name lost its work on all entries of the zone. A pool that no configuration names was taken as well.

Where an announcement contradicts what is held, the address is asked which life listens there, by a look that changes nothing; only that one is taken. Another pool under a known name is refused. Leaving is carried out for the target that is meant, and is remembered by name and address. Pools are checked where the file lists them, but not for targets that are known. What is wrong by itself is refused by the first entry, so that the answer is a 400 and not a 503. Names that nobody holds are remembered up to 16,384.

Ruled out: dropping both at a contradiction (another writer could take any target away); waiting until the held one's lease ends (a target that crashed and came back would stand idle for 4 s).

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -22,6 +22,9 @@
 	// Routes lead requests to services by host and path, where callers do not
 	// name the service.
 	Routes []Route
+	// Pools, where the file lists them, are all pools that targets may announce;
+	// nil allows any.
+	Pools []string
 }
 
 // Route leads the requests for a host and a path to a service.
--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -11,6 +11,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/malformed"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/register"
 )
@@ -68,6 +69,9 @@
 	m.Gauge("vanillagrade_configuration_number", func() float64 { return float64(e.Configuration()) })
 	m.Gauge("vanillagrade_body_bytes", func() float64 { return float64(e.memory.Used()) })
 	m.Gauge("vanillagrade_targets_held", func() float64 { return float64(len(e.targets.registry.Held())) })
+	for _, kind := range malformed.Kinds {
+		m.Gauge(fmt.Sprintf("vanillagrade_malformed_total{kind=%q}", kind), func() float64 { return float64(e.opts.Malformed.Total(kind)) })
+	}
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.slotsKnown()) })
 	for kind, read := range e.messageCounts() {
 		m.Gauge(fmt.Sprintf("vanillagrade_peer_bytes_sent{kind=%q}", kind), read)
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -36,17 +36,18 @@
 		})
 		ts := &targets{
 			self: mesh.Self(), mesh: mesh, exclusive: true, events: timeline.Discard{}, log: slog.New(slog.DiscardHandler),
+			config:   config.Fixed{},
 			registry: target.NewRegistry("z", config.Fixed{}),
 			holder:   holder.New(holder.Options{Config: config.Fixed{}, Client: target.NewClient(target.ClientOptions{})}),
 			members:  membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "b", Zone: "y"}}}),
 			passed:   map[job.TargetID]passedOn{}, leaving: map[job.TargetID]job.EntryID{},
 		}
-		leaving := &job.Target{ID: "i-1", Zone: "y"}
+		leaving := &job.Target{ID: "i-1", Pool: "p", Address: "10.0.0.1:80", Zone: "y"}
 		qt.Assert(t, ts.Leaving(t.Context(), leaving), qt.IsNil)
 		qt.Assert(t, told.Load(), qt.Equals, int64(1))
 		net.CutBoth("a", "b", true)
 		qt.Assert(t, ts.Leaving(t.Context(), leaving), qt.IsNotNil)
-		elsewhere := &job.Target{ID: "i-2", Zone: "z"}
+		elsewhere := &job.Target{ID: "i-2", Pool: "p", Address: "10.0.0.2:80", Zone: "z"}
 		qt.Assert(t, ts.Leaving(t.Context(), elsewhere), qt.IsNil)
 		net.Leave("a")
 		net.Leave("b")
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -10,9 +10,11 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
+	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/handover"
 	"github.com/vanillagrade/vanillagrade/internal/holder"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/malformed"
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/target"
@@ -26,14 +28,18 @@
 // targets takes the announcements of targets and keeps the holder's set of
 // them in step with the leases.
 type targets struct {
-	self     job.Owner
-	registry *target.Registry
-	holder   *holder.Holder
-	members  *membership.Membership
-	forward  *handover.Targets
-	mesh     peer.Mesh
-	events   timeline.Sink
-	log      *slog.Logger
+	self      job.Owner
+	config    config.View
+	registry  *target.Registry
+	holder    *holder.Holder
+	members   *membership.Membership
+	forward   *handover.Targets
+	mesh      peer.Mesh
+	events    timeline.Sink
+	log       *slog.Logger
+	malformed *malformed.Tally
+	// listens reports whether a target's address answers as this life of it.
+	listens func(job.Target) bool
 
 	// changing is held while the registry and the holder change together. A
 	// withdrawal between the two steps of a renewal would otherwise leave a
@@ -60,15 +66,18 @@
 
 func newTargets(e *Entry) *targets {
 	t := &targets{
-		self:     e.self,
-		registry: target.NewRegistry(e.self.Zone, e.config),
-		holder:   e.holder,
-		members:  e.members,
-		mesh:     e.links,
-		events:   e.events,
-		log:      e.log,
-		passed:   map[job.TargetID]passedOn{},
-		leaving:  map[job.TargetID]job.EntryID{},
+		self:      e.self,
+		config:    e.config,
+		registry:  target.NewRegistry(e.self.Zone, e.config),
+		holder:    e.holder,
+		members:   e.members,
+		mesh:      e.links,
+		events:    e.events,
+		log:       e.log,
+		malformed: e.opts.Malformed,
+		listens:   asking(e.opts.Orders),
+		passed:    map[job.TargetID]passedOn{},
+		leaving:   map[job.TargetID]job.EntryID{},
 
 		exclusive: e.opts.Orders != nil,
 		started:   e.started,
@@ -91,6 +100,9 @@
 
 // announce takes an announcement and names the entry that holds the target now.
 func (t *targets) announce(ctx context.Context, announced job.Target) (lease time.Duration, holder job.EntryID, err error) {
+	if err := t.check(&announced); err != nil {
+		return 0, "", errors.Trace(err)
+	}
 	lease, holder, err = t.forward.ForwardTarget(ctx, announced)
 	switch {
 	case errors.Is(err, handover.ErrNoHolder) || errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrNoAnswer):
@@ -112,12 +124,12 @@
 // taken for one of this entry's zone, or of any zone where entries find each
 // other by themselves: then it may have come to any of them.
 func (t *targets) Withdraw(ctx context.Context, id job.TargetID) error {
-	if t.exclusive {
-		// The target has ended. Whom this does not reach finds it gone.
-		_ = t.withdrawFrom(ctx, id, func(membership.Member) bool { return true })
-		return nil
+	if err := t.counted(target.CheckID(id)); err != nil {
+		return errors.Trace(err)
 	}
-	_ = t.withdrawFrom(ctx, id, func(m membership.Member) bool { return m.Zone == t.self.Zone })
+	t.drop(id)
+	// The target has ended. Whom this does not reach finds it gone.
+	_ = t.tell(ctx, id, func(m membership.Member) bool { return t.exclusive || m.Zone == t.self.Zone })
 	return nil
 }
 
@@ -125,15 +137,20 @@
 // each entry that may hold it has been told: otherwise the target would believe
 // that nothing more comes, and be given work until its lease ends.
 func (t *targets) Leaving(ctx context.Context, leaving *job.Target) error {
-	return t.withdrawFrom(ctx, leaving.ID, func(m membership.Member) bool { return m.Zone == leaving.Zone })
+	if err := t.check(leaving); err != nil {
+		return errors.Trace(err)
+	}
+	if err := t.leave(leaving); err != nil {
+		return errors.Trace(err)
+	}
+	return t.tell(ctx, leaving, func(m membership.Member) bool { return m.Zone == leaving.Zone })
 }
 
-// withdrawFrom has entries drop a target. A balancer may bring the request to
-// another entry than the announcements, so every one that is meant drops it:
-// whoever holds it, and whoever would pass its last announcement on to a next
-// holder.
-func (t *targets) withdrawFrom(ctx context.Context, id job.TargetID, meant func(membership.Member) bool) error {
-	t.drop(id)
+// tell has other entries drop a target: by its name, or as it announced itself. A
+// balancer may bring the request to another entry than the announcements, so every
+// one that is meant drops it: whoever holds it, and whoever would pass its last
+// announcement on to a next holder.
+func (t *targets) tell(ctx context.Context, what any, meant func(membership.Member) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTime)
 	defer cancel()
 	view := t.members.View()
@@ -145,7 +162,7 @@
 	}
 	failed := make(chan error, len(asked))
 	for _, entry := range asked {
-		go func() { failed <- t.mesh.Call(ctx, entry, peer.TargetWithdraw, id, nil) }()
+		go func() { failed <- t.mesh.Call(ctx, entry, peer.TargetWithdraw, what, nil) }()
 	}
 	var first error
 	for range asked {
@@ -166,16 +183,20 @@
 	delete(t.passed, id)
 	delete(t.leaving, id)
 	t.mu.Unlock()
-	t.withdraw(id)
+	t.withdraw(id, "")
 }
 
 func (t *targets) handleWithdraw(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
 	var id job.TargetID
-	if err := cbor.Unmarshal(body, &id); err != nil {
+	if err := cbor.Unmarshal(body, &id); err == nil {
+		t.drop(id)
+		return true, nil
+	}
+	var leaving job.Target
+	if err := cbor.Unmarshal(body, &leaving); err != nil {
 		return nil, errors.Trace(err)
 	}
-	t.drop(id)
-	return true, nil
+	return true, t.leave(&leaving)
 }
 
 // heldHere is the part of the targets that this entry holds, as the hand-over
@@ -185,10 +206,8 @@
 // Announce implements handover.Registry.
 func (t heldHere) Announce(announced job.Target) (time.Duration, error) {
 	if t.exclusive {
-		if former, ok := t.registry.Displaced(time.Now(), &announced); ok {
-			// The target crashed and came back at its address under a new name.
-			t.log.Info("target displaced by a later life at its address", "target", former, "later", announced.ID, "address", announced.Address)
-			t.drop(former)
+		if err := t.admit(&announced); err != nil {
+			return 0, t.counted(err)
 		}
 	}
 	t.changing.Lock()
@@ -203,12 +222,13 @@
 	return lease, nil
 }
 
-// withdraw stops new work on a target from now on.
-func (t *targets) withdraw(id job.TargetID) {
+// withdraw stops new work on a target from now on, if it is at the address; an empty
+// one stands for any.
+func (t *targets) withdraw(id job.TargetID, address string) {
 	t.changing.Lock()
 	defer t.changing.Unlock()
 	if t.exclusive {
-		t.registry.Bury(time.Now(), id)
+		t.registry.Bury(time.Now(), id, address)
 	}
 	if _, held := t.registry.Withdraw(time.Now(), id); !held {
 		return
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -44,6 +44,11 @@
 // them up.
 const buriedFor = time.Minute
 
+// maxBuried bounds the targets that are remembered as ended though they were not
+// held: six times as many as the largest fleet planned has, and 2 MB. Without it,
+// whoever sends names at random fills the memory.
+const maxBuried = 16384
+
 // ErrWithdrawn is returned for an announcement that came too soon after a
 // withdrawal.
 const ErrWithdrawn = errors.ConstError("the target has just withdrawn; announce again in a second")
@@ -60,7 +65,13 @@
 	withdrawn map[job.TargetID]departure
 	// buried are targets whose names are never used again, and until when they
 	// are remembered.
-	buried map[job.TargetID]time.Time
+	buried map[grave]time.Time
+}
+
+// grave names a target that has ended, at one address or, if that is empty, at any.
+type grave struct {
+	id      job.TargetID
+	address string
 }
 
 // lease is one held target.
@@ -86,15 +97,41 @@
 		held:      make(map[job.TargetID]*lease),
 		byAddress: make(map[string]job.TargetID),
 		withdrawn: make(map[job.TargetID]departure),
-		buried:    make(map[job.TargetID]time.Time),
+		buried:    make(map[grave]time.Time),
 	}
 }
 
-// Bury refuses all further announcements of a target.
-func (r *Registry) Bury(now time.Time, id job.TargetID) {
+// Bury refuses all further announcements of a target at an address; an empty one
+// stands for any.
+func (r *Registry) Bury(now time.Time, id job.TargetID, address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.buried[id] = now.Add(buriedFor)
+	if r.held[id] == nil && len(r.buried) >= maxBuried {
+		return
+	}
+	r.buried[grave{id, address}] = now.Add(buriedFor)
+}
+
+// Buried returns how many targets are remembered as ended.
+func (r *Registry) Buried() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.buried)
+}
+
+// isBuried reports whether a target has ended; the caller holds the lock.
+func (r *Registry) isBuried(now time.Time, t *job.Target) bool {
+	return now.Before(r.buried[grave{t.ID, ""}]) || now.Before(r.buried[grave{t.ID, t.Address}])
+}
+
+// Get returns a target that is held here.
+func (r *Registry) Get(id job.TargetID) (job.Target, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.held[id]; l != nil {
+		return l.target, true
+	}
+	return job.Target{}, false
 }
 
 // Announce takes or renews a target's lease and returns how long it holds and
@@ -122,7 +159,7 @@
 }
 
 func (r *Registry) conflict(now time.Time, t job.Target) error {
-	if until, buried := r.buried[t.ID]; buried && now.Before(until) {
+	if r.isBuried(now, &t) {
 		return ErrWithdrawn
 	}
 	if d, ok := r.withdrawn[t.ID]; ok && d.address == t.Address && now.Before(d.until) {
@@ -172,7 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	former, held := r.byAddress[t.Address]
-	if until, buried := r.buried[t.ID]; buried && now.Before(until) {
+	if r.isBuried(now, t) {
 		return "", false
 	}
 	return former, held && former != t.ID
