Record batches received and reported, and tell late answers as failures are told

Cause: the time line had names for batches received and reported that nothing recorded. A late answer was a success like thousands of others, so under load its line was left out.

Holders record each batch that comes and what they report of it, with the owner, before anybody can ask for the outcomes: recorded after, a story told the owner's answer before its cause. A batch without all its results has the reason of its first missing one. Answers and batches that took longer than the service's objective are recorded as late. Tasks that leave a queue unstarted are recorded with the pool's targets, slots and queue, also those whose deadline passed there. explain asks for ended leases and yielded targets too, which its sentences refer to and its query left out, and says which sending of a submission is the later one.

Ruled out: an event at the owner when a batch's answer comes. It would say nothing where the owner died, which is the case that has no other record.

--- a/cmd/vanillagrade/explain.go
+++ b/cmd/vanillagrade/explain.go
@@ -17,17 +17,12 @@
 	JSON bool   `arg:"--json" help:"the story as JSON"`
 }
 
-// fleetKinds are the events that the story of a submission may refer to beside
-// its own.
-const fleetKinds = timeline.TargetLapsed + "," + timeline.TargetLeaving + "," + timeline.TargetSuspect + "," +
-	timeline.EntryDead + "," + timeline.EntrySuspect + "," + timeline.EntryDraining + "," + timeline.EntryStopped
-
 func (c *explainCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
 	own, err := readTimeline(ctx, &c.operatorFlags, url.Values{"submission": {c.ID}})
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
-	fleet, err := readTimeline(ctx, &c.operatorFlags, url.Values{"kind": {string(fleetKinds)}})
+	fleet, err := readTimeline(ctx, &c.operatorFlags, contextQuery())
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
@@ -47,3 +42,13 @@
 	}
 	return exitOK
 }
+
+// contextQuery asks for what the story of a submission may refer to beside its own
+// events.
+func contextQuery() url.Values {
+	q := url.Values{}
+	for _, kind := range timeline.ContextKinds() {
+		q.Add("kind", string(kind))
+	}
+	return q
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -270,6 +270,7 @@
 	e.assembleMembership()
 	e.served = handover.Serve(e.links, e.holder)
 	e.served.OnOffer(e.members.Touch)
+	e.served.RecordTo(e.events)
 	e.remote = handover.NewRemote(handover.RemoteOptions{
 		Mesh: e.links, Gone: e.members.Gone, Silent: e.members.Silent,
 		Proof: e.members.Last, Learn: e.members.Learn, Events: e.events,
@@ -344,6 +345,9 @@
 	if e.submissions != nil {
 		_ = e.submissions.Close()
 	}
+	if e.decisions != nil {
+		e.decisions.Flush()
+	}
 	e.log.Info("entry stopped")
 	return errors.Trace(err)
 }
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,34 +18,49 @@
 	failureLines = 100
 	beliefLines  = 50
 	successLines = 20
+	// earlierLines bounds the lines that were left out and are written after all
+	// because their request failed, of all kinds together: about ten requests'.
+	earlierLines = 100
+	// maxCause bounds the text of a line in bytes, and with it the bytes of a second:
+	// a target's own words may be of any length.
+	maxCause = 240
 )
 
 // sampleOf is the part of the successful requests of which lines are written when
 // the budget does not hold all: one in so many, by their id.
 const sampleOf = 8
 
+// window is the time that a budget is for.
+const window = time.Second
+
 // Sink writes events as log lines and hands them on.
 type Sink struct {
 	next timeline.Sink
 	log  *slog.Logger
 
 	mu      sync.Mutex
-	second  int64
+	began   time.Time
 	written map[timeline.Kind]int
-	left    map[timeline.Kind]int
-	total   uint64
+	earlier int
+	left    leftOut
+	recent  recent
 }
 
 // New returns a sink that writes to log and hands each event on to next.
 func New(next timeline.Sink, log *slog.Logger) *Sink {
-	return &Sink{next: next, log: log, written: map[timeline.Kind]int{}, left: map[timeline.Kind]int{}}
+	return &Sink{next: next, log: log, written: map[timeline.Kind]int{}, left: newLeftOut()}
 }
 
 // Record implements timeline.Sink.
 func (s *Sink) Record(ev timeline.Event) {
 	s.next.Record(ev)
-	if s.allow(time.Now(), &ev) {
-		s.write(&ev)
+	now := time.Now()
+	allowed, before := s.allow(now, &ev)
+	for i := range before {
+		s.write(before[i].at, &before[i].event, true)
+	}
+	if allowed {
+		s.write(now, &ev, false)
 	}
 }
 
@@ -52,32 +68,34 @@
 func (s *Sink) LeftOut() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total
+	return s.left.total
 }
 
-func (s *Sink) allow(now time.Time, ev *timeline.Event) bool {
+// allow reports whether the event is within the budget, and returns what was left out
+// of its request before, if it is a failure.
+func (s *Sink) allow(now time.Time, ev *timeline.Event) (allowed bool, before []kept) {
 	s.mu.Lock()
-	var told map[timeline.Kind]int
-	if second := now.Unix(); second != s.second {
-		s.second = second
+	defer s.mu.Unlock()
+	if now.Sub(s.began) >= window {
+		s.began = now
+		s.earlier = 0
 		clear(s.written)
-		if len(s.left) > 0 {
-			told = s.left
-			s.left = map[timeline.Kind]int{}
-		}
 	}
-	allowed := s.within(ev)
-	if allowed {
-		s.written[ev.Kind]++
-	} else {
-		s.left[ev.Kind]++
-		s.total++
+	if !s.within(ev) {
+		if s.left.add(ev) {
+			time.AfterFunc(window, s.tellLeftOut)
+		}
+		if ev.Reason == "" {
+			s.recent.keep(now, ev)
+		}
+		return false, nil
 	}
-	s.mu.Unlock()
-	if told != nil {
-		s.log.Info("log lines left out", "by_kind", told)
+	s.written[ev.Kind]++
+	if ev.Reason != "" && ev.Submission != "" {
+		before = s.recent.take(now, ev.Submission, earlierLines-s.earlier)
+		s.earlier += len(before)
 	}
-	return allowed
+	return true, before
 }
 
 // within reports whether the event is within its kind's budget; the caller holds
@@ -104,30 +122,48 @@
 	return sum%sampleOf == 0
 }
 
-func (s *Sink) write(ev *timeline.Event) {
-	attrs := make([]slog.Attr, 0, 8)
+// write writes one line with the time at which the event came about. A line that was
+// left out at first says so: it stands behind later ones.
+func (s *Sink) write(at time.Time, ev *timeline.Event, earlier bool) {
+	level := slog.LevelInfo
+	if ev.Reason != "" {
+		level = slog.LevelWarn
+	}
+	handler := s.log.Handler()
+	if !handler.Enabled(context.Background(), level) {
+		return
+	}
+	line := slog.NewRecord(at, level, string(ev.Kind), 0)
 	put := func(key string, value string) {
 		if value != "" {
-			attrs = append(attrs, slog.String(key, value))
+			line.AddAttrs(slog.String(key, value))
 		}
 	}
 	put("request", string(ev.Submission))
 	if ev.Submission != "" && ev.Target != "" {
-		attrs = append(attrs, slog.Int("task", ev.Task))
+		line.AddAttrs(slog.Int("task", ev.Task))
 	}
 	put("target", string(ev.Target))
 	put("peer", string(ev.Peer))
 	put("reason", string(ev.Reason))
 	if ev.Count != 0 {
-		attrs = append(attrs, slog.Int("count", ev.Count))
+		line.AddAttrs(slog.Int("count", ev.Count))
 	}
 	if ev.Took != 0 {
-		attrs = append(attrs, slog.Float64("took_ms", float64(ev.Took.Microseconds())/1000))
+		line.AddAttrs(slog.Float64("took_ms", float64(ev.Took.Microseconds())/1000))
 	}
-	put("cause", ev.Cause)
-	level := slog.LevelInfo
-	if ev.Reason != "" {
-		level = slog.LevelWarn
+	put("cause", bound(ev.Cause))
+	if earlier {
+		line.AddAttrs(slog.Bool("earlier", true))
+	}
+	// The handler fails only where its writer does, and that one counts what it drops.
+	_ = handler.Handle(context.Background(), line)
+}
+
+// bound cuts a long text.
+func bound(text string) string {
+	if len(text) <= maxCause {
+		return text
 	}
-	s.log.LogAttrs(context.Background(), level, string(ev.Kind), attrs...)
+	return strings.ToValidUTF8(text[:maxCause], "") + "…"
 }
--- /dev/null
+++ b/internal/handover/record.go
@@ -0,0 +1,58 @@
+package handover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// An owner that dies takes what it knew of its submissions with it. What its holders
+// record of the batches names the owner, so that the cause can still be found.
+
+func (s *Server) recordReceived(rec *record) {
+	s.events.Record(timeline.Event{
+		Kind: timeline.BatchReceived, Submission: rec.submission, Peer: rec.owner.Entry, Count: rec.tasks,
+	})
+}
+
+// recordReported says how many tasks of a batch have a result, and why the first
+// other one has none.
+func (s *Server) recordReported(rec *record, outcomes []job.TaskOutcome) {
+	ev := timeline.Event{
+		Kind: timeline.BatchReported, Submission: rec.submission, Peer: rec.owner.Entry,
+		Count: rec.tasks, Took: time.Since(rec.takenAt),
+	}
+	done := 0
+	for i := range outcomes {
+		switch {
+		case outcomes[i].Status == job.TaskDone:
+			done++
+		case ev.Reason == "":
+			ev.Reason = outcomes[i].Reason
+		}
+	}
+	switch {
+	case done == len(outcomes) && rec.within > 0 && ev.Took > rec.within:
+		ev.Reason = timeline.Late
+		ev.Cause = fmt.Sprintf("the objective left it %s", rec.within.Round(time.Millisecond))
+	case done < len(outcomes):
+		ev.Cause = fmt.Sprintf("%d of %d tasks have a result", done, len(outcomes))
+	}
+	s.events.Record(ev)
+}
+
+// within returns what the latency objective leaves a batch at its holder; zero where
+// there is none.
+func within(b *job.Batch) time.Duration {
+	var longest time.Duration
+	for i := range b.Tasks {
+		longest = max(longest, b.Tasks[i].Declared())
+	}
+	objective := job.Objective(b.Stretch, b.Slack, longest)
+	if objective == 0 {
+		return 0
+	}
+	return max(objective-b.Waited, time.Nanosecond)
+}
--- /dev/null
+++ b/internal/handover/record_test.go
@@ -0,0 +1,84 @@
+package handover
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
+)
+
+// notes keeps the events of a holder.
+type notes struct {
+	mu     sync.Mutex
+	events []timeline.Event
+}
+
+func (n *notes) Record(ev timeline.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, ev)
+}
+
+func (n *notes) all() []timeline.Event {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]timeline.Event(nil), n.events...)
+}
+
+// An owner's VM dies, and with it all that it knew of a failed job. Its caller knows
+// the job's id alone; the holder's records must name the owner and what came of the
+// batch, once each although the offer came twice over a broken link.
+func TestHolderRecordsBatches(t *testing.T) {
+	run(t, func(s *setting) {
+		n := &notes{}
+		s.server.RecordTo(n)
+		got := s.offer(context.Background(), batch("j", 0, 1))
+		time.Sleep(100 * time.Millisecond)
+		s.net.CutBoth("owner", "holder", true)
+		time.Sleep(50 * time.Millisecond)
+		s.net.CutBoth("owner", "holder", false)
+		<-got
+		events := n.all()
+		qt.Assert(t, events, qt.HasLen, 2)
+		qt.Assert(t, events[0], qt.DeepEquals, timeline.Event{Kind: timeline.BatchReceived, Submission: "j", Peer: "owner", Count: 2})
+		qt.Assert(t, events[1], qt.DeepEquals, timeline.Event{Kind: timeline.BatchReported, Submission: "j", Peer: "owner", Count: 2, Took: 300 * time.Millisecond})
+	})
+}
+
+// A task of a batch fails. The record says so with the reason, so that it is written
+// as a failure, which a full log leaves out last.
+func TestHolderRecordsWhyABatchIsNotWhole(t *testing.T) {
+	run(t, func(s *setting) {
+		n := &notes{}
+		s.server.RecordTo(n)
+		s.holder.fails = 1
+		<-s.offer(context.Background(), batch("j", 0, 1))
+		events := n.all()
+		qt.Assert(t, events, qt.HasLen, 2)
+		qt.Assert(t, events[1].Reason, qt.Equals, job.TaskFailed)
+		qt.Assert(t, events[1].Cause, qt.Equals, "0 of 1 tasks have a result")
+	})
+}
+
+// A target stood still and all results come, but later than the service's objective
+// allows. The batch is recorded as late: as a mere success its lines would be left
+// out under load, and the late job could not be explained.
+func TestHolderRecordsLateBatches(t *testing.T) {
+	run(t, func(s *setting) {
+		n := &notes{}
+		s.server.RecordTo(n)
+		b := batch("j", 0)
+		b.Tasks[0].RunMillis = 40
+		b.Stretch, b.Slack, b.Waited = 2, 100*time.Millisecond, 30*time.Millisecond
+		<-s.offer(context.Background(), b)
+		events := n.all()
+		qt.Assert(t, events, qt.HasLen, 2)
+		qt.Assert(t, events[1].Reason, qt.Equals, timeline.Late)
+		qt.Assert(t, events[1].Cause, qt.Equals, "the objective left it 150ms")
+	})
+}
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -13,6 +13,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 const (
@@ -50,6 +51,10 @@
 	asked chan struct{}
 	// cancelled is set when the owner took the batch back.
 	cancelled bool
+	// takenAt is when the batch came, within how long it should take by its latency
+	// objective from then on; zero is none.
+	takenAt time.Time
+	within  time.Duration
 }
 
 // Server is the holder's side of the hand-over.
@@ -60,6 +65,7 @@
 	heard func(job.Owner)
 	// rights gives the right to act for an owner of transient work; nil asks for none.
 	rights Rights
+	events timeline.Sink
 
 	mu      sync.Mutex
 	records map[key]*record
@@ -84,8 +90,8 @@
 // Serve lets other entries hand batches to holder.
 func Serve(mesh peer.Mesh, holder Holder) *Server {
 	s := &Server{
-		holder: holder, self: mesh.Self(), heard: func(job.Owner) {}, records: map[key]*record{},
-		forgotten: map[job.Owner]uint64{}, cancelled: map[key]bool{},
+		holder: holder, self: mesh.Self(), heard: func(job.Owner) {}, events: timeline.Discard{},
+		records: map[key]*record{}, forgotten: map[job.Owner]uint64{}, cancelled: map[key]bool{},
 	}
 	mesh.Handle(peer.BatchOffer, s.handleOffer)
 	mesh.HandleInOrder(peer.BatchCancel, s.handleCancel)
@@ -110,6 +116,10 @@
 // the holder gets it. It is called before the links start.
 func (s *Server) OnOffer(heard func(job.Owner)) { s.heard = heard }
 
+// RecordTo sets where batches received and reported are recorded. It is called
+// before the links start.
+func (s *Server) RecordTo(events timeline.Sink) { s.events = events }
+
 func (s *Server) handleOffer(ctx context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
 	var o offer
 	if err := cbor.Unmarshal(body, &o); err != nil {
@@ -125,6 +135,7 @@
 		return early, nil
 	}
 	if isNew {
+		s.recordReceived(rec)
 		s.holder.Offer(&o.Batch, func(outcomes []job.TaskOutcome) { s.report(rec, outcomes) })
 		if s.wasCancelled(rec) {
 			// The cancellation may have come before the holder had the batch
@@ -165,7 +176,7 @@
 	}
 	rec = &record{
 		key: k, owner: from, submission: o.Batch.Submission, tasks: len(o.Batch.Tasks),
-		done: make(chan struct{}), asked: make(chan struct{}),
+		done: make(chan struct{}), asked: make(chan struct{}), takenAt: now, within: within(&o.Batch),
 	}
 	s.records[k] = rec
 	return rec, report{}, true
@@ -219,14 +230,16 @@
 	return report{Verdict: verdictReported, Outcomes: rec.outcomes, Reading: s.reading()}
 }
 
-// report takes the holder's outcomes.
+// report takes the holder's outcomes. They are recorded before anybody can ask for
+// them: a story would otherwise tell the owner's answer before its cause.
 func (s *Server) report(rec *record, outcomes []job.TaskOutcome) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if rec.reported {
+	if !s.reportsFirst(rec) {
 		return
 	}
-	rec.reported, rec.outcomes, rec.reportedAt = true, outcomes, time.Now()
+	s.recordReported(rec, outcomes)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec.outcomes, rec.reportedAt = outcomes, time.Now()
 	for i := range outcomes {
 		rec.bytes += len(outcomes[i].Payload) + len(outcomes[i].Detail)
 	}
@@ -235,6 +248,15 @@
 	close(rec.done)
 }
 
+// reportsFirst reports whether nothing was reported of the record before.
+func (s *Server) reportsFirst(rec *record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !rec.reported
+	rec.reported = true
+	return first
+}
+
 // acknowledge drops the outcomes of a record that its owner has. The number
 // stays known: a copy of the offer that was sent over an earlier link could
 // still be on its way through this process.
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -81,6 +81,7 @@
 // advance asks the scheduler what to do now.
 func (p *pool) advance(now time.Time, e *effects) {
 	d := p.sched.Next(now)
+	p.tellExpired(now, d.Expired)
 	for i := range d.Expired {
 		p.expire(now, d.Expired[i])
 	}
@@ -265,7 +266,7 @@
 		return
 	}
 	p.holder.stats.dropped.Add(uint64(len(dropped)))
-	p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: b.key.id, Reason: reason, Cause: detail, Count: len(dropped)})
+	p.tellDropped(now, b, len(dropped), reason, detail)
 }
 
 func (p *pool) record(ev timeline.Event) { p.holder.opts.Events.Record(ev) }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -187,3 +187,16 @@
 	}
 	return n
 }
+
+// Objective is how long a job of these tasks may take by the latency objective of its
+// service: stretch times what the longest one is declared to take, and slack more. Zero
+// is no objective.
+func Objective(stretch float64, slack time.Duration, longest time.Duration) time.Duration {
+	if stretch <= 0 {
+		return 0
+	}
+	return time.Duration(stretch*float64(longest)) + slack
+}
+
+// Declared is how long the task is declared to take.
+func (t *TaskSpec) Declared() time.Duration { return time.Duration(t.RunMillis) * time.Millisecond }
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -23,16 +24,34 @@
 func (r *Record) Process(ctx context.Context, f *Flow, next Next) job.Answer {
 	a := next(ctx, f)
 	r.count(&a)
-	r.Events.Record(timeline.Event{
+	ev := timeline.Event{
 		Kind:       timeline.SubmissionAnswered,
 		Submission: a.ID,
 		Reason:     a.Reason,
 		Cause:      summary(&a),
 		Took:       time.Since(f.Submission.Received),
-	})
+	}
+	within := f.objective()
+	missed := a.Outcome == job.Complete && within > 0 && ev.Took > within
+	if missed {
+		ev.Cause = fmt.Sprintf("%s; its objective is %s", ev.Cause, within)
+	}
+	if missed || a.Late {
+		ev.Reason = timeline.Late
+	}
+	r.Events.Record(ev)
 	return a
 }
 
+// objective returns the latency objective of the submission; zero is none.
+func (f *Flow) objective() time.Duration {
+	var longest time.Duration
+	for i := range f.Submission.Tasks {
+		longest = max(longest, f.Submission.Tasks[i].Declared())
+	}
+	return job.Objective(f.Service.Stretch, f.Service.Slack, longest)
+}
+
 func summary(a *job.Answer) string {
 	switch {
 	case a.Outcome != job.Complete:
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -57,6 +57,12 @@
 	OwnerSilent        Kind = "owner_silent"
 )
 
+// Late is the reason of a complete answer, or of a batch with all its results, that
+// took longer than the latency objective of its service. It is no reason of a failed
+// answer, but whoever looks for what happened to a late request needs what was
+// recorded of it as much as that of a failed one.
+const Late job.Reason = "late"
+
 // Event is one thing that one process did or learned, with its cause.
 type Event struct {
 	Stamp      Stamp         `json:"stamp" cbor:"1,keyasint"`
--- a/internal/timeline/explain.go
+++ b/internal/timeline/explain.go
@@ -47,8 +47,16 @@
 		story.Sentences = append(story.Sentences, Sentence{At: ev.Stamp.Time().Sub(start), Entry: ev.Entry, Text: text})
 	}
 	sums := sumTasks(events)
+	var first *Event
 	for i := range events {
 		ev := &events[i]
+		if ev.Kind == SubmissionReceived {
+			if first != nil {
+				add(ev, sentAgain(first, ev))
+			} else {
+				first = ev
+			}
+		}
 		if sums.many() && sums.covers(ev) {
 			if text := sums.tell(ev); text != "" {
 				add(ev, text)
@@ -63,6 +71,22 @@
 	return story
 }
 
+// sentAgain says that a caller has sent the submission before: its later sending may
+// have been answered well, and what failed is the earlier one.
+func sentAgain(first, ev *Event) string {
+	return fmt.Sprintf("the caller sends it again, %s after entry %s received it", round(ev.Stamp.Time().Sub(first.Stamp.Time())), first.Entry)
+}
+
+// contextKinds are the events of targets and entries that a story may refer to.
+var (
+	targetContext = []Kind{TargetLapsed, TargetLeaving, TargetSuspect, TargetYielded, LeaseRunOut}
+	entryContext  = []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped, EntryPaused, OwnerSilent}
+)
+
+// ContextKinds returns the kinds of events, beside those of the submission itself,
+// that its story may refer to.
+func ContextKinds() []Kind { return slices.Concat(targetContext, entryContext) }
+
 // missing lists why the story may not be whole.
 func (t *Timeline) missing(story *Story, from Stamp) {
 	for _, e := range t.Unreachable {
@@ -88,9 +112,9 @@
 	var kinds []Kind
 	switch ev.Reason {
 	case job.TargetLost, job.TargetRefused:
-		subject, kinds = string(ev.Target), []Kind{TargetLapsed, TargetLeaving, TargetSuspect, TargetYielded, LeaseRunOut}
+		subject, kinds = string(ev.Target), targetContext
 	case job.HolderLost, job.OwnerLost, job.ZoneUnreachable:
-		subject, kinds = string(ev.Peer), []Kind{EntryDead, EntrySuspect, EntryDraining, EntryStopped, EntryPaused, OwnerSilent}
+		subject, kinds = string(ev.Peer), entryContext
 	}
 	if subject == "" {
 		return ""
--- a/internal/timeline/merge_test.go
+++ b/internal/timeline/merge_test.go
@@ -84,6 +84,7 @@
   +2ms      a1         a batch of 1 task is handed to holder a2: 4 of 8 slots free
   +3ms      a2         a batch of 1 task is taken from owner a1
   +4ms      a2         task 0 starts on target w3 after a wait of 3ms: least expected finish of 5 targets
+  +6ms      b1         the caller sends it again, 6ms after entry a1 received it
   +6ms      b1         received from its caller with 2 tasks: attempt 2
   +7ms      b1         taken over from entry a1, which is lost; tasks that may have started never start again, because the entry that owned it was lost (owner_lost)
   +7ms      b1         before that, at 08:00:00.006: entry a1 is taken for dead: no heartbeat for 2s
@@ -205,3 +206,33 @@
 	qt.Assert(t, svg.String(), qt.Contains, "missing: entry a2")
 	qt.Assert(t, WriteSVG(&svg, line, "none"), qt.ErrorMatches, "submission none in the time line not found")
 }
+
+// A target is silent until the lease of a run has ended, and the job is late. Its
+// story must bring the end of the lease, which no submission owns.
+func TestStoryNamesTheLeaseThatRanOut(t *testing.T) {
+	f := newFleet("a1")
+	f.record("a1", Event{Kind: SubmissionReceived, Submission: "p", Count: 1})
+	f.record("a1", Event{Kind: TaskStarted, Submission: "p", Target: "w1"})
+	f.record("a1", Event{Kind: LeaseRunOut, Target: "w1", Cause: "1 runs are over"})
+	f.record("a1", Event{Kind: TaskEnded, Submission: "p", Target: "w1", Reason: job.TargetLost})
+	f.record("a1", Event{Kind: SubmissionAnswered, Submission: "p", Took: 2 * time.Second, Reason: Late, Cause: "complete; its objective is 1s"})
+	story := Explain(f.merged(), "p")
+	qt.Assert(t, story.Sentences, qt.HasLen, 5)
+	qt.Assert(t, story.Sentences[3].Text, qt.Matches, `before that, at .*: the lease of the runs on target w1 has run out: 1 runs are over`)
+	qt.Assert(t, story.Sentences[4].Text, qt.Equals, "answered after 2s, late: complete; its objective is 1s")
+	qt.Assert(t, ContextKinds(), qt.Contains, LeaseRunOut)
+}
+
+// An entry dies with a job that must not be kept, and the caller sends it again to
+// another one, where it begins anew. The story says which sending is which, or the
+// tasks of the first one read as if they had run twice.
+func TestStoryOfASecondSending(t *testing.T) {
+	f := newFleet("a1", "b1")
+	f.record("a1", Event{Kind: SubmissionReceived, Submission: "p", Count: 1})
+	f.wall.step(1300 * time.Millisecond)
+	f.record("b1", Event{Kind: SubmissionReceived, Submission: "p", Count: 1})
+	f.record("b1", Event{Kind: SubmissionAnswered, Submission: "p", Cause: "complete"})
+	story := Explain(f.merged(), "p")
+	qt.Assert(t, story.Sentences, qt.HasLen, 4)
+	qt.Assert(t, story.Sentences[1].Text, qt.Matches, `the caller sends it again, 1\.30\ds after entry a1 received it`)
+}
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -51,6 +51,8 @@
 	switch {
 	case ev.Reason == "":
 		return because(ev.Cause)
+	case ev.Reason == Late:
+		return ", late" + because(ev.Cause)
 	case ev.Cause == "":
 		return fmt.Sprintf(", because %s (%s)", ReasonText(ev.Reason), ev.Reason)
 	}
