Show the times of each step, stretch, renewals and messages as figures

Each comes from the events that the log and the time line have. Two are only counted and crowd neither: a target's word that it has taken a start, and a renewed lease; there are several of them a task, and a ring of 8,192 events would reach back a quarter less. Stretch is the answer's time over its longest declared task, of complete answers alone: refusals take no time. Times of zero are left out, as of a configuration that a starting process finds in force.

Ruled out: the time from a run's end at its target to its report at the owner, which no clock of an entry can measure; report is from a batch's receipt to its report.

TestChangesOfOrdersAndLeasesAreRecorded wants the counted events between the same ones as before; the golden stories gain how long a batch took to be handed over.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -69,8 +69,11 @@
 	m.Gauge("vanillagrade_body_bytes", func() float64 { return float64(e.memory.Used()) })
 	m.Gauge("vanillagrade_targets_held", func() float64 { return float64(len(e.targets.registry.Held())) })
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.slotsKnown()) })
-	for kind, read := range e.messageCounts() {
-		m.Gauge(fmt.Sprintf("vanillagrade_peer_bytes_sent{kind=%q}", kind), read)
+	m.Gauge("vanillagrade_agreement_rounds", func() float64 { return float64(e.register.Round()) })
+	for _, kind := range peer.Kinds() {
+		for name, read := range messageCounts {
+			m.Gauge(fmt.Sprintf("%s{kind=%q}", name, kind), func() float64 { return float64(read(e.messages(kind))) })
+		}
 	}
 	return m.Handler()
 }
@@ -83,19 +86,20 @@
 	return sum
 }
 
-// messageCounts returns a reader of the bytes sent to other entries for each kind of
-// message.
-func (e *Entry) messageCounts() map[peer.Kind]func() float64 {
-	out := map[peer.Kind]func() float64{}
-	for _, kind := range peer.Kinds() {
-		out[kind] = func() float64 {
-			for _, s := range e.links.Stats() {
-				if s.Kind == kind {
-					return float64(s.BytesOut)
-				}
-			}
-			return 0
+// messageCounts are the figures of what is exchanged with other entries.
+var messageCounts = map[string]func(peer.KindStats) uint64{
+	"vanillagrade_peer_bytes_sent":        func(s peer.KindStats) uint64 { return s.BytesOut },
+	"vanillagrade_peer_bytes_received":    func(s peer.KindStats) uint64 { return s.BytesIn },
+	"vanillagrade_peer_messages_sent":     func(s peer.KindStats) uint64 { return s.MessagesOut },
+	"vanillagrade_peer_messages_received": func(s peer.KindStats) uint64 { return s.MessagesIn },
+}
+
+// messages returns the counts of one kind of message.
+func (e *Entry) messages(kind peer.Kind) peer.KindStats {
+	for _, s := range e.links.Stats() {
+		if s.Kind == kind {
+			return s
 		}
 	}
-	return out
+	return peer.KindStats{Kind: kind}
 }
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -54,6 +54,9 @@
 // Record implements timeline.Sink.
 func (s *Sink) Record(ev timeline.Event) {
 	s.next.Record(ev)
+	if ev.Kind.OnlyCounted() {
+		return
+	}
 	now := time.Now()
 	allowed, before := s.allow(now, &ev)
 	for i := range before {
@@ -163,6 +166,9 @@
 	if ev.Took != 0 {
 		line.AddAttrs(slog.Float64("took_ms", float64(ev.Took.Microseconds())/1000))
 	}
+	if ev.Ideal != 0 {
+		line.AddAttrs(slog.Int64("ideal_ms", ev.Ideal.Milliseconds()))
+	}
 	put("cause", bound(ev.Cause))
 	if earlier {
 		line.AddAttrs(slog.Bool("earlier", true))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	mu       sync.RWMutex
 	counters map[key]*metrics.Counter
 	times    map[timeline.Kind]*metrics.Histogram
+	stretch  *metrics.Histogram
 }
 
 // key names one counter.
@@ -36,27 +37,46 @@
 var timed = map[timeline.Kind]string{
 	timeline.SubmissionAnswered: "vanillagrade_answer_seconds",
 	timeline.TaskStarted:        "vanillagrade_task_queue_seconds",
+	timeline.BatchOffered:       "vanillagrade_placement_seconds",
+	timeline.RunAccepted:        "vanillagrade_start_seconds",
 	timeline.TaskEnded:          "vanillagrade_task_run_seconds",
+	timeline.BatchReported:      "vanillagrade_report_seconds",
+	timeline.ConfigurationSet:   "vanillagrade_configuration_seconds",
 }
 
+// stretchName is the histogram of how many times longer than the work itself complete
+// answers took.
+const stretchName = "vanillagrade_answer_stretch"
+
 // New returns a sink without figures.
 func New(next timeline.Sink) *Sink {
 	s := &Sink{next: next, set: metrics.NewSet(), counters: map[key]*metrics.Counter{}, times: map[timeline.Kind]*metrics.Histogram{}}
 	for kind, name := range timed {
 		s.times[kind] = s.set.NewHistogram(name)
 	}
+	s.stretch = s.set.NewHistogram(stretchName)
 	return s
 }
 
 // Record implements timeline.Sink.
 func (s *Sink) Record(ev timeline.Event) {
 	s.counter(key{ev.Kind, string(ev.Reason)}).Inc()
-	if h := s.times[ev.Kind]; h != nil {
+	if h := s.times[ev.Kind]; h != nil && ev.Took > 0 {
 		h.Update(ev.Took.Seconds())
 	}
+	if ev.Kind == timeline.SubmissionAnswered && complete(&ev) && ev.Ideal > 0 {
+		s.stretch.Update(float64(ev.Took) / float64(ev.Ideal))
+	}
+	if ev.Kind.OnlyCounted() {
+		return
+	}
 	s.next.Record(ev)
 }
 
+// complete reports whether an answer is whole. The others would show refusals as the
+// quickest work.
+func complete(ev *timeline.Event) bool { return ev.Reason == "" || ev.Reason == timeline.Late }
+
 func (s *Sink) counter(k key) *metrics.Counter {
 	s.mu.RLock()
 	c := s.counters[k]
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -30,3 +30,37 @@
 		qt.Check(t, strings.Contains(w.Body.String(), want), qt.IsTrue, qt.Commentf("%s", want))
 	}
 }
+
+// counting is a sink that counts what is handed on.
+type counting int
+
+func (c *counting) Record(timeline.Event) { *c++ }
+
+// Each step of a request has its times in the text, and answers also how many times
+// longer than the work itself they took; a refusal, which takes no time, must not make
+// the answers look quick. Renewals are counted and crowd no time line.
+func TestTextShowsTheTimesOfEachStep(t *testing.T) {
+	var kept counting
+	s := New(&kept)
+	for _, kind := range []timeline.Kind{
+		timeline.BatchOffered, timeline.TaskStarted, timeline.RunAccepted, timeline.TaskEnded,
+		timeline.BatchReported, timeline.SubmissionAnswered, timeline.ConfigurationSet,
+	} {
+		s.Record(timeline.Event{Kind: kind, Took: 50 * time.Millisecond, Ideal: 25 * time.Millisecond})
+	}
+	s.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Took: 100 * time.Millisecond, Ideal: 25 * time.Millisecond, Reason: timeline.Late})
+	s.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Took: time.Microsecond, Ideal: 25 * time.Millisecond, Reason: job.Overloaded})
+	s.Record(timeline.Event{Kind: timeline.LeaseRenewed})
+	qt.Assert(t, int(kept), qt.Equals, 8)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", Path, nil))
+	for _, want := range []string{
+		"vanillagrade_placement_seconds_count 1", "vanillagrade_task_queue_seconds_count 1",
+		"vanillagrade_start_seconds_count 1", "vanillagrade_task_run_seconds_count 1",
+		"vanillagrade_report_seconds_count 1", "vanillagrade_configuration_seconds_count 1",
+		"vanillagrade_answer_seconds_count 3", "vanillagrade_answer_stretch_sum 6",
+		`vanillagrade_events_total{kind="lease_renewed",reason=""} 1`,
+	} {
+		qt.Check(t, strings.Contains(w.Body.String(), want+"\n"), qt.IsTrue, qt.Commentf("%s", want))
+	}
+}
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -30,8 +30,9 @@
 		Reason:     a.Reason,
 		Cause:      summary(&a),
 		Took:       time.Since(f.Submission.Received),
+		Ideal:      f.ideal(),
 	}
-	within := f.lateAfter()
+	within := job.LateAfter(f.Service.Stretch, f.Service.Slack, ev.Ideal)
 	missed := a.Outcome == job.Complete && within > 0 && ev.Took > within
 	if missed {
 		ev.Cause = fmt.Sprintf("%s, beyond %s", ev.Cause, within)
@@ -43,13 +44,13 @@
 	return a
 }
 
-// lateAfter returns from when on the answer is late; zero is never.
-func (f *Flow) lateAfter() time.Duration {
+// ideal returns what the work itself is declared to take: its longest task.
+func (f *Flow) ideal() time.Duration {
 	var longest time.Duration
 	for i := range f.Submission.Tasks {
 		longest = max(longest, f.Submission.Tasks[i].Declared())
 	}
-	return job.LateAfter(f.Service.Stretch, f.Service.Slack, longest)
+	return longest
 }
 
 func summary(a *job.Answer) string {
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -293,7 +293,7 @@
 	for i, task := range p.Tasks {
 		b.Tasks[i] = job.BatchTask{Index: task, TaskSpec: s.Tasks[task]}
 	}
-	fl.stage.Events.Record(timeline.Event{Kind: timeline.BatchOffered, Submission: s.ID, Peer: p.Holder, Count: len(p.Tasks)})
+	fl.stage.Events.Record(timeline.Event{Kind: timeline.BatchOffered, Submission: s.ID, Peer: p.Holder, Count: len(p.Tasks), Took: b.Waited})
 	fl.stage.Holders.Offer(p.Holder, fl.flow.Service.Pool, b, func(outcomes []job.TaskOutcome) { fl.report(p.Holder, outcomes) })
 }
 
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -264,7 +264,7 @@
 		return
 	}
 	r.log.Info("configuration in force", "number", s.Change.Number, "digest", s.Change.Digest.String())
-	r.ev.Record(timeline.Event{Kind: timeline.ConfigurationSet, Cause: s.describe()})
+	r.ev.Record(timeline.Event{Kind: timeline.ConfigurationSet, Cause: s.describe(), Took: s.spreadTime()})
 	for _, f := range r.watchers {
 		f(before, s.file)
 	}
--- a/internal/runs/events_test.go
+++ b/internal/runs/events_test.go
@@ -53,7 +53,11 @@
 		time.Sleep(time.Second)
 		w.set(func() { w.silent = true })
 		qt.Assert(t, (<-lost).Reason, qt.Equals, job.TargetLost)
-		qt.Assert(t, later.all(), qt.DeepEquals, []timeline.Kind{timeline.TargetTaken, timeline.LeaseRunOut})
+		// A start and the renewals of a second, which are only counted, stand between.
+		qt.Assert(t, later.all(), qt.DeepEquals, []timeline.Kind{
+			timeline.TargetTaken, timeline.RunAccepted,
+			timeline.LeaseRenewed, timeline.LeaseRenewed, timeline.LeaseRenewed, timeline.LeaseRunOut,
+		})
 		w.set(func() { w.silent = false })
 		first.Close()
 		second.Close()
--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -195,6 +195,9 @@
 		return silentPause
 	}
 	s.obeyed = true
+	if o.Until > 0 {
+		s.opts.Events.Record(timeline.Event{Kind: timeline.LeaseRenewed, Target: s.opts.Target})
+	}
 	s.told = max(s.told, o.Acked)
 	s.takeEnds(l.Ended)
 	strays := s.takeRunning(o, sent, l.Running)
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
 
 // order sends the start, again under a newer epoch or a higher run number where
@@ -36,6 +37,7 @@
 		s.hear(reply.Clock)
 		switch reply.Refusal {
 		case Accepted:
+			s.opts.Events.Record(timeline.Event{Kind: timeline.RunAccepted, Target: s.opts.Target, Took: time.Since(sent)})
 			s.confirm(ref, r)
 			return
 		case Fenced:
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -55,8 +55,17 @@
 	EntryStopped       Kind = "entry_stopped"
 	EntryPaused        Kind = "entry_paused"
 	OwnerSilent        Kind = "owner_silent"
+	// RunAccepted is a target's word that it has taken a start, LeaseRenewed a renewal
+	// of the lease of a target's runs. They are only counted.
+	RunAccepted  Kind = "run_accepted"
+	LeaseRenewed Kind = "lease_renewed"
 )
 
+// OnlyCounted reports whether events of the kind are counted and neither kept nor
+// written: there are several for each task, and they say nothing that the others of
+// the task don't.
+func (k Kind) OnlyCounted() bool { return k == RunAccepted || k == LeaseRenewed }
+
 // Late is the reason of a complete answer, or of a batch with all its results, that
 // took clearly longer than the latency objective of its service allows. It is no reason of a failed
 // answer, but whoever looks for what happened to a late request needs what was
@@ -76,6 +85,8 @@
 	Cause      string        `json:"cause,omitempty" cbor:"9,keyasint,omitempty"`
 	Count      int           `json:"count,omitempty" cbor:"10,keyasint,omitempty"`
 	Took       time.Duration `json:"took,omitempty" cbor:"11,keyasint,omitempty"`
+	// Ideal is what the work itself is declared to take, on an answer.
+	Ideal time.Duration `json:"ideal,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // Sink takes events. Record fills in Stamp and Entry, never blocks and never
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -92,7 +92,7 @@
 
 // Record stamps the event and keeps it in place of the shard's oldest one.
 func (r *Ring) Record(ev Event) {
-	if r.off {
+	if r.off || ev.Kind.OnlyCounted() {
 		return
 	}
 	ev.Cause = boundCause(ev.Cause)
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -75,7 +75,7 @@
 	case SubmissionAnswered:
 		return fmt.Sprintf("answered%s%s", after(ev), why(ev))
 	case BatchOffered:
-		return fmt.Sprintf("%s handed to holder %s%s", batch(ev), ev.Peer, why(ev))
+		return fmt.Sprintf("%s handed to holder %s%s%s", batch(ev), ev.Peer, after(ev), why(ev))
 	case BatchReceived:
 		return fmt.Sprintf("%s taken from owner %s%s", batch(ev), ev.Peer, why(ev))
 	case BatchLost:
