Tell the ids of received requests that have no lines

The ids of received requests without a line are listed every 100 ms, at 20 bytes each. Ruled out: a line for each receipt (250 bytes, 150 a second and entry then).

--- a/internal/eventlog/left.go
+++ b/internal/eventlog/left.go
@@ -14,7 +14,7 @@
 	// their request in a second: at 20 bytes each they take as much as eighty lines,
 	// and are more than a small VM can refuse beside its work.
 	maxListed = 1000
-	// listedInLine bounds one such line; readers of logs cut lines of some kilobytes.
+	// listedInLine bounds one such line: with ids of 60 bytes it is written as a whole.
 	listedInLine = 60
 )
 
@@ -83,4 +83,7 @@
 }
 
 // Flush tells at once what was left out: at the end of a process.
-func (s *Sink) Flush() { s.tellLeftOut() }
+func (s *Sink) Flush() {
+	s.tellReceived()
+	s.tellLeftOut()
+}
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -44,6 +44,8 @@
 	earlier int
 	left    leftOut
 	recent  recent
+	// received waits to be told.
+	received received
 }
 
 // New returns a sink that writes to log and hands each event on to next.
@@ -82,12 +84,11 @@
 	if now.Sub(s.began) >= window {
 		s.began = now
 		s.earlier = 0
+		s.received.listed = 0
 		clear(s.written)
 	}
 	if !s.within(ev) {
-		if s.left.add(ev) {
-			time.AfterFunc(window, s.tellLeftOut)
-		}
+		s.leaveOut(ev)
 		if ev.Reason == "" {
 			s.recent.keep(now, ev)
 		}
@@ -101,6 +102,16 @@
 	return true, before
 }
 
+// leaveOut counts an event without a line; the caller holds the lock.
+func (s *Sink) leaveOut(ev *timeline.Event) {
+	if s.left.add(ev) {
+		time.AfterFunc(window, s.tellLeftOut)
+	}
+	if ev.Kind == timeline.SubmissionReceived && s.received.add(ev.Submission) {
+		time.AfterFunc(receivedEvery, s.tellReceived)
+	}
+}
+
 // within reports whether the event is within its kind's budget; the caller holds
 // the lock.
 func (s *Sink) within(ev *timeline.Event) bool {
