Measure what discovery, renewals and the log cost at the size to come

Cause: CAPACITY had no slopes for the exchange of known entries, the renewals of runs' leases and the log, and its heartbeats were those of a fleet whose settings name all entries, which the users' fleets are not.

capacity measures one exchange at 7, 24 and 49 entries, one renewal on a target with 1 and 8 runs by the platform's own client, events with and without a line and with a reader that has stopped, the log of a second in which all goes well and in which all fails, fleets at rest that found themselves through seeds, and the path with the time line off, on, and with figures and log, in the same run. Two rows of control and one of work follow.

--- a/cmd/vanillagrade/capacity.go
+++ b/cmd/vanillagrade/capacity.go
@@ -8,6 +8,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/capacity"
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/target"
+	"github.com/vanillagrade/vanillagrade/platform"
 )
 
 // capacityCmd measures how costs grow and works out a size.
@@ -27,7 +28,7 @@
 	set(&size.Starts, c.Starts)
 	set(&size.TasksPerJob, c.TasksPerJob)
 	set(&size.Changes, c.Changes)
-	slopes, err := capacity.Measure()
+	slopes, err := capacity.Measure(capacity.Platform{Orders: platform.NewClient().Orders, StandIn: platform.StandIn})
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/platform"
 )
 
 func TestControlAtSize(t *testing.T) {
@@ -13,10 +16,12 @@
 	slopes := &Slopes{
 		RenewalCPU: 100 * time.Microsecond, RenewalBytes: 500, TargetBytes: 1 << 20,
 		Rest: []AtRest{{Entries: 3, Bytes: 1}, {Entries: 9, Bytes: 270}}, ForwardBytes: 100, ConfigBytes: 7, EventCPU: time.Microsecond, RingMemory: 5 << 20,
+		LookBytes: 7, Exchange: []AtExchange{{Entries: 3, Bytes: 1}, {Entries: 11, Bytes: 30}},
 	}
 	sum := Sum(Control(&size, slopes))
 	qt.Assert(t, sum.Core > 0.0053-1e-9 && sum.Core < 0.0053+1e-9, qt.IsTrue, qt.Commentf("%v", sum.Core))
-	qt.Assert(t, sum.Bytes, qt.Equals, 50*600.0+270+7)
+	// 100 targets a daemon, each renewed 1/0.35 times a second, and one exchange a second.
+	qt.Assert(t, math.Round(sum.Bytes), qt.Equals, 50*600.0+270+7+2000+30)
 	qt.Assert(t, sum.Memory, qt.Equals, 105.0*(1<<20))
 }
 
@@ -24,7 +29,7 @@
 // nothing, would leave a zero in its sum that reads as cheap.
 func TestMeasurements(t *testing.T) {
 	m := &Slopes{}
-	for _, part := range Parts() {
+	for _, part := range Parts(Platform{Orders: platform.NewClient().Orders, StandIn: platform.StandIn}) {
 		qt.Assert(t, part(m, time.Millisecond), qt.IsNil)
 	}
 	for _, p := range m.Points {
--- /dev/null
+++ b/internal/capacity/discovery.go
@@ -0,0 +1,87 @@
+package capacity
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/discovery"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer/peertest"
+)
+
+// AtExchange is what one exchange of known entries takes with a number of them.
+type AtExchange struct {
+	Entries int
+	CPU     time.Duration
+	Bytes   float64
+}
+
+// aBook knows a number of entries.
+func aBook(self job.EntryID, address string, entries int) *discovery.Book {
+	book := discovery.NewBook(discovery.Record{Owner: job.Owner{Entry: self, Incarnation: 1, Zone: "z"}, Address: address})
+	for i := range entries {
+		book.Learn(time.Now(), discovery.Record{
+			Owner:   job.Owner{Entry: job.EntryID(fmt.Sprintf("entry-zone-%d-%03d", i%7, i)), Incarnation: job.Incarnation(time.Now().UnixNano()), Zone: job.Zone(fmt.Sprintf("zone-%d", i%7))},
+			Address: fmt.Sprintf("10.1.%d.%d:7720", i/250, i%250+1),
+		})
+	}
+	return book
+}
+
+// measureDiscovery measures one exchange between two entries that know all others: the
+// one that asks and the one that answers together.
+func measureDiscovery(m *Slopes, least time.Duration) error {
+	for _, entries := range []int{7, 24, 49} {
+		x, err := m.exchange(entries, least)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		m.Exchange = append(m.Exchange, x)
+		at := fmt.Sprintf("%d entries", entries)
+		m.cpu("one exchange of known entries, both ends", at, x.CPU)
+		m.point("one exchange of known entries and its answer, without TCP and IP headers", at, x.Bytes, "bytes")
+	}
+	return nil
+}
+
+func (m *Slopes) exchange(entries int, least time.Duration) (AtExchange, error) {
+	network := &peertest.Network{}
+	var answering *discovery.Joiner
+	l, stop, err := serveCounted(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answering.ServeHTTP(w, r) }))
+	if err != nil {
+		return AtExchange{}, errors.Trace(err)
+	}
+	defer stop()
+	address := l.Addr().String()
+	joiner := func(self job.EntryID, at string) *discovery.Joiner {
+		return discovery.New(discovery.Options{
+			Book: aBook(self, at, entries), Mesh: network.Join(job.Owner{Entry: self, Incarnation: 1, Zone: "z"}),
+			Seeds: func() []string { return nil }, OnNews: func(discovery.Record) {},
+		})
+	}
+	answering = joiner("answers", address)
+	asking := joiner("asks", "10.2.0.1:7720")
+	count := 0
+	cpu := perCall(least, func(int) {
+		asking.Meet(address)
+		count++
+	})
+	if !asking.Joined() {
+		return AtExchange{}, errors.New("the exchange got no answer")
+	}
+	return AtExchange{Entries: entries, CPU: cpu, Bytes: float64(l.bytes.Load()) / float64(count)}, nil
+}
+
+// exchangeAt returns what was measured with the number of entries nearest to n.
+func (m *Slopes) exchangeAt(n int) AtExchange {
+	var best AtExchange
+	for _, x := range m.Exchange {
+		if best.Entries == 0 || abs(x.Entries-n) < abs(best.Entries-n) {
+			best = x
+		}
+	}
+	return best
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -50,6 +50,17 @@
 	SplitCPU     time.Duration
 	QuotaCPU     time.Duration
 	QueuedBytes  float64
+	// LookCPU and LookBytes are one renewal of the leases on a busy target, Exchange
+	// one exchange of known entries.
+	LookCPU   time.Duration
+	LookBytes float64
+	Exchange  []AtExchange
+	// LeftOutCPU and LineCPU are one event without and with a line, LogBytes and
+	// LogBytesFailing the log of a second.
+	LeftOutCPU      time.Duration
+	LineCPU         time.Duration
+	LogBytes        float64
+	LogBytesFailing float64
 }
 
 func (m *Slopes) point(what, at string, value float64, unit string) {
@@ -64,17 +75,17 @@
 type Measurement func(m *Slopes, least time.Duration) error
 
 // Parts are all measurements, in order.
-func Parts() []Measurement {
+func Parts(p Platform) []Measurement {
 	return []Measurement{
-		measureRenewals, measureExpiry, measureForwards, measurePeers, measureConfiguration, measureTimeline,
+		measureRenewals, measureExpiry, measureForwards, measureLooks(p), measurePeers, measureDiscovery, measureLog, measureConfiguration, measureTimeline,
 		measureSchedule, measureSplit, measureQuotas, measureQueue, measurePath,
 	}
 }
 
 // Measure runs all measurements one after the other.
-func Measure() (*Slopes, error) {
+func Measure(p Platform) (*Slopes, error) {
 	m := &Slopes{}
-	for _, part := range Parts() {
+	for _, part := range Parts(p) {
 		if err := part(m, leastTime); err != nil {
 			return m, errors.Trace(err)
 		}
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -28,8 +28,20 @@
 // leastRest takes in at least one heartbeat of each kind.
 const leastRest = time.Second
 
-// shape is a fleet at rest that is measured.
-type shape struct{ zones, perZone int }
+// shape is a fleet at rest that is measured. A discovered one finds its entries through
+// seeds and shares work across zones, so that heartbeats go to other zones as often as
+// to the own.
+type shape struct {
+	zones, perZone int
+	discovered     bool
+}
+
+func (s shape) String() string {
+	if s.discovered {
+		return fmt.Sprintf("%d zones of %d entries, found through seeds", s.zones, s.perZone)
+	}
+	return fmt.Sprintf("%d zones of %d entries", s.zones, s.perZone)
+}
 
 // resting is what one entry takes while no work comes.
 type resting struct {
@@ -43,20 +55,23 @@
 // them, and measures what each entry takes. The largest has as many entries as
 // the size to come.
 func measurePeers(m *Slopes, least time.Duration) error {
-	shapes := []shape{{1, 1}, {1, 3}, {7, 1}, {7, 3}, {7, 7}}
+	shapes := []shape{
+		{1, 1, false}, {1, 3, false}, {7, 1, false}, {7, 3, false}, {7, 7, false},
+		{3, 1, true}, {7, 1, true}, {7, 3, true}, {7, 7, true},
+	}
 	if least < leastTime {
-		shapes = []shape{{1, 1}, {2, 2}}
+		shapes = []shape{{1, 1, false}, {2, 2, false}, {3, 1, true}}
 	}
 	var alone resting
 	for i, s := range shapes {
 		r, err := s.rest(max(10*least, leastRest))
 		if err != nil {
-			return errors.Annotatef(err, "%d zones of %d entries", s.zones, s.perZone)
+			return errors.Annotate(err, s.String())
 		}
 		if i == 0 {
 			alone = r
 		}
-		at := fmt.Sprintf("%d zones of %d entries", s.zones, s.perZone)
+		at := s.String()
 		m.point("processor time of one entry at rest", at, 100*r.core, "% of a core")
 		if i > 0 {
 			m.point("messages between entries, sent and received, one entry at rest", at, r.bytes, "bytes a second")
@@ -67,8 +82,7 @@
 				m.point("of that: "+kind, at, r.kinds[kind], "bytes a second")
 			}
 		}
-		peers := float64(s.zones*s.perZone - 1)
-		if peers > 0 {
+		if s.discovered {
 			m.Rest = append(m.Rest, AtRest{
 				Entries: s.zones * s.perZone, Core: max(0, r.core-alone.core), Bytes: r.bytes, Memory: max(0, r.heap-alone.heap),
 			})
@@ -147,7 +161,7 @@
 	}
 	f, err := fleet.Start(fleet.Options{
 		Zones: zones, EntriesPerZone: s.perZone, TargetsPerZone: s.perZone, Pool: "p",
-		Target: standin.Options{Processors: 8}, File: []byte(restingFile),
+		Target: standin.Options{Processors: 8}, File: []byte(restingFile), Discover: s.discovered,
 	})
 	if err != nil {
 		return resting{}, errors.Trace(err)
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -82,7 +82,7 @@
 
 // Control returns what control takes of one entry at the size.
 func Control(s *Size, m *Slopes) []Cost {
-	rest := m.restAt(s.Entries)
+	rest, known := m.restAt(s.Entries), m.exchangeAt(s.Entries)
 	return []Cost{
 		{What: "the process itself", Core: m.BaseCore, Memory: m.BaseMemory, Mechanism: "one process, no work yet, the ring's slots allotted"},
 		{
@@ -96,7 +96,16 @@
 		},
 		{
 			What: "links and heartbeats", Core: rest.Core, Bytes: rest.Bytes, Memory: rest.Memory,
-			Mechanism: fmt.Sprintf("one message a peer and interval, loads and digest on it; measured with %d entries", rest.Entries),
+			Mechanism: fmt.Sprintf("one message a peer and interval, loads and digest on it; measured with %d entries found through seeds", rest.Entries),
+		},
+		{
+			What: "discovery", Core: exchangesPerSecond * known.CPU.Seconds() / 2, Bytes: exchangesPerSecond * known.Bytes,
+			Mechanism: fmt.Sprintf("an exchange with one entry each 2 s, asked and answered; measured with %d entries", known.Entries),
+		},
+		{
+			What: "leases of runs", Core: s.TargetsPerEntry() * looksPerSecond * m.LookCPU.Seconds(),
+			Bytes:     s.TargetsPerEntry() * looksPerSecond * m.LookBytes,
+			Mechanism: "one renewal a busy target for all its runs, which waits there for their ends; none where nothing runs",
 		},
 		{
 			What: "configuration", Core: s.ChangesPerSecond() * m.ParseCPU.Seconds(),
@@ -110,6 +119,14 @@
 	}
 }
 
+// looksPerSecond is how often the leases on a busy target are renewed where no run of it
+// ends: each 0.35 s.
+const looksPerSecond = 1 / 0.35
+
+// exchangesPerSecond is how many exchanges of known entries one entry takes part in: it
+// asks each two seconds and is asked as often in the mean.
+const exchangesPerSecond = 1
+
 // expiresPerSecond is how often the leases are scanned.
 const expiresPerSecond = 4
 
@@ -117,6 +134,13 @@
 // queued, started, ended.
 const eventsPerTask = 3
 
+// eventsPerJob is how many events one job leaves beside those of its tasks: received,
+// admitted, answered, and a batch offered, received and reported at two holders.
+const eventsPerJob = 9
+
+// linesPerSecond is how many lines of successful steps a busy entry writes: 20 a kind.
+const linesPerSecond = 20 * 9
+
 // Work returns what the work itself takes of one entry at the peak.
 func Work(s *Size, m *Slopes) []Cost {
 	jobs := s.StartsPerEntry() / s.TasksPerJob
@@ -131,6 +155,12 @@
 		},
 		{What: "of that: split of jobs over holders", Core: jobs * m.SplitCPU.Seconds(), Mechanism: "one message a holder a job"},
 		{What: "of that: teams' quotas", Core: jobs * m.QuotaCPU.Seconds(), Mechanism: "one bucket a team and entry"},
+		{
+			What:      "log",
+			Core:      (s.StartsPerEntry()*eventsPerTask+jobs*eventsPerJob)*m.LeftOutCPU.Seconds() + linesPerSecond*m.LineCPU.Seconds(),
+			Bytes:     m.LogBytes,
+			Mechanism: "a budget of lines by kind, ids of the rest; the bytes go to the log's reader, not to other entries",
+		},
 		{
 			What: "waiting tasks, for ten seconds of the peak", Memory: 10 * s.StartsPerEntry() * m.QueuedBytes,
 			Mechanism: "bounded queues by count and bytes",
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -16,6 +16,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/api"
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/eventlog"
 	"github.com/vanillagrade/vanillagrade/internal/fleet"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
@@ -145,30 +146,36 @@
 }
 
 // measurePath sends jobs of tasks that take no time through one entry, with the
-// time line on and off. The processor time is that of the whole process: entry,
+// time line and the log on and off. The processor time is that of the whole process: entry,
 // stand-in targets and callers, so it bounds the entry's own from above.
 func measurePath(m *Slopes, least time.Duration) error {
 	file, err := parsed(TwoYears().Teams, 1)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, line := range []struct {
-		name   string
-		events int
-	}{{"off", -1}, {"on", 0}} {
-		if err := m.path(file, line.name, line.events, least); err != nil {
+	lines := eventlog.NewWriter(io.Discard)
+	defer lines.Close()
+	log := slog.New(slog.NewJSONHandler(lines, nil))
+	for _, o := range []struct {
+		name  string
+		fleet fleet.Options
+	}{
+		{"time line off", fleet.Options{Events: -1}},
+		{"time line on", fleet.Options{}},
+		{"time line, figures and log on", fleet.Options{LogEvents: true, Log: log}},
+	} {
+		if err := m.path(file, o.name, o.fleet, least); err != nil {
 			return errors.Trace(err)
 		}
 	}
 	return nil
 }
 
-func (m *Slopes) path(file *config.File, name string, events int, least time.Duration) error {
+func (m *Slopes) path(file *config.File, name string, o fleet.Options, least time.Duration) error {
 	const targets = 8
-	f, err := fleet.Start(fleet.Options{
-		Zones: []job.Zone{"z"}, EntriesPerZone: 1, TargetsPerZone: targets, Pool: "p", Events: events,
-		Target: standin.Options{Processors: 32, MemoryMB: 65536}, Config: config.Fixed{File: file},
-	})
+	o.Zones, o.EntriesPerZone, o.TargetsPerZone, o.Pool = []job.Zone{"z"}, 1, targets, "p"
+	o.Target, o.Config = standin.Options{Processors: 32, MemoryMB: 65536}, config.Fixed{File: file}
+	f, err := fleet.Start(o)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -183,7 +190,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		m.cpu("one task through one entry, targets and caller included", fmt.Sprintf("jobs of %d tasks, time line %s", tasks, name), per)
+		m.cpu("one task through one entry, targets and caller included", fmt.Sprintf("jobs of %d tasks, %s", tasks, name), per)
 		if tasks == 10 {
 			m.TaskCPU = per
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/entry"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/settings"
 	"github.com/vanillagrade/vanillagrade/internal/standin"
@@ -50,10 +51,15 @@
 	Config config.View
 	// Wires puts a wire that can be cut between each two entries.
 	Wires bool
+	// Discover has the entries find each other through seeds, as on a platform that
+	// names only some addresses.
+	Discover bool
 	// Dir is where voters keep their data; by default a temporary folder that
 	// Stop removes.
 	Dir string
 	Log *slog.Logger
+	// LogEvents writes decisions to Log, as entry.Options says.
+	LogEvents bool
 }
 
 // Fleet is a running fleet.
@@ -143,12 +149,23 @@
 // while the links come up.
 const firstApply = 20 * time.Second
 
+// applyPause is the wait between two tries of the first agreement.
+const applyPause = 50 * time.Millisecond
+
 // applyFirst applies the first file and waits until it is in force everywhere.
 func (f *Fleet) applyFirst() error {
 	ctx, cancel := context.WithTimeout(context.Background(), firstApply)
 	defer cancel()
-	if _, err := f.entries[0].entry.Apply(ctx, "first", f.opts.File); err != nil {
-		return errors.Annotate(err, "applying the first file")
+	// Entries that find each other answer at once while they know no majority.
+	for {
+		_, err := f.entries[0].entry.Apply(ctx, "first", f.opts.File)
+		if err == nil {
+			break
+		}
+		if !f.opts.Discover || !errors.Is(err, register.ErrUnavailable) || ctx.Err() != nil {
+			return errors.Annotate(err, "applying the first file")
+		}
+		time.Sleep(applyPause)
 	}
 	for _, m := range f.entries {
 		if err := wait(ctx, func() bool { return m.entry.Configuration() > 0 }); err != nil {
@@ -231,6 +248,7 @@
 		Events:    f.opts.Events,
 		Config:    f.opts.Config,
 		Linger:    linger,
+		LogEvents: f.opts.LogEvents,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -248,6 +266,10 @@
 		PeerAddr:     m.listen.Peer.Addr().String(),
 		OperatorAddr: m.listen.Operator.Addr().String(),
 	}
+	if f.opts.Discover {
+		f.discover(m, &s)
+		return s
+	}
 	for _, p := range f.entries {
 		address := p.listen.Peer.Addr().String()
 		if w := f.wires[pair{m.name, p.name}]; w != nil {
@@ -262,6 +284,22 @@
 	return s
 }
 
+// discover names only the voters' addresses, as seeds.
+func (f *Fleet) discover(m *member, s *settings.Entry) {
+	s.Discover, s.TrustNetwork = true, true
+	voters := f.voters()
+	s.WantVoters = len(voters)
+	for _, p := range f.entries {
+		if slices.Contains(voters, p.name) {
+			s.Seeds = append(s.Seeds, p.listen.Peer.Addr().String())
+		}
+	}
+	s.Founders = s.Seeds
+	if slices.Contains(voters, m.name) {
+		s.DataDir = filepath.Join(f.opts.Dir, string(m.name))
+	}
+}
+
 // linger is shorter than on real VMs: everything here is on one machine.
 const linger = 300 * time.Millisecond
 
