Check the platform's settings and configuration with the place of each mistake

Cause: check knew the declarative file alone; wrong settings of the platform were told one at a start, without a line, and a wrong configuration always at 1:1.

--- a/cmd/vanillagrade/check.go
+++ b/cmd/vanillagrade/check.go
@@ -8,11 +8,14 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/platform"
 )
 
-// checkCmd checks a declarative file offline.
+// checkCmd checks a file offline.
 type checkCmd struct {
-	File string `arg:"positional,required" placeholder:"FILE" help:"a declarative file, or - for standard input"`
+	File     string `arg:"positional,required" placeholder:"FILE" help:"a declarative file, or - for standard input"`
+	Platform bool   `arg:"--platform" help:"the file is the configuration of the users' platform"`
+	Settings bool   `arg:"--settings" help:"the file is a process's settings on the users' platform"`
 }
 
 func (c *checkCmd) run(_ context.Context, stdout, stderr io.Writer) int {
@@ -20,7 +23,14 @@
 	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
-	file, err := config.Parse(c.File, body)
+	if c.Settings {
+		return c.checkSettings(body, stdout, stderr)
+	}
+	parse := config.Parse
+	if c.Platform {
+		parse = platform.ParseConfiguration
+	}
+	file, err := parse(c.File, body)
 	if err != nil {
 		printProblems(stderr, err)
 		return exitFailed
@@ -29,6 +39,21 @@
 	return exitOK
 }
 
+func (c *checkCmd) checkSettings(body []byte, stdout, stderr io.Writer) int {
+	s, err := platform.ParseSettings(c.File, body)
+	if err != nil {
+		printProblems(stderr, err)
+		return exitFailed
+	}
+	e := s.Entry()
+	if err := e.Check(); err != nil {
+		printProblems(stderr, err)
+		return exitFailed
+	}
+	fmt.Fprintf(stdout, "%s: entry %s in %s, peers at %s, %d seeds, %d voters wanted\n", c.File, e.Name, e.Zone, e.PeerAddr, len(e.Seeds), e.WantVoters)
+	return exitOK
+}
+
 // printProblems prints each error of a file on a line of its own.
 func printProblems(stderr io.Writer, err error) {
 	var problems config.Problems
--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -33,7 +33,8 @@
 	slog.SetDefault(slog.New(slog.NewJSONHandler(lines, nil)))
 	s, err := platform.ReadSettings()
 	if err != nil {
-		return fail(stderr, exitUsage, err)
+		printProblems(stderr, err)
+		return exitUsage
 	}
 	seeds := newSeeds(s)
 	hangups := make(chan os.Signal, 1)
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -56,8 +56,15 @@
 // the size to come.
 func measurePeers(m *Slopes, least time.Duration) error {
 	shapes := []shape{
-		{1, 1, false}, {1, 3, false}, {7, 1, false}, {7, 3, false}, {7, 7, false},
-		{3, 1, true}, {7, 1, true}, {7, 3, true}, {7, 7, true},
+		{1, 1, false},
+		{1, 3, false},
+		{7, 1, false},
+		{7, 3, false},
+		{7, 7, false},
+		{3, 1, true},
+		{7, 1, true},
+		{7, 3, true},
+		{7, 7, true},
 	}
 	if least < leastTime {
 		shapes = []shape{{1, 1, false}, {2, 2, false}, {3, 1, true}}
