--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -30,7 +30,7 @@
 func (c *platformCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
 	lines := eventlog.NewWriter(stdout)
 	defer lines.Close()
-	slog.SetDefault(slog.New(slog.NewJSONHandler(lines, nil)))
+	slog.SetDefault(slog.New(eventlog.Limit(slog.NewJSONHandler(lines, nil))))
 	s, err := platform.ReadSettings()
 	if err != nil {
 		printProblems(stderr, err)
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -258,3 +258,33 @@
 		w.Close()
 	})
 }
+
+// A fleet of hundreds starts, and each process learns of all others at once. The lines
+// that tell of it stay within a budget of their own, what is left out is counted and
+// said, and a request that fails in that moment has its line.
+func TestLinesThatAreNoEventsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &buffer{}
+		w := NewWriter(out)
+		log := slog.New(Limit(slog.NewJSONHandler(w, nil))).With("entry", "e")
+		s := New(timeline.Discard{}, log)
+		for i := range 300 {
+			log.Info("entry found", "peer", i)
+			log.With("zone", "z").Warn("peer link not up", "peer", i)
+		}
+		s.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Submission: "j", Reason: job.HolderLost})
+		qt.Assert(t, s.LeftOut(), qt.Equals, uint64(600-beliefLines-failureLines))
+		time.Sleep(window)
+		synctest.Wait()
+		log.Info("entry found", "peer", "later")
+		w.Close()
+		count := map[string]int{}
+		for _, m := range out.lines() {
+			qt.Assert(t, m["entry"], qt.Equals, "e")
+			count[m["msg"].(string)]++
+		}
+		qt.Assert(t, count, qt.DeepEquals, map[string]int{
+			"entry found": beliefLines + 1, "peer link not up": failureLines, "submission_answered": 1, "log lines left out": 1,
+		})
+	})
+}
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -69,11 +69,16 @@
 	}
 }
 
-// LeftOut returns how many lines the budget left out.
+// LeftOut returns how many lines the budgets left out, those of other lines than events
+// included.
 func (s *Sink) LeftOut() uint64 {
+	var others uint64
+	if l, ok := s.log.Handler().(*limited); ok {
+		others = l.shared.leftOut()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.left.total
+	return others + s.left.total
 }
 
 // allow reports whether the event is within the budget, and returns what was left out
@@ -155,6 +160,9 @@
 		level = slog.LevelWarn
 	}
 	handler := s.log.Handler()
+	if l, ok := handler.(*limited); ok {
+		handler = l.next // events have a budget of their own
+	}
 	if !handler.Enabled(context.Background(), level) {
 		return
 	}
