Note what is refused before it is a submission

The platform's intake notes them with the id of the path as submission_answered, with not_configured, unknown_service, malformed, too_large or overloaded.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -21,6 +21,9 @@
 	return &api.Caller{Dispatcher: e, Config: e.config, Memory: e.memory}
 }
 
+// Refused notes a refusal that another server of this entry gave by itself.
+func (e *Entry) Refused(a job.Answer) { e.record.Refused(a) }
+
 // Config returns the view of the configuration in force.
 func (e *Entry) Config() config.View { return e.config }
 
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -44,6 +44,13 @@
 	return a
 }
 
+// Refused notes a refusal that was given before there was a submission: its body was not
+// read, or nothing is configured yet. Its caller has an id for it all the same.
+func (r *Record) Refused(a job.Answer) {
+	r.count(&a)
+	r.Events.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Submission: a.ID, Reason: a.Reason, Cause: summary(&a)})
+}
+
 // ideal returns what the work itself is declared to take: its longest task.
 func (f *Flow) ideal() time.Duration {
 	var longest time.Duration
