--- a/internal/entry/pause_again_test.go
+++ b/internal/entry/pause_again_test.go
@@ -50,3 +50,20 @@
 		qt.Check(t, p.entry.rights.Right(life, old, 0), qt.IsNil)
 	})
 }
+
+// A request lies unread in an entry that stands still for 0.9 s, runs for 60 ms and stands
+// still for 0.8 s again. The entry has proved to itself in between that it runs, so neither
+// pause ends its right. But the request is 1.7 s old, and its caller, who lost the entry at
+// the first pause, has had the job run elsewhere for 0.4 s: it pays for two runs.
+func TestRequestsFromBeforeTwoShortPausesAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPausable(t)
+		defer p.close()
+		time.Sleep(time.Second)
+		p.standStill(900 * time.Millisecond)
+		time.Sleep(60 * time.Millisecond)
+		p.standStill(800 * time.Millisecond)
+		_, fresh := p.entry.rights.own(0)
+		qt.Check(t, fresh, qt.IsFalse)
+	})
+}
