Explore the right to act with an owner that speaks once it has read

Tried in the model, before the code: an entry that goes on proves nothing, to itself and to others, offers nothing and takes no request before it has run for 50 ms; it gives a holder no proof while a cancellation there is not confirmed; and a stop freezes the bound of its run as the right stands then. Each is a seeded error as well. Three earlier errors are second bounds then and are seeded beside one.

--- a/internal/policy/ownership/model_steps_test.go
+++ b/internal/policy/ownership/model_steps_test.go
@@ -31,7 +31,7 @@
 	switch {
 	case w.cancel == underWay && stands:
 		return false
-	case w.offer >= 0 && w.cuts == s.cuts && stands && s.mutation != anyAge:
+	case w.offer >= 0 && w.cuts == s.cuts && stands && !s.has(anyAge):
 		return false
 	case w.ownerStill:
 		return true
@@ -39,12 +39,24 @@
 		return false
 	case w.lost >= 0 && !w.ended && w.aware >= waySteps:
 		return false
-	case w.cancel == lostOnItsWay && s.mutation != cancelledOnce && w.mended >= triesSteps && w.lasts >= againSteps:
+	case w.cancel == lostOnItsWay && !s.has(cancelledOnce) && w.mended >= triesSteps && w.lasts >= againSteps:
 		return false
 	}
 	return true
 }
 
+// speaks says whether the owner gives proofs to the holder.
+func (s system) speaks(w *world) bool {
+	told := !w.ended || w.cancel == confirmed || w.cancel == lostOnItsWay && s.has(spokenBeside)
+	return s.hasRead(w) && told
+}
+
+// hasRead says whether the owner has read what came while it stood still, so that it may
+// say that it is alive.
+func (s system) hasRead(w *world) bool {
+	return !w.ownerStill && (w.awake > waySteps || s.has(spokenAtOnce))
+}
+
 func aged(age int8) int8 {
 	if age < 0 {
 		return age
@@ -72,6 +84,7 @@
 	w.stay = less(w.stay)
 	s.sends(&w)
 	if !w.ownerStill {
+		w.awake = min(w.awake+1, waySteps+1)
 		s.ownerRuns(&w)
 	}
 	if !w.holderStill {
@@ -89,7 +102,7 @@
 	if !w.holderStill {
 		w.toOwner = 0
 	}
-	if !w.ownerStill && w.cancel != underWay {
+	if s.speaks(w) {
 		w.toHolder = w.reading
 	}
 	if !w.ownerStill && !w.holderStill {
@@ -102,8 +115,11 @@
 	if w.cut || w.cancel == underWay {
 		return false
 	}
-	w.reading, w.toOwner, w.toHolder = 0, none, none
-	s.heartbeat(w, 0)
+	w.reading, w.toOwner = 0, none
+	if s.speaks(w) {
+		w.toHolder = none
+		s.heartbeat(w, 0)
+	}
 	return true
 }
 
@@ -124,7 +140,9 @@
 	if w.lost >= 0 {
 		w.aware = min(w.aware+1, waySteps)
 	}
-	s.ownLook(w)
+	if s.hasRead(w) {
+		s.ownLook(w)
+	}
 	if w.ended && w.local < 0 {
 		return
 	}
@@ -207,7 +225,7 @@
 		visit("the owner goes on", n)
 	} else if w.ownerPauses > 0 {
 		n := w
-		n.ownerStill, n.aware, n.ownerPauses = true, 0, w.ownerPauses-1
+		n.ownerStill, n.aware, n.awake, n.ownerPauses = true, 0, 0, w.ownerPauses-1
 		visit("the owner stands still", n)
 	}
 	if w.holderStill {
@@ -257,7 +275,7 @@
 	if w.lost >= 0 && !w.ended && w.aware >= waySteps {
 		visit("the owner notices the hang-up and takes the job back", s.takenBack(w))
 	}
-	if w.cancel == lostOnItsWay && !w.cut && s.mutation != cancelledOnce {
+	if w.cancel == lostOnItsWay && !w.cut && !s.has(cancelledOnce) {
 		n := w
 		n.cancel = underWay
 		visit("the owner sends the cancellation again", n)
@@ -296,7 +314,7 @@
 }
 
 func (s system) giveUpAfter() int8 {
-	if s.mutation == hasty {
+	if s.has(hasty) {
 		return atLeast(Term)
 	}
 	return giveUpSteps
@@ -305,7 +323,7 @@
 // takenBack ends the owner's part for a caller that hung up.
 func (s system) takenBack(w world) world {
 	w.ended, w.unread = true, false
-	s.stopped(&w.local, &w)
+	s.stopped(&w.local, &w, w.own)
 	switch {
 	case s.unread:
 		w.cancel = confirmed
@@ -318,18 +336,30 @@
 }
 
 // stopped decides the stop of a run, which may get lost.
-func (s system) stopped(run *int8, w *world) {
+func (s system) stopped(run *int8, w *world, l lease) {
 	if *run >= 0 && s.lostStops {
-		w.stay = staySteps
+		w.stay = s.longest(*run, l)
 		return
 	}
 	*run = none
 }
 
+// longest is for how long a run may go on that is taken back now: its right counts as it
+// stands now.
+func (s system) longest(run int8, l lease) int8 {
+	switch {
+	case s.has(movingBound):
+		return staySteps
+	case l.over:
+		return run
+	}
+	return max(run, min(staySteps, atMost(l.real().OverBy().Sub(now))))
+}
+
 // offers has the owner offer the job, also again with a fresher proof.
 func (s system) offers(w world, visit func(string, world)) {
-	ended := w.ended && s.mutation != offeredAgain
-	if ended || w.unread || w.gaveUp || w.hasBatch || w.cut || w.offer >= 0 && w.offer <= w.reading {
+	ended := w.ended && !s.has(offeredAgain)
+	if !s.hasRead(&w) || ended || w.unread || w.gaveUp || w.hasBatch || w.cut || w.offer >= 0 && w.offer <= w.reading {
 		return
 	}
 	n := w
@@ -341,11 +371,14 @@
 
 // reads has the owner read the request that lay in its socket.
 func (s system) reads(w world, visit func(string, world)) {
+	if !s.hasRead(&w) {
+		return
+	}
 	n := w
 	n.unread = false
 	u := Unread{left: time.Duration(w.window) * step}
 	fresh := table(w.own, true).Of(now, owner) != nil && !u.Old()
-	if !fresh && s.mutation != unreadIsNew {
+	if !fresh && !s.has(unreadIsNew) {
 		n.ended, n.cancel = true, confirmed
 		visit("the owner refuses the request", n)
 		return
@@ -363,7 +396,7 @@
 	if w.cancel == underWay {
 		n := w
 		n.cancel = confirmed
-		s.stopped(&n.held, &n)
+		s.stopped(&n.held, &n, n.heard)
 		visit("the holder reads the cancellation", n)
 	}
 	if w.offer >= 0 {
--- a/internal/policy/ownership/model_test.go
+++ b/internal/policy/ownership/model_test.go
@@ -91,21 +91,25 @@
 	}
 }
 
-// Each rule is needed: without it a job runs twice, and the model finds how.
+// Each rule is needed: without it a job runs twice, and the model finds how. Three are
+// second bounds: they matter where the rules of what an owner says are broken too.
 func TestEachRuleOfTheRightIsNeeded(t *testing.T) {
 	for name, seeded := range map[string]struct {
 		bounds
 		mutation
 	}{
-		"a start relies on the last look":                 {bounds{ownerPauses: 1}, noCheckAfterPause},
+		"a start relies on the last look":                 {bounds{ownerPauses: 1}, noCheckAfterPause | spokenAtOnce},
 		"a proof counts from when it is read":             {bounds{holderPauses: 1}, proofByArrival},
 		"a right that ran out comes back":                 {bounds{holderPauses: 1}, revived},
 		"a target's lease outlasts the right":             {bounds{ownerPauses: 1}, unbounded},
 		"a holder is given up too soon":                   {bounds{holderPauses: 1}, hasty},
-		"an unread request is taken for a new one":        {bounds{unread: true, ownerPauses: 1}, unreadIsNew},
+		"an unread request is taken for a new one":        {bounds{unread: true, ownerPauses: 1}, unreadIsNew | spokenAtOnce},
 		"a proof of any age counts beside another lease":  {bounds{holderPauses: 1}, anyAge},
-		"a cancellation is lost with its link":            {bounds{cuts: 1}, cancelledOnce},
+		"a cancellation is lost with its link":            {bounds{cuts: 1}, cancelledOnce | spokenBeside},
 		"an offer is sent again though it was taken back": {bounds{cuts: 1}, offeredAgain},
+		"an owner gives proofs as soon as it goes on":     {bounds{lostStops: true, ownerPauses: 1}, spokenAtOnce},
+		"an owner gives proofs beside a cancellation":     {bounds{lostStops: true, cuts: 1}, spokenBeside},
+		"later proofs lengthen a run that was taken back": {bounds{lostStops: true, holderPauses: 1}, movingBound},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/policy/ownership/model_world_test.go
+++ b/internal/policy/ownership/model_world_test.go
@@ -87,13 +87,13 @@
 	unread bool
 }
 
-// mutation is an error seeded into the rules, to see that the model finds it.
-type mutation uint8
+// mutation is a set of errors seeded into the rules, to see that the model finds them.
+type mutation uint16
 
 const (
-	sound mutation = iota
+	sound mutation = 0
 	// noCheckAfterPause starts by what the last look found, without asking again.
-	noCheckAfterPause
+	noCheckAfterPause mutation = 1 << (iota - 1)
 	// proofByArrival counts a proof from when it is read.
 	proofByArrival
 	// revived lets a proof bring a lease back that had run out.
@@ -110,6 +110,14 @@
 	cancelledOnce
 	// offeredAgain sends an offer again though its job was taken back.
 	offeredAgain
+	// spokenAtOnce has an owner that goes on give proofs before it has read what came
+	// meanwhile.
+	spokenAtOnce
+	// spokenBeside has an owner give proofs to a holder that has not confirmed a
+	// cancellation.
+	spokenBeside
+	// movingBound lets later proofs lengthen a run that was taken back.
+	movingBound
 )
 
 // lease is a Lease as ages in steps.
@@ -142,6 +150,7 @@
 	window int8  // what is left of the owner's Unread
 	own    lease // the owner's right to act for itself
 	aware  int8  // how long the owner ran since its caller was lost
+	awake  int8  // how long the owner ran since it went on
 	ended  bool  // it has noticed
 
 	offer   int8 // age of the proof in the offer under way
@@ -167,13 +176,16 @@
 	mutation mutation
 }
 
+// has says whether an error is among those that are seeded.
+func (s system) has(m mutation) bool { return s.mutation&m != 0 }
+
 var modelSeed = maphash.MakeSeed()
 
 // Initial implements explore.Model: all is calm, and nothing was offered yet.
 func (s system) Initial() []world {
 	return []world{{
 		ownerPauses: s.ownerPauses, holderPauses: s.holderPauses, cuts: s.cuts,
-		toOwner: none, toHolder: none, offer: none, held: none, local: none, lost: none, stay: none,
+		toOwner: none, toHolder: none, offer: none, held: none, local: none, lost: none, stay: none, awake: waySteps + 1,
 		known: true, heard: lease{first: old}, unread: s.unread, gaveUp: s.unread,
 	}}
 }
@@ -228,7 +240,7 @@
 	if w.gaveUp {
 		w.reading = min(w.reading, termSteps+1)
 	}
-	if s.mutation == proofByArrival || s.mutation == anyAge {
+	if s.has(proofByArrival) || s.has(anyAge) {
 		return
 	}
 	if w.offer > termSteps {
@@ -256,7 +268,7 @@
 		w.window, w.ran, w.own.resumed = 0, 0, false
 	}
 	w.own.first = 0 // nobody offers to the owner
-	if s.mutation == revived || s.mutation == noCheckAfterPause {
+	if s.has(revived) || s.has(noCheckAfterPause) {
 		return
 	}
 	if !w.unread && w.local < 0 && (w.own.over || w.own.proof > termSteps) {
@@ -295,7 +307,7 @@
 
 // holds asks a lease as the code does.
 func (s system) holds(l *lease) bool {
-	if s.mutation == noCheckAfterPause {
+	if s.has(noCheckAfterPause) {
 		return !l.over
 	}
 	return s.look(l)
@@ -311,10 +323,10 @@
 
 // renew gives a lease a later proof.
 func (s system) renew(l *lease, proof int8) {
-	switch s.mutation {
-	case proofByArrival:
+	switch {
+	case s.has(proofByArrival):
 		proof = 0
-	case revived:
+	case s.has(revived):
 		l.over, l.proof = false, min(l.proof, proof)
 		return
 	}
@@ -325,7 +337,7 @@
 
 // left is for how many steps a run lasts whose target's lease begins now under a right.
 func (s system) left(l lease) int8 {
-	if s.mutation == unbounded {
+	if s.has(unbounded) {
 		return atMost(targetLease)
 	}
 	return max(atMost(min(targetLease, l.real().OverBy().Sub(now))), none)
@@ -343,10 +355,10 @@
 
 // take gives the holder's table a proof, and says whether a lease stands then.
 func (s system) take(w *world, proof int8) bool {
-	if s.mutation == proofByArrival {
+	if s.has(proofByArrival) {
 		proof = 0
 	}
-	if s.mutation == anyAge && w.known && s.look(&w.heard) {
+	if s.has(anyAge) && w.known && s.look(&w.heard) {
 		s.renew(&w.heard, proof)
 		return true
 	}
