Prove nothing before what came in a pause is read, and nothing beside a cancellation

Cause, found by the model of the rights to act: after a silence shorter than the term proofs counted again at once, before the hang-up or the cancellation of that time was read, and a run's bound moved on with them. Two faults within about 1.3 s, such as two pauses of 0.9 s, then ran a job twice; nine scenarios, and one with the real parts (a request of 1.7 s taken as new).

Now an entry that goes on after a pause of 250 ms or more proves nothing, offers nothing and takes no request until it has run for 50 ms; it gives a holder no proof while a cancellation there is not confirmed; a stop settles by when its run must be over. Ruled out: a shorter term (healthy work would be given up).

--- a/internal/entry/awake.go
+++ b/internal/entry/awake.go
@@ -16,9 +16,6 @@
 	// awakeEvery is how often the entry proves to itself that it runs, and looks for
 	// owners that it has no proof of: well below the term of a proof.
 	awakeEvery = 50 * time.Millisecond
-	// pauseWorthALine is the shortest pause that is told: twice the tenth of a second for
-	// which a small VM's share of its processor may be used up, and a tick.
-	pauseWorthALine = 250 * time.Millisecond
 )
 
 // rights are this entry's rights to act for the owners of transient work, itself included.
@@ -31,8 +28,10 @@
 
 	mu     sync.Mutex
 	unread ownership.Unread
-	// last is the lease of this entry's right to act for itself at its last look.
-	last *ownership.Lease
+	// looked is when the entry last looked, last the lease of its right to act for itself
+	// then.
+	looked time.Time
+	last   *ownership.Lease
 }
 
 func newRights(e *Entry) *rights {
@@ -101,25 +100,51 @@
 // own returns this entry's right to go on for its own callers, for a request that was read
 // now. It reports false where the request may be as old as a pause.
 func (r *rights) own(remaining time.Duration) (job.Right, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	lease := r.table.Of(r.clock.Now(), r.self)
-	if lease == nil || r.unread.Old() {
+	if lease == nil || r.reads() {
 		return nil, false
 	}
 	return r.right(lease, remaining), true
 }
 
-// ran notes that the entry ran until now, after a gap.
+// ran notes that the entry ran until now, after a gap. While it may have old things to read
+// it proves nothing, to itself and to others: the hang-up of its caller may be among them.
 func (r *rights) ran(now time.Time, gap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lease := r.table.Renew(now, r.self, now)
+	r.looked = now
 	r.unread.Ran(gap)
-	if lease != nil && lease.Resumed() && lease != r.last {
+	if r.last != nil && r.table.Of(now, r.self) == nil {
+		r.last = nil
 		r.unread.Paused()
 	}
-	r.last = lease
+	if !r.unread.Old() {
+		r.last = r.table.Renew(now, r.self, now)
+	}
+}
+
+// reads reports whether the entry may still have to read what is as old as a pause, also
+// before its next look.
+func (r *rights) reads() bool {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unread.Old() || now.Sub(r.looked) >= ownership.BrokenOff
+}
+
+// speaks reports whether this entry may prove to a holder that it goes on: it has read what
+// came while it stood still, and the holder knows of all jobs that were taken back.
+func (e *Entry) speaks(to job.EntryID) bool {
+	return !e.rights.reads() && !e.remote.TakingBack(to)
+}
+
+// proofFor returns the reading of a holder's clock that proves to it that this entry goes
+// on; zero while it may not say so.
+func (e *Entry) proofFor(to job.EntryID, life job.Incarnation) awake.Reading {
+	if e.rights != nil && !e.speaks(to) {
+		return 0
+	}
+	return e.members.Last(to, life)
 }
 
 // watchOwners renews this entry's right to act for itself, tells when it stood still, and
@@ -148,7 +173,7 @@
 // why an entry answered nothing, finds the cause here: nothing else in the log shows a
 // pause but the lines that are missing.
 func (e *Entry) tellPause(gap time.Duration) {
-	if gap < pauseWorthALine {
+	if gap < ownership.BrokenOff {
 		return
 	}
 	cause := fmt.Sprintf("nothing of it ran for %d ms", gap.Milliseconds())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -280,7 +280,7 @@
 	e.served.RecordTo(e.events)
 	e.remote = handover.NewRemote(handover.RemoteOptions{
 		Mesh: e.links, Gone: e.members.Gone, Silent: e.members.Silent,
-		Proof: e.members.Last, Learn: e.members.Learn, Events: e.events,
+		Proof: e.proofFor, Learn: e.members.Learn, Events: e.events,
 	})
 	e.holders = newHolders(e.self, e.holder, e.remote, e.members)
 	e.targets = newTargets(e)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -29,13 +29,15 @@
 		}
 	}()
 	var proved func(job.Owner, time.Time)
+	var speaks func(job.EntryID) bool
 	if e.opts.Settings.Discover {
 		e.rights = newRights(e)
-		proved = e.rights.proved
+		proved, speaks = e.rights.proved, e.speaks
 	}
 	e.members = membership.New(membership.Options{
 		Now:     e.awake.Now,
 		Proved:  proved,
+		Speaks:  speaks,
 		Mesh:    e.links,
 		Peers:   peers,
 		Across:  across,
--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -75,7 +75,9 @@
 	mu     sync.Mutex
 	next   uint64
 	flying map[job.ID]map[uint64]*flying
-	acks   map[job.EntryID][]uint64
+	// takingBack counts, for each holder, the cancellations that it has to confirm.
+	takingBack map[job.EntryID]int
+	acks       map[job.EntryID][]uint64
 }
 
 // flying is an offer whose outcomes are not known.
@@ -104,7 +106,7 @@
 	}
 	return &Remote{
 		proof: o.Proof, learn: o.Learn, mesh: o.Mesh, gone: o.Gone, silent: o.Silent, events: o.Events,
-		flying: map[job.ID]map[uint64]*flying{}, acks: map[job.EntryID][]uint64{},
+		takingBack: map[job.EntryID]int{}, flying: map[job.ID]map[uint64]*flying{}, acks: map[job.EntryID][]uint64{},
 	}
 }
 
@@ -276,6 +278,8 @@
 	if !sent {
 		return whole(&o.Batch, job.TaskNotStarted, job.CancelledByCall, "taken back before it was sent")
 	}
+	r.countTakingBack(to, 1)
+	defer r.countTakingBack(to, -1)
 	message := cancel{Submission: o.Batch.Submission, Offers: []uint64{o.Number}}
 	for begun := time.Now(); time.Since(begun) <= lostAfter || r.silent(to, o.To) <= lostAfter; r.wait(ctx, minRetryPause) {
 		call, done := context.WithTimeout(ctx, fetchTimeout)
@@ -288,6 +292,23 @@
 	return whole(&o.Batch, job.TaskErred, job.CancelledByCall, "taken back")
 }
 
+func (r *Remote) countTakingBack(to job.EntryID, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.takingBack[to] += by; r.takingBack[to] == 0 {
+		delete(r.takingBack, to)
+	}
+}
+
+// TakingBack reports whether a holder has not confirmed that a job was taken back, because
+// its link broke. Until then this owner must not prove to it that it goes on, or the job
+// would go on too.
+func (r *Remote) TakingBack(to job.EntryID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.takingBack[to] > 0
+}
+
 // givenUp is the outcome of a batch whose owner stood still: its caller may have turned
 // elsewhere.
 func givenUp(b *job.Batch, sent bool) []job.TaskOutcome {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -67,6 +67,9 @@
 	// Proved, when set, is told when by this entry's clock another one was alive for
 	// certain: it has sent back a reading that was made then.
 	Proved func(owner job.Owner, at time.Time)
+	// Speaks reports whether this entry may prove to another one that it goes on for its
+	// callers; nil stands for always.
+	Speaks func(to job.EntryID) bool
 }
 
 // Load is one holder's load and the age of the news.
--- a/internal/membership/proof.go
+++ b/internal/membership/proof.go
@@ -37,9 +37,13 @@
 // stamp makes the heartbeat for one entry.
 func (m *Membership) stamp(to job.EntryID, body cbor.RawMessage) stampedBeat {
 	now := m.opts.Now()
+	speaks := m.opts.Speaks == nil || m.opts.Speaks(to)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last := m.readings[to]
+	if !speaks {
+		last = reading{}
+	}
 	return stampedBeat{Beat: body, Reading: m.ruler.Reading(now), Life: last.life, Echo: last.at}
 }
 
--- a/internal/policy/ownership/backlog.go
+++ b/internal/policy/ownership/backlog.go
@@ -7,12 +7,16 @@
 	// before or in it, in time that it runs: a VM of 0.2 of a core reads some hundreds of
 	// requests in it, 0.2 ms each.
 	Backlog = 250 * time.Millisecond
+	// Settle is for how long an entry reads first after a shorter pause: a hang-up, or a
+	// cancellation, of that time is read within it.
+	Settle = 50 * time.Millisecond
 	// ranAtMost is how much of the time between two looks counts as time that the entry
 	// ran: the period of its looks.
 	ranAtMost = 50 * time.Millisecond
-	// brokenOff is a gap after which the count begins anew: while it lasted nothing was
-	// read.
-	brokenOff = 250 * time.Millisecond
+	// BrokenOff is the shortest gap between two looks that counts as a pause: twice the
+	// tenth of a second for which a small VM's share of its processor may be used up, and
+	// a look.
+	BrokenOff = 250 * time.Millisecond
 )
 
 // Unread follows what an entry may still have to read that is as old as a pause. Time that
@@ -23,13 +27,16 @@
 // Paused notes a pause after which what is read may be old.
 func (u *Unread) Paused() { u.left = Backlog }
 
-// Ran notes the time between two looks.
+// Ran notes the time between two looks. A pause that is too short to end a right is one all
+// the same: what was sent in it must be read before anything is proved or begun, or two such
+// pauses, a moment apart, do what a long one does.
 func (u *Unread) Ran(gap time.Duration) {
 	switch {
-	case u.left <= 0:
-	case gap >= brokenOff:
+	case gap >= BrokenOff && u.left > 0:
 		u.left = Backlog
-	default:
+	case gap >= BrokenOff:
+		u.left = Settle
+	case u.left > 0:
 		u.left -= min(gap, ranAtMost)
 	}
 }
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -121,12 +121,7 @@
 func (s *Session) leaseLeft(now time.Time) time.Duration {
 	left := s.opts.Lease
 	for _, r := range s.runs {
-		if r.left != nil {
-			left = min(left, r.left())
-		}
-		if !r.stopAt.IsZero() {
-			left = min(left, stopBound-now.Sub(r.stopAt))
-		}
+		left = min(left, r.mayLast(now))
 	}
 	return left
 }
@@ -198,17 +193,33 @@
 func (s *Session) Ending(submission job.ID, index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.runs[Ref{submission, index}]; r != nil && r.stopAt.IsZero() {
-		r.stopAt = time.Now()
+	if r := s.runs[Ref{submission, index}]; r != nil {
+		r.bound(time.Now())
 	}
 }
 
 // stop notes that the run has to end.
 func (r *run) stop(now time.Time) {
 	r.stopping = true
-	if r.stopAt.IsZero() {
-		r.stopAt = now
+	r.bound(now)
+}
+
+// bound settles by when the run must be over, as its right stands when its stop is decided.
+func (r *run) bound(now time.Time) {
+	if r.overBy.IsZero() {
+		r.overBy = now.Add(min(stopBound, r.mayLast(now)))
+	}
+}
+
+// mayLast is for how long the run may go on.
+func (r *run) mayLast(now time.Time) time.Duration {
+	switch {
+	case !r.overBy.IsZero():
+		return r.overBy.Sub(now)
+	case r.left != nil:
+		return r.left()
 	}
+	return DefaultLease + stopBound // no bound
 }
 
 // sendStop sends a stop until the target has taken it. A look that still finds
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -126,10 +126,10 @@
 	// under it, or a higher one, tells whether the start was carried out.
 	doubted  uint64
 	stopping bool
-	// stopAt is when the stop was decided; left bounds how long the run may go on, nil
-	// sets no bound.
-	stopAt time.Time
+	// left bounds how long the run may go on, nil sets no bound. overBy is by when it must
+	// be over once its stop was decided: no later word of its owner moves that on.
 	left   func() time.Duration
+	overBy time.Time
 	// expected is how long the run is expected to take, watch the timer of its
 	// next look; moved says that it is stopped for being too slow.
 	expected time.Duration
