Count a connection to a target until the target has closed it too

A place is free now once the target has closed its side, or after 200 ms. Ruled out: a limit of one fewer, which costs a connection at all times.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -112,7 +112,7 @@
 			// A proxy named in the environment would hide which of them
 			// refused the connection, and with it the proof that nothing ran.
 			Proxy:                  nil,
-			DialContext:            trackedDial(c.opts.Dial),
+			DialContext:            trackedDial(c.opts.Dial, connections),
 			DisableCompression:     true,
 			MaxConnsPerHost:        connections,
 			MaxIdleConnsPerHost:    connections,
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -12,9 +14,16 @@
 // errSealed is returned for a write on a connection that was declared unused.
 const errSealed = errors.ConstError("connection sealed before its first write")
 
+// closingTime bounds how long a connection that was closed here counts until the target has
+// closed it too: some round trips, and the pause of a busy VM.
+const closingTime = 200 * time.Millisecond
+
 // trackedConn knows whether any byte of the request at hand may have left.
 type trackedConn struct {
 	net.Conn
+	// places are those of a link's connections; closing gives this one's back.
+	places  chan struct{}
+	closing sync.Once
 
 	mu      sync.Mutex
 	sealed  bool
@@ -22,15 +31,54 @@
 	wrote   int64
 }
 
-// trackedDial makes a dialler's connections tracked ones.
-func trackedDial(dial DialFunc) DialFunc {
+// trackedDial makes a dialler's connections tracked ones, so many at a time. The transport
+// counts a connection until it closes it; the target counts it until it has read that. One
+// that was closed and one that takes its place would be one too many there for a moment,
+// and a target at its limit turns somebody else away.
+func trackedDial(dial DialFunc, connections int) DialFunc {
+	places := make(chan struct{}, connections)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case places <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 		c, err := dial(ctx, network, address)
 		if err != nil {
+			<-places
 			return nil, err
 		}
-		return &trackedConn{Conn: c}, nil
+		return &trackedConn{Conn: c, places: places}, nil
+	}
+}
+
+// halfCloser is a connection whose sending half can be closed by itself.
+type halfCloser interface{ CloseWrite() error }
+
+// Close implements net.Conn. The place is free once the target has closed its side as well,
+// or closingTime has passed.
+func (c *trackedConn) Close() error {
+	var err error
+	c.closing.Do(func() {
+		half, ok := c.Conn.(halfCloser)
+		if !ok || half.CloseWrite() != nil {
+			err = c.Conn.Close()
+			<-c.places
+			return
+		}
+		go c.awaitEnd()
+	})
+	return err
+}
+
+// awaitEnd reads until the target has closed its side.
+func (c *trackedConn) awaitEnd() {
+	defer func() { <-c.places }()
+	// A connection that can't be given a deadline is closed at once.
+	if c.Conn.SetReadDeadline(time.Now().Add(closingTime)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
 	}
+	_ = c.Conn.Close()
 }
 
 // Write implements net.Conn.
