--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -111,7 +111,7 @@
 		s.interrupt = cancel
 	}
 	s.mu.Unlock()
-	l, _, err := firstAnswer(ctx, p, func() (Look, error) { return s.sendLook(o, p.wait) })
+	l, _, err := firstAnswer(ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.interrupt = nil
@@ -180,7 +180,7 @@
 	switch {
 	case s.silent || now.Sub(s.heard) >= silentAfter:
 		return 0, false
-	case errors.Is(err, errNoAnswer):
+	case errors.Is(err, errNoAnswer), errors.Is(err, context.DeadlineExceeded):
 		return 0, true
 	}
 	s.lossyUntil = now.Add(lossMemory)
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -17,8 +17,8 @@
 	renumbered, unsure := 0, false
 	for fenced := 0; fenced < maxFenced; {
 		o := s.startOrder(ref, r, spec)
-		p := s.startPatience()
-		reply, sent, err := firstAnswer(s.ctx, p, func() (Reply, error) { return s.sendStart(o, p.wait) })
+		p := s.promptPatience()
+		reply, sent, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) { return s.sendStart(ctx, o, p.wait) })
 		if err != nil {
 			s.doubt(ref, r, err)
 			return
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"context"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/policy/pace"
@@ -24,8 +25,8 @@
 	}
 	o := RenewOrder{Epoch: s.epoch, Acked: s.told}
 	s.mu.Unlock()
-	p := s.startPatience()
-	l, _, err := firstAnswer(s.ctx, p, func() (Look, error) { return s.sendLook(o, p.wait) })
+	p := s.promptPatience()
+	l, _, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
 	if err != nil || l.Refusal != Accepted {
 		s.checkPaceAgain(ref, r)
 		return // the loop of looks meets what is wrong with the target
--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -14,22 +14,34 @@
 // each of our orders any number of times: a run that is there or was there is not
 // begun again. So an order without an answer is sent again, on another connection,
 // some usual answer times later, and the first answer counts.
+//
+// Copies cost the processor time that an entry may lack, and an entry that lacks it
+// reads answers late, which looks like a loss. So copies are bounded, and none is sent
+// while this entry does not keep its own times.
 
 const (
 	// leastGap is the shortest time after which an order is sent again: some round
 	// trips of 3 ms, so that an order which is only under way is not.
 	leastGap = 15 * time.Millisecond
-	// startCopies bounds how often one start is sent, and lookCopies how often a look
-	// that the target answers at once: where half get lost, one in 64 is left in
-	// doubt, and the last copy still has half of the shortest wait for its answer.
-	startCopies = 6
-	lookCopies  = 6
-	// lossyWait is how long a look waits at the target for an end where orders get
-	// lost, and lossyGap how long after one such look the next one follows. They have
+	// promptCopies bounds how often an order is sent that the target answers at once:
+	// where half get lost, one in 64 is left in doubt, and the last copy still has
+	// a third of the shortest wait for its answer.
+	promptCopies = 6
+	// lossyBurst is how many copies go at once where orders get lost. Two at a time
+	// lose a third more calls than one after the other, and the last start of a job of
+	// eight tasks is through after one to two gaps and not after four.
+	lossyBurst = 2
+	// lossyGap is the longest time after which an order is sent again there: answers
+	// that come late make the gap longer, and that they do is not the reason there.
+	lossyGap = 20 * time.Millisecond
+	// lookWait is how long a look waits at the target for an end where orders get
+	// lost, and lookGap how long after one such look the next one follows. They have
 	// no answer either way, so that each costs a call; three or four of them wait at
 	// a time, of which an end finds none that is not lost in one of ten cases.
-	lossyWait = 100 * time.Millisecond
-	lossyGap  = 30 * time.Millisecond
+	// lookCopies bounds them: for longer than all take they are not waited for.
+	lookWait   = 100 * time.Millisecond
+	lookGap    = 30 * time.Millisecond
+	lookCopies = 6
 	// lossMemory is for how long a target counts as one of which orders get lost after
 	// the last one that was: some looks, of which one at least tells whether it goes on.
 	lossMemory = time.Second
@@ -37,6 +49,9 @@
 	// is taken for silent and not merely for one of which orders get lost: the wait of
 	// several looks, and half of a lease.
 	silentAfter = 500 * time.Millisecond
+	// pauseLeast is by how much a timer is late where this entry stood still or waited
+	// for its processor: some times what a busy entry's timers are off.
+	pauseLeast = 5 * time.Millisecond
 	// brokenPause is the wait before the look that follows on one that broke off.
 	brokenPause = 10 * time.Millisecond
 )
@@ -44,11 +59,11 @@
 // errNoAnswer says that no copy of a call was answered in time.
 const errNoAnswer = errors.ConstError("no answer in time")
 
-// patience says how a call is made: how often it may be sent, how long after one
-// copy the next follows, and how long to wait for an answer in all.
+// patience says how a call is made: how often it may be sent, how many copies go at
+// once, how long after them the next follow, and how long to wait for an answer in all.
 type patience struct {
-	copies    int
-	gap, wait time.Duration
+	copies, burst int
+	gap, wait     time.Duration
 }
 
 // answer is what became of one copy.
@@ -57,43 +72,60 @@
 	err   error
 }
 
+// keptTime reports whether a timer that was set for a gap fired in time. If not, answers
+// may be there that this entry has not come to read: a copy would then be sent for
+// nothing, cost the entry more of what it lacks, and so make the next ones needed.
+func keptTime(set, fired time.Time, gap time.Duration) bool {
+	return fired.Sub(set) <= gap+pauseLeast
+}
+
 // firstAnswer makes a call and returns the first answer to a copy of it, and how many
 // copies it took. A copy that breaks off is followed by the next one at once. Copies
 // that are still out afterwards are left to their own bounds: an answered call leaves
-// its connection in order, a cancelled one would cost a new one.
-func firstAnswer[T any](ctx context.Context, p patience, send func() (T, error)) (value T, sent int, err error) {
+// its connection in order, a cancelled one would cost a new one. An only copy is made
+// by the caller itself and ends with ctx.
+func firstAnswer[T any](ctx context.Context, p patience, send func(context.Context) (T, error)) (value T, sent int, err error) {
+	if p.copies == 1 {
+		value, err = send(ctx)
+		return value, 1, err
+	}
+	left := context.WithoutCancel(ctx)
 	answers := make(chan answer[T], p.copies)
-	launch := func() {
-		sent++
-		go func() {
-			v, err := send()
-			answers <- answer[T]{v, err}
-		}()
+	open := 0
+	launch := func(n int) {
+		for n = min(n, p.copies-sent); n > 0; n-- {
+			sent++
+			open++
+			go func() {
+				v, err := send(left)
+				answers <- answer[T]{v, err}
+			}()
+		}
 	}
 	over := time.NewTimer(p.wait)
 	defer over.Stop()
 	again := time.NewTimer(p.gap)
 	defer again.Stop()
-	launch()
-	for open := 1; ; {
+	launch(p.burst)
+	set := time.Now()
+	for {
 		select {
 		case a := <-answers:
 			if a.err == nil {
 				return a.value, sent, nil
 			}
-			if open--; sent < p.copies {
-				launch()
-				open++
-			}
+			open--
+			launch(1)
 			if open == 0 {
 				return value, sent, a.err
 			}
 		case <-again.C:
-			if sent < p.copies {
-				launch()
-				open++
-				again.Reset(p.gap)
+			now := time.Now()
+			if keptTime(set, now, p.gap) {
+				launch(p.burst)
 			}
+			set = now
+			again.Reset(p.gap)
 		case <-over.C:
 			return value, sent, errNoAnswer
 		case <-ctx.Done():
@@ -116,45 +148,49 @@
 	if s.ctx.Err() != nil || !s.heard.After(begun) {
 		return
 	}
-	lossy := now.Before(s.lossyUntil)
+	lossy := s.lossy(now)
 	s.lossyUntil = now.Add(lossMemory)
 	if !lossy {
 		s.lookAgain() // the look that is out waits too long for what may get lost
 	}
 }
 
-// startPatience is how a start, a stop or a look without a wait is made.
-func (s *Session) startPatience() patience {
+// promptPatience is how a call is made that the target answers at once.
+func (s *Session) promptPatience() patience {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.promptly(startCopies)
+	return s.promptly(time.Now())
 }
 
-// promptly is how a call is made that the target answers at once; the caller holds
-// the lock.
-func (s *Session) promptly(copies int) patience {
-	return patience{copies: copies, gap: s.answers.gap(), wait: s.answers.wait()}
+// promptly is promptPatience for a caller that holds the lock.
+func (s *Session) promptly(now time.Time) patience {
+	p := patience{copies: promptCopies, burst: 1, gap: s.answers.gap(), wait: s.answers.wait()}
+	if s.lossy(now) {
+		p.copies, p.burst, p.gap = lossyBurst*promptCopies, lossyBurst, min(p.gap, lossyGap)
+	}
+	return p
 }
 
+// lossy reports whether orders to the target get lost; the caller holds the lock.
+func (s *Session) lossy(now time.Time) bool { return now.Before(s.lossyUntil) }
+
 // lookPatience is how a look is made; the caller holds the lock. It shortens the wait
 // of the look where orders get lost, and leaves it out while a start is in doubt.
 func (s *Session) lookPatience(now time.Time, o *RenewOrder) patience {
 	if s.doubting() {
 		o.WaitMillis = 0
 	}
-	lossy := now.Before(s.lossyUntil)
 	switch {
 	case s.silent:
-		return patience{copies: 1, gap: answerTime, wait: answerTime}
+		return patience{copies: 1, burst: 1, gap: answerTime, wait: answerTime}
 	case o.WaitMillis == 0:
-		return s.promptly(lookCopies)
-	case lossy:
-		o.WaitMillis = min(o.WaitMillis, lossyWait.Milliseconds())
-		gap := max(lossyGap, s.answers.gap())
-		return patience{copies: lookCopies, gap: gap, wait: lossyWait + s.answers.wait()}
+		return s.promptly(now)
+	case s.lossy(now):
+		o.WaitMillis = min(o.WaitMillis, lookWait.Milliseconds())
+		return patience{copies: lookCopies, burst: 1, gap: lookGap, wait: lookWait + s.answers.wait()}
 	}
 	wait := time.Duration(o.WaitMillis)*time.Millisecond + answerTime
-	return patience{copies: 1, gap: wait, wait: wait}
+	return patience{copies: 1, burst: 1, gap: wait, wait: wait}
 }
 
 // doubting reports whether a look has to tell what became of a start; the caller
@@ -169,8 +205,8 @@
 }
 
 // sendStart sends one copy of a start.
-func (s *Session) sendStart(o StartOrder, wait time.Duration) (Reply, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, wait)
+func (s *Session) sendStart(ctx context.Context, o StartOrder, wait time.Duration) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	begun := time.Now()
 	reply, err := s.opts.Orders.Start(ctx, o)
@@ -182,8 +218,8 @@
 }
 
 // sendLook sends one copy of a look.
-func (s *Session) sendLook(o RenewOrder, wait time.Duration) (Look, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, wait)
+func (s *Session) sendLook(ctx context.Context, o RenewOrder, wait time.Duration) (Look, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	begun := time.Now()
 	l, err := s.opts.Orders.Renew(ctx, o)
@@ -200,9 +236,9 @@
 
 // orderStop sends a stop until a copy of it is answered.
 func (s *Session) orderStop(o StopOrder) (Reply, error) {
-	p := s.startPatience()
-	reply, _, err := firstAnswer(s.ctx, p, func() (Reply, error) {
-		ctx, cancel := context.WithTimeout(s.ctx, p.wait)
+	p := s.promptPatience()
+	reply, _, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, p.wait)
 		defer cancel()
 		begun := time.Now()
 		reply, err := s.opts.Orders.Stop(ctx, o)
--- a/internal/runs/repeat_test.go
+++ b/internal/runs/repeat_test.go
@@ -207,11 +207,11 @@
 // further one is sent.
 func TestFirstAnswerCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := patience{copies: 5, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
+		p := patience{copies: 5, burst: 1, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
 		var mu sync.Mutex
 		calls := 0
 		begun := time.Now()
-		got, sent, err := firstAnswer(t.Context(), p, func() (int, error) {
+		got, sent, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) {
 			mu.Lock()
 			calls++
 			n := calls
@@ -237,13 +237,13 @@
 // ends with that time.
 func TestNoCopyIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := patience{copies: 3, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
+		p := patience{copies: 3, burst: 1, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
 		begun := time.Now()
-		_, sent, err := firstAnswer(t.Context(), p, func() (int, error) { return 0, errLost })
+		_, sent, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) { return 0, errLost })
 		qt.Assert(t, err, qt.Equals, errLost)
 		qt.Assert(t, sent, qt.Equals, 3)
 		qt.Assert(t, time.Since(begun), qt.Equals, time.Duration(0))
-		_, sent, err = firstAnswer(t.Context(), p, func() (int, error) {
+		_, sent, err = firstAnswer(t.Context(), p, func(context.Context) (int, error) {
 			time.Sleep(time.Second)
 			return 0, nil
 		})
@@ -253,3 +253,15 @@
 		settle()
 	})
 }
+
+// An entry waits for its processor for tens of milliseconds at a time, as one does that
+// has used up its share. The answers to its orders lie unread meanwhile. If it took
+// them for lost, the copies would take the rest of its processor time, and callers of
+// every target that it holds would get nothing.
+func TestNoCopyWhileTheEntryStoodStill(t *testing.T) {
+	set := time.Now()
+	gap := 20 * time.Millisecond
+	qt.Assert(t, keptTime(set, set.Add(gap), gap), qt.IsTrue)
+	qt.Assert(t, keptTime(set, set.Add(gap+2*time.Millisecond), gap), qt.IsTrue)
+	qt.Assert(t, keptTime(set, set.Add(gap+40*time.Millisecond), gap), qt.IsFalse)
+}
