--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -27,9 +27,9 @@
 			s.giveUp(ref, r, unsure, target.Withdrawn())
 			return
 		}
-		p := s.startPatience()
+		p := s.promptPatience()
 		begun := time.Now()
-		reply, sent, err := firstAnswer(s.ctx, p, func() (Reply, error) { return s.sendStart(o, p.wait) })
+		reply, sent, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) { return s.sendStart(ctx, o, p.wait) })
 		if err != nil {
 			s.doubt(ref, r, err)
 			return
