Leave a start in doubt whose copy is refused by another entry's epoch

Cause: a start was carried out and its answer lost; before its copy arrived another entry had taken the target. And a start in doubt raised the epoch of an entry that had lost the target, which took it back. Ruled out: the bounds of leases, since run 1 was within its lease. Such a start is over when its lease has run out for certain.

--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -44,7 +44,7 @@
 		case Fenced:
 			fenced++
 			if !s.outdated(o.Epoch) {
-				s.finish(ref, r, notStarted(target.Leaving, "another entry holds the target"))
+				s.giveUp(ref, r, unsure, notStarted(target.Leaving, "another entry holds the target"))
 				return
 			}
 			continue
@@ -167,6 +167,13 @@
 func (s *Session) doubt(ref Ref, r *run, err error) {
 	s.mu.Lock()
 	s.opts.Log.Warn("a start got no answer", "target", s.opts.Target, "submission", ref.Submission, "task", ref.Index, "run", r.number, "epoch", s.epoch, "error", err)
+	if s.deposed {
+		// Another entry has the target; to ask would take it back. The run is over when
+		// its lease has run out for certain.
+		s.keepLooking()
+		s.mu.Unlock()
+		return
+	}
 	s.raiseEpoch()
 	r.doubted = s.epoch
 	s.lookAgain()
