Explore losses of all power with lost disks, and whether service resumes

The explorer had crashes and lost disks one node at a time, and checked that nothing wrong is chosen or answered, never that anything is still chosen. Now all nodes may lose power at once, each keeping any write under way or none, with up to some disks lost. After it each voter reads with the others there, on the real step function: the read must come to an end where no more disks are lost than the newest settled voters and all later ones bear, and must find what was acknowledged; with one more away it may find nothing, but nothing older.

What the first forms of the check reported was allowed, as the traces showed: a voter finishes the very change that replaces it and can't read any more; of four voters one more is a spare that was about to vote. Open, as before: while a fleet that has to bear two lost disks is still widening from three voters, it bears one.

The deep scenario of two entries that mend one voter was red: it wanted "not voting", which can't be met where both put the same disk in place; the second one hears that it votes.

--- a/internal/explore/voters.go
+++ b/internal/explore/voters.go
@@ -13,7 +13,7 @@
 )
 
 // MaxNodes bounds the nodes of a Voters model.
-const MaxNodes = 4
+const MaxNodes = 6
 
 // Operator submits one command to one of the nodes, once for each entry of At.
 type Operator struct {
@@ -41,6 +41,12 @@
 	// Bounds of the exploration.
 	Crashes, Losses int
 	MaxRound        uint64
+	// Blackouts is how often all nodes lose power at once, and Wiped how many disks
+	// are lost in one at the most.
+	Blackouts, Wiped int
+	// EndsDark ends each course with the last loss of power: what is left is only
+	// asked whether it resumes.
+	EndsDark bool
 	// SyncAtOnce completes each write in the step that issued it. It leaves out
 	// the crashes between the two.
 	SyncAtOnce bool
@@ -100,6 +106,8 @@
 	history uint32
 	crashes uint8
 	losses  uint8
+	// blackouts is how often all have lost power.
+	blackouts uint8
 }
 
 type memoKey struct {
@@ -122,6 +130,7 @@
 	inputRetry
 	inputFinish
 	inputCrash
+	inputPower
 	inputSubmit  = 1 << 33
 	inputAbandon = 1 << 34
 )
@@ -205,12 +214,12 @@
 
 // Key identifies a state.
 func (m *Voters) Key(w World) Key {
-	var b [4*MaxNodes + 6]byte
+	var b [4*MaxNodes + 7]byte
 	for i, n := range w.nodes {
 		binary.LittleEndian.PutUint32(b[4*i:], n)
 	}
 	binary.LittleEndian.PutUint32(b[4*MaxNodes:], w.history)
-	b[4*MaxNodes+4], b[4*MaxNodes+5] = w.crashes, w.losses
+	b[4*MaxNodes+4], b[4*MaxNodes+5], b[4*MaxNodes+6] = w.crashes, w.losses, w.blackouts
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.Write(b[:])
@@ -240,9 +249,13 @@
 }
 
 func (m *Voters) take(w World, c choice, visit func(string, World)) {
-	if c.input == inputCrash {
+	switch c.input {
+	case inputCrash:
 		m.crash(w, c.node, visit)
 		return
+	case inputPower:
+		m.power(w, visit)
+		return
 	}
 	m.act(w, c.node, c.input, visit)
 }
@@ -250,6 +263,11 @@
 // choices returns the open actions; some may turn out to change nothing.
 func (m *Voters) choices(w World) []choice {
 	var out []choice
+	if int(w.blackouts) < m.Blackouts {
+		out = append(out, choice{0, inputPower})
+	} else if m.EndsDark && m.Blackouts > 0 {
+		return nil
+	}
 	for i := 0; i+1 < len(w.net); i += 2 {
 		number := uint32(w.net[i]) | uint32(w.net[i+1])<<8
 		to := slices.Index(m.Names, m.messages.things[number].To)
@@ -353,7 +371,7 @@
 // prune takes the spent messages out of a set: those to the node that changed,
 // and new ones that come too late.
 func (m *Voters) prune(w *World, changed int, net string) string {
-	lossless := int(w.losses) == m.Losses
+	lossless := int(w.losses) == m.Losses && (m.Wiped == 0 || m.EndsDark || int(w.blackouts) == m.Blackouts)
 	var kept []byte
 	for i := 0; i+1 < len(net); i += 2 {
 		number := uint16(net[i]) | uint16(net[i+1])<<8
--- a/internal/explore/voters_step.go
+++ b/internal/explore/voters_step.go
@@ -139,36 +139,42 @@
 // crash visits what a crash of the node may leave.
 func (m *Voters) crash(w World, node int, visit func(string, World)) {
 	n := m.nodes.things[w.nodes[node]]
-	restart := func(action string, r consensus.Record, lost bool) {
-		if m.OnRestart != nil {
-			r = m.OnRestart(r, n.State, lost)
-		}
-		next := n
-		next.Life++
-		if lost {
-			next.Disks++
-		}
-		next.Disk, next.Pending = r, nil
-		next.State = consensus.Start(r, m.Names[:m.Genesis], m.lifeOf(node, next.Life))
-		to := w
-		to.nodes[node] = m.nodes.number(next)
-		if lost {
-			to.losses++
-		} else {
-			to.crashes++
-		}
-		visit(fmt.Sprintf("%s %s", m.Names[node], action), to)
-	}
 	if int(w.crashes) < m.Crashes {
-		restart("crashes and loses what was not synced", n.Disk, false)
+		to := m.restarted(w, node, n.Disk, false)
+		to.crashes++
+		visit(fmt.Sprintf("%s crashes and loses what was not synced", m.Names[node]), to)
 		for _, p := range n.Pending {
-			restart(fmt.Sprintf("crashes and keeps write %d", p.Seq), p.Record, false)
+			to := m.restarted(w, node, p.Record, false)
+			to.crashes++
+			visit(fmt.Sprintf("%s crashes and keeps write %d", m.Names[node], p.Seq), to)
 		}
 	}
 	if int(w.losses) < m.Losses {
-		self := consensus.Voter{Entry: m.Names[node], Identity: diskName(m.Names[node], n.Disks+1)}
-		restart("loses its disk", consensus.Record{Self: self}, true)
+		to := m.restarted(w, node, m.emptied(node, &n), true)
+		to.losses++
+		visit(fmt.Sprintf("%s loses its disk", m.Names[node]), to)
+	}
+}
+
+// emptied returns the record of a node whose disk was lost.
+func (m *Voters) emptied(node int, n *nodeState) consensus.Record {
+	return consensus.Record{Self: consensus.Voter{Entry: m.Names[node], Identity: diskName(m.Names[node], n.Disks+1)}}
+}
+
+// restarted returns the world in which a node has started again from a record.
+func (m *Voters) restarted(w World, node int, r consensus.Record, lost bool) World {
+	n := m.nodes.things[w.nodes[node]]
+	if m.OnRestart != nil {
+		r = m.OnRestart(r, n.State, lost)
+	}
+	n.Life++
+	if lost {
+		n.Disks++
 	}
+	n.Disk, n.Pending = r, nil
+	n.State = consensus.Start(r, m.Names[:m.Genesis], m.lifeOf(node, n.Life))
+	w.nodes[node] = m.nodes.number(n)
+	return w
 }
 
 // observe updates the history by an effect.
--- a/internal/explore/voters_test.go
+++ b/internal/explore/voters_test.go
@@ -17,7 +17,7 @@
 // deepLimit bounds the states of one deep run.
 const deepLimit = 6_000_000
 
-var names = []job.EntryID{"a", "b", "c", "d"}
+var names = []job.EntryID{"a", "b", "c", "d", "e", "f"}
 
 func configure(id string, number uint64, at ...int) Operator {
 	body := []byte(id)
@@ -57,6 +57,18 @@
 	return m
 }
 
+// dark lets all lose power once while up to some disks are lost.
+func (m *Voters) dark(wiped int) *Voters {
+	m.Blackouts, m.Wiped = 1, wiped
+	return m
+}
+
+// endsDark asks only whether what is left resumes.
+func (m *Voters) endsDark(wiped int) *Voters {
+	m.EndsDark = true
+	return m.dark(wiped)
+}
+
 // size says when a scenario runs.
 type size int
 
@@ -115,9 +127,30 @@
 	{"a disk lost during or after widening", notUnderRace, func() *Voters {
 		return three(1, add("d", 0)).with(func(m *Voters) { m.Names, m.Losses = names[:4], 1 })
 	}, []string{"0: accepted"}},
+	{"all power and a disk lost during a change, between any two events", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.SyncAtOnce = false }).endsDark(1)
+	}, []string{"0: accepted"}},
+	{"all power and a disk lost between two changes", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0), configure("y", 3, 0)).endsDark(1)
+	}, []string{"0: accepted", "1: accepted"}},
+	{"all power lost twice, each time with a disk of those left", notUnderRace, func() *Voters {
+		return three(1, configure("x", 2, 0)).dark(1).with(func(m *Voters) { m.Blackouts = 2 })
+	}, []string{"0: accepted"}},
+	{"all power and a disk lost during or after a mend", notUnderRace, func() *Voters {
+		return three(1, replace("c", "c", 1, 0)).with(func(m *Voters) { m.Losses = 1 }).endsDark(1)
+	}, []string{"0: accepted"}},
+	{"all power and a disk lost while a spare takes a voter's place", notUnderRace, func() *Voters {
+		return three(1, replace("c", "d", 0, 0)).with(func(m *Voters) { m.Names = names[:4] }).endsDark(1)
+	}, []string{"0: accepted"}},
+	{"all power and a disk lost during or after widening", notUnderRace, func() *Voters {
+		return three(1, add("d", 0)).with(func(m *Voters) { m.Names = names[:4] }).endsDark(1)
+	}, []string{"0: accepted"}},
+	{"all power and two of five disks lost during a change", onlyDeep, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.Names, m.Genesis = names[:5], 5 }).endsDark(2)
+	}, []string{"0: accepted"}},
 	{"two entries mend the same voter", onlyDeep, func() *Voters {
 		return three(1, judgedBy(1, replace("c", "d", 0, 0)), judgedBy(1, replace("b", "d", 0, 1))).with(func(m *Voters) { m.Names = names[:4] })
-	}, []string{"0: accepted", "0: not voting", "1: accepted", "1: not voting"}},
+	}, []string{"0: accepted", "1: accepted"}},
 	{"a spare added while a change is made", onlyDeep, func() *Voters {
 		return three(1, add("d", 0), configure("y", 2, 1)).with(func(m *Voters) { m.Names = names[:4] })
 	}, []string{"0: accepted", "1: accepted"}},
@@ -263,6 +296,27 @@
 			m.OnStep = answeredEarly
 		})
 	}, "a change of voters was answered with only"},
+	{"votes leave before they are synced, and all lose power", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).with(func(m *Voters) { m.EarlySend = true }).endsDark(0)
+	}, "reads number 0, though 2 was acknowledged"},
+	{"an emptied disk votes under the old identity after all lost power", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).endsDark(1).with(func(m *Voters) {
+			m.OnRestart = func(r consensus.Record, before consensus.State, lost bool) consensus.Record {
+				if lost {
+					r.Self = before.Self
+				}
+				return r
+			}
+		})
+	}, "reads number 0, though 2 was acknowledged"},
+	{"what was accepted is forgotten when all lose power", always, func() *Voters {
+		return three(1, configure("x", 2, 0)).endsDark(1).with(func(m *Voters) {
+			m.OnRestart = func(r consensus.Record, _ consensus.State, _ bool) consensus.Record {
+				r.Accepted = nil
+				return r
+			}
+		})
+	}, "reads number 0, though 2 was acknowledged"},
 	{"a restart uses its old ballots again", notUnderRace, func() *Voters {
 		return three(1, configure("x", 2, 0), configure("y", 2, 0)).with(func(m *Voters) {
 			m.SyncAtOnce, m.OneLife, m.Crashes = false, true, 1
