--- a/internal/handover/remote.go
+++ b/internal/handover/remote.go
@@ -281,14 +281,16 @@
 	r.countTakingBack(to, 1)
 	defer r.countTakingBack(to, -1)
 	message := cancel{Submission: o.Batch.Submission, Offers: []uint64{o.Number}}
-	for begun := time.Now(); time.Since(begun) <= lostAfter || r.silent(to, o.To) <= lostAfter; r.wait(ctx, minRetryPause) {
+	begun := time.Now()
+	for ; time.Since(begun) <= lostAfter || r.silent(to, o.To) <= lostAfter; r.wait(ctx, minRetryPause) {
 		call, done := context.WithTimeout(ctx, fetchTimeout)
 		err := r.mesh.Call(call, to, peer.BatchCancel, message, nil)
 		done()
 		if err == nil || errors.Is(err, peer.ErrRejected) || ctx.Err() != nil {
-			break
+			return whole(&o.Batch, job.TaskErred, job.CancelledByCall, "taken back")
 		}
 	}
+	r.recordLost(to, &o.Batch, begun, fmt.Sprintf("taken back and never confirmed, unheard for %s", r.silent(to, o.To).Round(time.Millisecond)))
 	return whole(&o.Batch, job.TaskErred, job.CancelledByCall, "taken back")
 }
 
@@ -321,11 +323,15 @@
 
 // lose gives a batch up whose holder is lost and whose runs have ended.
 func (r *Remote) lose(to job.EntryID, b *job.Batch, since time.Time, cause string) []job.TaskOutcome {
+	r.recordLost(to, b, since, cause)
+	return lost(b)
+}
+
+func (r *Remote) recordLost(to job.EntryID, b *job.Batch, since time.Time, cause string) {
 	r.events.Record(timeline.Event{
 		Kind: timeline.BatchLost, Submission: b.Submission, Peer: to, Count: len(b.Tasks),
 		Took: time.Since(since), Reason: job.HolderLost, Cause: cause,
 	})
-	return lost(b)
 }
 
 // lost is the outcome of tasks whose holder is lost and whose runs have ended.
