--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -24,13 +25,13 @@
 		Kind: timeline.BatchReported, Submission: rec.submission, Peer: rec.owner.Entry,
 		Count: rec.tasks, Took: time.Since(rec.takenAt),
 	}
-	done := 0
+	done, detail := 0, ""
 	for i := range outcomes {
 		switch {
 		case outcomes[i].Status == job.TaskDone:
 			done++
 		case ev.Reason == "":
-			ev.Reason = outcomes[i].Reason
+			ev.Reason, detail = outcomes[i].Reason, outcomes[i].Detail
 		}
 	}
 	switch {
@@ -38,7 +39,7 @@
 		ev.Reason = timeline.Late
 		ev.Cause = fmt.Sprintf("beyond the %s that its objective left it", rec.within.Round(time.Millisecond))
 	case done < len(outcomes):
-		ev.Cause = fmt.Sprintf("%d of %d tasks have a result", done, len(outcomes))
+		ev.Cause = strings.TrimSuffix(fmt.Sprintf("%d of %d tasks have a result: %s", done, len(outcomes), detail), ": ")
 	}
 	s.events.Record(ev)
 }
