Give a call the time for which its entry stood still

The holder was out of processor time; its starts ran into their bound with the answers unread, each doubt took a higher epoch and more looks, and so on. A call now gets as much longer as its timers were late, 300 ms at the most. That orders get lost shows with the second start within a second that is answered at a later copy only, in place of after 120 ms.

--- a/internal/runs/look.go
+++ b/internal/runs/look.go
@@ -111,13 +111,14 @@
 		s.interrupt = cancel
 	}
 	s.mu.Unlock()
-	l, _, err := firstAnswer(ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
+	got, err := firstAnswer(ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.interrupt = nil
 	if err != nil {
 		return s.unanswered(err), true
 	}
+	l := got.value
 	if l.Clock != 0 {
 		s.clock.set(time.Now(), l.Clock)
 	}
--- a/internal/runs/order.go
+++ b/internal/runs/order.go
@@ -29,12 +29,16 @@
 		}
 		p := s.promptPatience()
 		begun := time.Now()
-		reply, sent, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) { return s.sendStart(ctx, o, p.wait) })
+		got, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) { return s.sendStart(ctx, o, p.wait) })
 		if err != nil {
 			s.doubt(ref, r, err)
 			return
 		}
-		unsure = unsure || sent > 1
+		reply := got.value
+		unsure = unsure || got.sent > 1
+		if got.overtaken {
+			s.overtaken()
+		}
 		s.hear(reply.Clock)
 		switch reply.Refusal {
 		case Accepted:
@@ -85,6 +89,19 @@
 	s.finish(ref, r, refused)
 }
 
+// overtaken notes that a start was answered of which an earlier copy was not. Once may
+// be an answer that is late; a second time shows that orders get lost.
+func (s *Session) overtaken() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	again := now.Sub(s.overtakenAt) < lossMemory
+	s.overtakenAt = now
+	if again {
+		s.losing(now)
+	}
+}
+
 func (s *Session) answered(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -26,12 +26,12 @@
 	o := RenewOrder{Epoch: s.epoch, Acked: s.told}
 	s.mu.Unlock()
 	p := s.promptPatience()
-	l, _, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
-	if err != nil || l.Refusal != Accepted {
+	got, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Look, error) { return s.sendLook(ctx, o, p.wait) })
+	if err != nil || got.value.Refusal != Accepted {
 		s.checkPaceAgain(ref, r)
 		return // the loop of looks meets what is wrong with the target
 	}
-	for _, x := range l.Running {
+	for _, x := range got.value.Running {
 		if x.Task == ref && x.Run == r.number {
 			s.judgePace(ref, r, x.Percent)
 			return
--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -27,13 +27,11 @@
 	// where half get lost, one in 64 is left in doubt, and the last copy still has
 	// a third of the shortest wait for its answer.
 	promptCopies = 6
-	// lossyBurst is how many copies go at once where orders get lost. Two at a time
-	// lose a third more calls than one after the other, and the last start of a job of
-	// eight tasks is through after one to two gaps and not after four.
-	lossyBurst = 2
-	// lossyGap is the longest time after which an order is sent again there: answers
-	// that come late make the gap longer, and that they do is not the reason there.
-	lossyGap = 20 * time.Millisecond
+	// lossyCopies and lossyGap are these two where orders get lost: answers that come
+	// late make the gap longer, but that they do is not what one waits for there. With
+	// 10 ms the last start of a job of eight tasks is through after 30 to 40.
+	lossyCopies = 12
+	lossyGap    = 10 * time.Millisecond
 	// lookWait is how long a look waits at the target for an end where orders get
 	// lost, and lookGap how long after one such look the next one follows. They have
 	// no answer either way, so that each costs a call; three or four of them wait at
@@ -50,7 +48,7 @@
 	// several looks, and half of a lease.
 	silentAfter = 500 * time.Millisecond
 	// pauseLeast is by how much a timer is late where this entry stood still or waited
-	// for its processor: some times what a busy entry's timers are off.
+	// for its processor: more than an answer takes, and half of the shortest gap.
 	pauseLeast = 5 * time.Millisecond
 	// brokenPause is the wait before the look that follows on one that broke off.
 	brokenPause = 10 * time.Millisecond
@@ -59,16 +57,25 @@
 // errNoAnswer says that no copy of a call was answered in time.
 const errNoAnswer = errors.ConstError("no answer in time")
 
-// patience says how a call is made: how often it may be sent, how many copies go at
-// once, how long after them the next follow, and how long to wait for an answer in all.
+// patience says how a call is made: how often it may be sent, how long after one
+// copy the next follows, and how long to wait for an answer in all.
 type patience struct {
-	copies, burst int
-	gap, wait     time.Duration
+	copies    int
+	gap, wait time.Duration
 }
 
-// answer is what became of one copy.
-type answer[T any] struct {
+// answered is what came of a call: the answer, how many copies it took, and whether a
+// later copy was answered while an earlier one was without an answer.
+type answered[T any] struct {
+	value     T
+	sent      int
+	overtaken bool
+}
+
+// reply is what became of one copy.
+type reply[T any] struct {
 	value T
+	copy  int
 	err   error
 }
 
@@ -79,57 +86,67 @@
 	return fired.Sub(set) <= gap+pauseLeast
 }
 
-// firstAnswer makes a call and returns the first answer to a copy of it, and how many
-// copies it took. A copy that breaks off is followed by the next one at once. Copies
-// that are still out afterwards are left to their own bounds: an answered call leaves
-// its connection in order, a cancelled one would cost a new one. An only copy is made
-// by the caller itself and ends with ctx.
-func firstAnswer[T any](ctx context.Context, p patience, send func(context.Context) (T, error)) (value T, sent int, err error) {
+// firstAnswer makes a call and returns the first answer to a copy of it. A copy that
+// breaks off is followed by the next one at once. While this entry does not keep its
+// own times no copy is sent, and the call is given that much longer. Copies that are
+// still out afterwards are left to their own bounds: an answered call leaves its
+// connection in order, a cancelled one would cost a new one. An only copy is made by the
+// caller itself and ends with ctx.
+func firstAnswer[T any](ctx context.Context, p patience, send func(context.Context) (T, error)) (got answered[T], err error) {
 	if p.copies == 1 {
-		value, err = send(ctx)
-		return value, 1, err
+		got.sent = 1
+		got.value, err = send(ctx)
+		return got, err
 	}
 	left := context.WithoutCancel(ctx)
-	answers := make(chan answer[T], p.copies)
-	open := 0
-	launch := func(n int) {
-		for n = min(n, p.copies-sent); n > 0; n-- {
-			sent++
-			open++
-			go func() {
-				v, err := send(left)
-				answers <- answer[T]{v, err}
-			}()
+	replies := make(chan reply[T], p.copies)
+	open, paused := 0, false
+	launch := func() {
+		if got.sent == p.copies {
+			return
 		}
+		got.sent++
+		open++
+		number := got.sent
+		go func() {
+			v, err := send(left)
+			replies <- reply[T]{v, number, err}
+		}()
 	}
-	over := time.NewTimer(p.wait)
-	defer over.Stop()
 	again := time.NewTimer(p.gap)
 	defer again.Stop()
-	launch(p.burst)
+	launch()
 	set := time.Now()
-	for {
+	latest := set.Add(p.wait + answerTime)
+	for over := set.Add(p.wait); ; {
 		select {
-		case a := <-answers:
-			if a.err == nil {
-				return a.value, sent, nil
+		case r := <-replies:
+			if r.err == nil {
+				got.value, got.overtaken = r.value, r.copy > 1 && !paused
+				return got, nil
 			}
 			open--
-			launch(1)
+			launch()
 			if open == 0 {
-				return value, sent, a.err
+				return got, r.err
 			}
 		case <-again.C:
 			now := time.Now()
-			if keptTime(set, now, p.gap) {
-				launch(p.burst)
+			switch {
+			case !keptTime(set, now, p.gap):
+				paused = true
+				if over = over.Add(now.Sub(set) - p.gap); now.After(latest) {
+					return got, errNoAnswer
+				}
+			case !now.Before(over):
+				return got, errNoAnswer
+			default:
+				launch()
 			}
 			set = now
-			again.Reset(p.gap)
-		case <-over.C:
-			return value, sent, errNoAnswer
+			again.Reset(min(p.gap, max(over.Sub(now), time.Millisecond)))
 		case <-ctx.Done():
-			return value, sent, ctx.Err()
+			return got, ctx.Err()
 		}
 	}
 }
@@ -140,14 +157,17 @@
 func (s *Session) heardOf(begun time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	if err == nil {
-		s.heard = now
+		s.heard = time.Now()
 		return
 	}
-	if s.ctx.Err() != nil || !s.heard.After(begun) {
-		return
+	if s.ctx.Err() == nil && s.heard.After(begun) {
+		s.losing(time.Now())
 	}
+}
+
+// losing notes that an order got lost; the caller holds the lock.
+func (s *Session) losing(now time.Time) {
 	lossy := s.lossy(now)
 	s.lossyUntil = now.Add(lossMemory)
 	if !lossy {
@@ -164,9 +184,9 @@
 
 // promptly is promptPatience for a caller that holds the lock.
 func (s *Session) promptly(now time.Time) patience {
-	p := patience{copies: promptCopies, burst: 1, gap: s.answers.gap(), wait: s.answers.wait()}
+	p := patience{copies: promptCopies, gap: s.answers.gap(), wait: s.answers.wait()}
 	if s.lossy(now) {
-		p.copies, p.burst, p.gap = lossyBurst*promptCopies, lossyBurst, min(p.gap, lossyGap)
+		p.copies, p.gap = lossyCopies, lossyGap
 	}
 	return p
 }
@@ -182,15 +202,15 @@
 	}
 	switch {
 	case s.silent:
-		return patience{copies: 1, burst: 1, gap: answerTime, wait: answerTime}
+		return patience{copies: 1, gap: answerTime, wait: answerTime}
 	case o.WaitMillis == 0:
 		return s.promptly(now)
 	case s.lossy(now):
 		o.WaitMillis = min(o.WaitMillis, lookWait.Milliseconds())
-		return patience{copies: lookCopies, burst: 1, gap: lookGap, wait: lookWait + s.answers.wait()}
+		return patience{copies: lookCopies, gap: lookGap, wait: lookWait + s.answers.wait()}
 	}
 	wait := time.Duration(o.WaitMillis)*time.Millisecond + answerTime
-	return patience{copies: 1, burst: 1, gap: wait, wait: wait}
+	return patience{copies: 1, gap: wait, wait: wait}
 }
 
 // doubting reports whether a look has to tell what became of a start; the caller
@@ -237,7 +257,7 @@
 // orderStop sends a stop until a copy of it is answered.
 func (s *Session) orderStop(o StopOrder) (Reply, error) {
 	p := s.promptPatience()
-	reply, _, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) {
+	got, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, p.wait)
 		defer cancel()
 		begun := time.Now()
@@ -245,5 +265,5 @@
 		s.heardOf(begun, err)
 		return reply, err
 	})
-	return reply, err
+	return got.value, err
 }
--- a/internal/runs/repeat_test.go
+++ b/internal/runs/repeat_test.go
@@ -207,11 +207,11 @@
 // further one is sent.
 func TestFirstAnswerCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := patience{copies: 5, burst: 1, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
+		p := patience{copies: 5, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
 		var mu sync.Mutex
 		calls := 0
 		begun := time.Now()
-		got, sent, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) {
+		got, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) {
 			mu.Lock()
 			calls++
 			n := calls
@@ -224,8 +224,9 @@
 			return n, nil
 		})
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, got, qt.Equals, 3)
-		qt.Assert(t, sent, qt.Equals, 3)
+		qt.Assert(t, got.value, qt.Equals, 3)
+		qt.Assert(t, got.overtaken, qt.IsTrue)
+		qt.Assert(t, got.sent, qt.Equals, 3)
 		qt.Assert(t, time.Since(begun), qt.Equals, 21*time.Millisecond)
 		time.Sleep(time.Second)
 		qt.Assert(t, calls, qt.Equals, 3)
@@ -237,18 +238,18 @@
 // ends with that time.
 func TestNoCopyIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := patience{copies: 3, burst: 1, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
+		p := patience{copies: 3, gap: 10 * time.Millisecond, wait: 100 * time.Millisecond}
 		begun := time.Now()
-		_, sent, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) { return 0, errLost })
+		got, err := firstAnswer(t.Context(), p, func(context.Context) (int, error) { return 0, errLost })
 		qt.Assert(t, err, qt.Equals, errLost)
-		qt.Assert(t, sent, qt.Equals, 3)
+		qt.Assert(t, got.sent, qt.Equals, 3)
 		qt.Assert(t, time.Since(begun), qt.Equals, time.Duration(0))
-		_, sent, err = firstAnswer(t.Context(), p, func(context.Context) (int, error) {
+		got, err = firstAnswer(t.Context(), p, func(context.Context) (int, error) {
 			time.Sleep(time.Second)
 			return 0, nil
 		})
 		qt.Assert(t, err, qt.Equals, error(errNoAnswer))
-		qt.Assert(t, sent, qt.Equals, 3)
+		qt.Assert(t, got.sent, qt.Equals, 3)
 		qt.Assert(t, time.Since(begun), qt.Equals, p.wait)
 		settle()
 	})
@@ -265,3 +266,30 @@
 	qt.Assert(t, keptTime(set, set.Add(gap+2*time.Millisecond), gap), qt.IsTrue)
 	qt.Assert(t, keptTime(set, set.Add(gap+40*time.Millisecond), gap), qt.IsFalse)
 }
+
+// The first copies of two starts are lost and the second ones answered. The session
+// knows at once that orders get lost on the way to this target, and does not wait for the
+// next end with a single look that may get lost as well. One such start may be an answer
+// that is late, as they are on any day, and changes nothing.
+func TestOvertakenStartsShowLosses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorker()
+		s := NewSession(Options{Orders: w})
+		lossy := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.lossy(time.Now())
+		}
+		time.Sleep(time.Second)
+		for i, id := range []string{"a", "b"} {
+			w.set(func() { w.lose = loseFirst("start", 1) })
+			go s.Start(t.Context(), taskOf(id, 1))
+			time.Sleep(leastGap + time.Millisecond)
+			qt.Check(t, lossy(), qt.Equals, i == 1)
+		}
+		time.Sleep(2 * lossMemory)
+		qt.Check(t, lossy(), qt.IsFalse)
+		s.Close()
+		settle()
+	})
+}
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -93,10 +93,12 @@
 	silent bool
 	// heard is when the target last answered a call, missed counts the looks that got
 	// no answer since the last one that did, and lossyUntil is until when the target
-	// counts as one of which orders get lost.
-	heard      time.Time
-	missed     int
-	lossyUntil time.Time
+	// counts as one of which orders get lost. overtakenAt is when a start was last
+	// answered at a later copy only.
+	heard       time.Time
+	missed      int
+	lossyUntil  time.Time
+	overtakenAt time.Time
 	// deposed is set when another entry has taken the target. What was left
 	// running is stopped there, or lapses since it is not renewed.
 	deposed bool
