Have the stand-in that answers for a target say its clock

Cause: an answer without a clock is no target's any more, since any program can give one; the table of TestAskingWhoListens had its good answers without. They say a clock now, and the same answers without one are two further cases that must be refused. Ruled out: taking answers without a clock, by TestAnotherProgramIsNoTarget. Figures: the whole check failed on this one test; it passes, race detector on.

--- a/internal/entry/announced_test.go
+++ b/internal/entry/announced_test.go
@@ -212,8 +212,10 @@
 		answer answering
 		want   bool
 	}{
-		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Accepted}}}, true},
-		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Fenced}}}, true},
+		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Accepted, Clock: 1}}}, true},
+		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Fenced, Clock: 1}}}, true},
+		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Accepted}}}, false},
+		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Fenced}}}, false},
 		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Elsewhere}}}, false},
 		{answering{look: runs.Look{Reply: runs.Reply{Refusal: runs.Unwell}}}, false},
 		{answering{err: peer.ErrNoAnswer}, false},
