Log what a look at the voters finds, and show how many losses they bear

Seen on the incident: between the loss of a voter (3.9 s) and the next (12.0 s) no line tells whether a replacement was not due, had no spare disk, or was another voter's to carry out, so that two of the three hypotheses look the same; and no figure says that the set was one loss from having no majority.

The plan now returns a verdict with its reason, logged at each voter when it changes, and three gauges show voters heard, losses left and spare disks. The decisions are the same.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -78,6 +78,9 @@
 	}
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.slotsKnown()) })
 	m.Gauge("vanillagrade_agreement_rounds", func() float64 { return float64(e.register.Round()) })
+	m.Gauge("vanillagrade_voters_heard", func() float64 { return float64(e.register.VoterFigures().Heard) })
+	m.Gauge("vanillagrade_voter_losses_left", func() float64 { return float64(e.register.VoterFigures().LossesLeft) })
+	m.Gauge("vanillagrade_spare_disks", func() float64 { return float64(e.register.VoterFigures().Spares) })
 	for _, kind := range peer.Kinds() {
 		for name, read := range messageCounts {
 			m.Gauge(fmt.Sprintf("%s{kind=%q}", name, kind), func() float64 { return float64(read(e.messages(kind))) })
--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -50,31 +50,71 @@
 	Cause string
 }
 
-// Plan returns the next change of the set, or none. want is how many voters the
-// fleet needs.
-func Plan(now time.Time, disks []Disk, want int) (Action, bool) {
+// Reason says what a look at the voters found.
+type Reason string
+
+// The reasons.
+const (
+	// Whole says that every voter is heard and the set is as wide as asked.
+	Whole Reason = "whole"
+	// Emptied says that a voter came back with an empty disk.
+	Emptied Reason = "voter_emptied"
+	// Lost says that a voter is gone and a spare disk takes its place.
+	Lost Reason = "voter_lost"
+	// Narrow says that the fleet has to bear more losses than its voters do.
+	Narrow Reason = "too_few_voters"
+	// Awaited says that a voter is away, and not for long enough to be replaced.
+	Awaited Reason = "voter_awaited"
+	// NoSpare says that a change is due and no spare disk is fit for it.
+	NoSpare Reason = "no_spare_disk"
+)
+
+// Verdict is the outcome of a look at the voters.
+type Verdict struct {
+	Reason Reason
+	// Voter is the voter that the reason is about; empty where it is about the set.
+	Voter job.EntryID
+	// Action is what is to be done; the zero value is nothing.
+	Action Action
+}
+
+// Due reports whether something is to be done.
+func (v *Verdict) Due() bool { return v.Action.New != "" }
+
+// Plan judges the set and returns its next change, if one is due. want is how many
+// voters the fleet needs.
+func Plan(now time.Time, disks []Disk, want int) Verdict {
 	disks = slices.Clone(disks)
 	slices.SortFunc(disks, func(a, b Disk) int { return cmp.Compare(a.Entry, b.Entry) })
 	for _, d := range disks {
 		if d.Voter && d.Foreign && d.Alive {
-			return Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}, true
+			return Verdict{Emptied, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
 		}
 	}
+	found := Verdict{Reason: Whole}
 	for _, d := range disks {
-		if !d.Voter || d.Alive || now.Sub(d.Since) < GoneAfter {
+		if !d.Voter || d.Alive {
+			continue
+		}
+		if now.Sub(d.Since) < GoneAfter {
+			found = Verdict{Reason: Awaited, Voter: d.Entry}
 			continue
 		}
 		if spare, ok := pick(now, disks, d.Entry); ok {
-			return Action{Old: d.Entry, New: spare, Cause: "the voter has been away for long"}, true
+			return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter has been away for long"}}
 		}
+		found = Verdict{Reason: NoSpare, Voter: d.Entry}
 	}
 	if count(disks) >= want {
-		return Action{}, false
+		return found
 	}
 	if spare, ok := pick(now, disks, ""); ok {
-		return Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}, true
+		return Verdict{Reason: Narrow, Action: Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}}
+	}
+	if found.Reason == Whole {
+		found.Reason = NoSpare
 	}
-	return Action{}, false
+	return found
 }
 
 func count(disks []Disk) int {
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -46,10 +46,31 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			a, ok := Plan(now, c.disks, c.want)
-			qt.Assert(t, ok, qt.Equals, c.new != "")
-			qt.Assert(t, a.Old, qt.Equals, c.old)
-			qt.Assert(t, a.New, qt.Equals, c.new)
+			v := Plan(now, c.disks, c.want)
+			qt.Assert(t, v.Due(), qt.Equals, c.new != "")
+			qt.Assert(t, v.Action.Old, qt.Equals, c.old)
+			qt.Assert(t, v.Action.New, qt.Equals, c.new)
 		})
 	}
 }
+
+// Whoever is on call must be able to tell a voter that is waited for from one that no
+// spare disk can replace.
+func TestPlanSaysWhyNothingIsDue(t *testing.T) {
+	b, c := alive("b", "y", true), alive("c", "z", true)
+	cases := []struct {
+		disks  []Disk
+		want   int
+		reason Reason
+		voter  job.EntryID
+	}{
+		{[]Disk{alive("a", "x", true), b, c}, 3, Whole, ""},
+		{[]Disk{away("a", "x", time.Second), b, c}, 3, Awaited, "a"},
+		{[]Disk{away("a", "x", time.Minute), b, c}, 3, NoSpare, "a"},
+		{[]Disk{alive("a", "x", true), b, c}, 5, NoSpare, ""},
+	}
+	for _, test := range cases {
+		v := Plan(now, test.disks, test.want)
+		qt.Check(t, v, qt.Equals, Verdict{Reason: test.reason, Voter: test.voter})
+	}
+}
--- a/internal/register/figures.go
+++ b/internal/register/figures.go
@@ -29,3 +29,20 @@
 	}
 	return r.node.Round
 }
+
+// VoterFigures are how the last look at the voters saw them; zero on an entry that
+// does not vote.
+type VoterFigures struct {
+	// Heard counts the voters that are heard, with the disks that the register names.
+	Heard int64
+	// LossesLeft is how many of them may be lost until no majority is left; negative
+	// when none is.
+	LossesLeft int64
+	// Spares counts the disks that are heard and do not vote.
+	Spares int64
+}
+
+// VoterFigures returns the figures of the voters.
+func (r *Register) VoterFigures() VoterFigures {
+	return VoterFigures{Heard: r.votersHeard.Load(), LossesLeft: r.votersToLose.Load(), Spares: r.spareDisks.Load()}
+}
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,13 +41,70 @@
 			continue
 		}
 		disks := r.judgeDisks(s)
-		if r.firstAlive(disks) != r.self {
-			continue
+		verdict := voters.Plan(time.Now(), disks, r.opts.Mend.Want)
+		acts := r.firstAlive(disks)
+		r.tellVerdict(s, disks, verdict, acts)
+		if acts == r.self && verdict.Due() {
+			r.mend(ctx, s.Version, verdict.Action)
+		}
+	}
+}
+
+// judged is what was last said of the voters.
+type judged struct {
+	reason voters.Reason
+	voter  job.EntryID
+	spare  job.EntryID
+	acts   job.EntryID
+}
+
+// tellVerdict logs what a look at the voters found, when it differs from the last
+// one, and keeps the figures of the metrics.
+func (r *Register) tellVerdict(s *snapshot, disks []voters.Disk, v voters.Verdict, acts job.EntryID) {
+	heard, spares := 0, 0
+	for _, d := range disks {
+		switch {
+		case d.Alive && d.Voter && !d.Foreign:
+			heard++
+		case d.Alive && !d.Voter:
+			spares++
+		}
+	}
+	majority := len(s.Voters)/2 + 1
+	r.votersHeard.Store(int64(heard))
+	r.votersToLose.Store(int64(heard - majority))
+	r.spareDisks.Store(int64(spares))
+	said := judged{v.Reason, v.Voter, v.Action.New, acts}
+	if said == r.judged {
+		return
+	}
+	r.judged = said
+	r.log.Info("voters judged", "reason", v.Reason, "voter", v.Voter, "spare", v.Action.New, "acts", acts,
+		"version", s.Version, "voters", len(s.Voters), "heard", heard, "losses_left", heard-majority,
+		"spare_disks", spares, "wanted", r.opts.Mend.Want, "disks", seen(disks, time.Now()))
+}
+
+// seen words how each disk is seen, and for how long.
+func seen(disks []voters.Disk, now time.Time) []string {
+	var out []string
+	for _, d := range disks {
+		role, state := "spare", "away"
+		if d.Voter {
+			role = "voter"
+		}
+		if d.Foreign {
+			role = "emptied voter"
+		}
+		if d.Alive {
+			state = "heard"
 		}
-		if action, ok := voters.Plan(time.Now(), disks, r.opts.Mend.Want); ok {
-			r.mend(ctx, s.Version, action)
+		age := "unknown"
+		if !d.Since.IsZero() {
+			age = now.Sub(d.Since).Round(time.Millisecond).String()
 		}
+		out = append(out, fmt.Sprintf("%s: %s, %s for %s", d.Entry, role, state, age))
 	}
+	return out
 }
 
 func (r *Register) judgeDisks(s *snapshot) []voters.Disk {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -121,6 +121,11 @@
 	probed    int
 	idleTicks int
 
+	// judged belongs to the goroutine that mends the voters.
+	judged judged
+	// votersHeard, votersToLose and spareDisks are what it found last.
+	votersHeard, votersToLose, spareDisks atomic.Int64
+
 	kick  chan struct{}
 	write chan struct{}
 	run   atomic.Pointer[context.Context]
