--- /dev/null
+++ b/internal/register/series_test.go
@@ -0,0 +1,166 @@
+package register
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/voters"
+	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
+)
+
+const (
+	// suspected and declared are after which silence the membership suspects an
+	// entry and declares it dead.
+	suspected = time.Second
+	declared  = 2750 * time.Millisecond
+)
+
+// series is a fleet whose VMs are replaced for good, one round after the other.
+type series struct {
+	*fleet
+	r     *rand.Rand
+	made  int
+	begun map[job.EntryID]time.Time
+	ended map[job.EntryID]time.Time
+}
+
+func newSeries(t *testing.T, seed uint64, disks, want int) *series {
+	s := &series{
+		fleet: &fleet{t: t, nodes: map[job.EntryID]*member{}, net: newNetwork()},
+		r:     rand.New(rand.NewPCG(seed, uint64(want))),
+		begun: map[job.EntryID]time.Time{}, ended: map[job.EntryID]time.Time{},
+	}
+	s.mend = &Mend{Want: want, Disks: s.seen}
+	for range disks {
+		s.entries = append(s.entries, s.name())
+	}
+	s.voters = slices.Clone(s.entries[:3])
+	for _, e := range s.entries {
+		s.add(e)
+	}
+	s.voters = nil
+	return s
+}
+
+func (s *series) name() job.EntryID {
+	s.made++
+	return job.EntryID(fmt.Sprintf("v%02d", s.made))
+}
+
+func (s *series) add(e job.EntryID) {
+	s.begun[e] = time.Now()
+	delete(s.ended, e)
+	s.start(e, &storagetest.FS{})
+}
+
+// seen is what the membership tells of the disks: silence shows after a while only.
+func (s *series) seen() []voters.Disk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []voters.Disk
+	for _, e := range s.entries {
+		d := voters.Disk{Entry: e, Zone: job.Zone(e), Alive: true, Since: s.begun[e]}
+		if at, gone := s.ended[e]; gone {
+			switch silent := time.Since(at); {
+			case silent >= declared:
+				d.Alive, d.Since = false, at.Add(declared)
+			case silent >= suspected:
+				d.Alive, d.Since = false, at.Add(suspected)
+			}
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// replace loses entries for good and has an empty disk of another name start for each
+// of them. It returns when they count as lost no more.
+func (s *series) replace(lost []job.EntryID, gap, catchUp time.Duration) {
+	for _, e := range lost {
+		s.crash(e, storagetest.KeepAll)
+		s.mu.Lock()
+		s.ended[e] = time.Now()
+		s.mu.Unlock()
+	}
+	time.Sleep(gap)
+	for range lost {
+		e := s.name()
+		s.mu.Lock()
+		s.entries = append(s.entries, e)
+		s.begun[e] = time.Now()
+		s.mu.Unlock()
+		s.start(e, &storagetest.FS{})
+	}
+	time.Sleep(catchUp)
+}
+
+// alive lists the entries that run, in random order.
+func (s *series) alive() []job.EntryID {
+	var out []job.EntryID
+	for _, e := range s.entries {
+		if s.nodes[e] != nil {
+			out = append(out, e)
+		}
+	}
+	s.r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// powerOff stops all entries at once and starts them again from their disks.
+func (s *series) powerOff() {
+	disks := map[job.EntryID]*storagetest.FS{}
+	for _, e := range s.alive() {
+		disks[e] = s.crash(e, storagetest.KeepNone)
+	}
+	time.Sleep(time.Second)
+	for e, disk := range disks {
+		s.start(e, disk)
+	}
+}
+
+// Guards against a voter that is replaced only after the next loss that the fleet has to bear.
+func TestVotersReplacedInSeriesKeepTheirMajority(t *testing.T) {
+	cases := []struct {
+		name                  string
+		disks, want, together int
+		gap, catchUp          time.Duration
+	}{
+		{"one of three", 3, 3, 1, time.Second, 4 * time.Second},
+		{"one of three, replaced at once", 3, 3, 1, 100 * time.Millisecond, 4 * time.Second},
+		{"one of three beside a spare", 4, 3, 1, time.Second, 4 * time.Second},
+		{"two of five", 5, 5, 2, time.Second, 6 * time.Second},
+		{"two of five beside a spare", 6, 5, 2, 2 * time.Second, 6 * time.Second},
+	}
+	for _, c := range cases {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSeries(t, seed, c.disks, c.want)
+					defer s.stopAll()
+					time.Sleep(10 * time.Second)
+					const rounds = 4
+					for round := range rounds {
+						s.mustApply(s.alive()[0], round+1)
+						s.replace(s.alive()[:c.together], c.gap, c.catchUp)
+					}
+					s.powerOff()
+					s.confirmedBy(rounds, 12*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// confirmedBy wants each entry that runs to confirm the number within the time.
+func (s *series) confirmedBy(number uint64, within time.Duration) {
+	s.t.Helper()
+	all := s.entries
+	s.entries = s.alive()
+	s.confirmed(number, within)
+	s.entries = all
+}
