Replace a lost voter as soon as it is gone

Seen: after two core VMs were replaced for good 8 s apart, no change was accepted and the acknowledged configuration could not be read back, for good.

Cause: a voter was replaced 6 s after it was declared dead, which is 8.5 to 9 s after its last word. The platform counts a replaced VM as made up for catch_up_s (4 s; 6 s on large sites) after its successor's start, and from then on the next loss has to be borne. So for some seconds the register carried a dead voter in a set that was taken for whole, and the next loss took the majority. A spare disk stood by all the time. The 6 s came from the cost of replacing a voter that is only restarted; that cost is two rounds of synced writes, against the register.

Class: a wait chosen by itself that runs beside a bound of the platform.

Now a voter is replaced when the membership takes it for gone and it has been away for 1.5 s (2.6 to 3.1 s after its last word), at once if it said that it stopped. How long it has been away is counted from the first look at which it was not heard, and not from the last change of the membership's judgement. Several losses are mended without a pause. If the first voter in order can't carry a change out, the next one does after 1.5 s. A voter that an entry has not found yet after its own start is waited for 3 s; before, it was replaced at once. The line of a mend says how long the place was empty and, from the settings, how long it may be (catch_up_s); it is a warning beyond that.

Ruled out: a mend that was tried and failed (the lines added before show voter_awaited from 5.1 to 12.7 s beside a spare disk), and a record lost with the power.

Two cases of TestPlan are replaced: a voter that had been declared dead for 4 s beside a spare disk was wanted to keep its place, which is what broke the rule; wanted now is that one keeps it that is silent without being taken for gone, or whose process is back within 1.5 s. The waits in two other tests follow the shorter time.

--- a/internal/entry/discover.go
+++ b/internal/entry/discover.go
@@ -109,7 +109,7 @@
 	if len(e.opts.Settings.Founders) > 0 {
 		o.Found = e.founders
 	}
-	o.Mend = &register.Mend{Want: e.opts.Settings.WantVoters, Disks: e.disks}
+	o.Mend = &register.Mend{Want: e.opts.Settings.WantVoters, Within: e.opts.Settings.RepairWithin, Disks: e.disks}
 }
 
 // founders returns the names of the entries at the founders' addresses, once all
@@ -135,8 +135,22 @@
 		if !r.Disk || !known {
 			continue
 		}
-		alive := m.State == membership.Alive || m.State == membership.Draining
-		out = append(out, voters.Disk{Entry: m.Entry, Zone: m.Zone, Alive: alive, Since: m.Since})
+		out = append(out, voters.Disk{
+			Entry: m.Entry, Zone: m.Zone, Presence: presenceOf(m.State),
+			Stopped: m.State == membership.Left, Since: m.Since,
+		})
 	}
 	return out
 }
+
+func presenceOf(s membership.State) voters.Presence {
+	switch s {
+	case membership.Alive:
+		return voters.Heard
+	case membership.Draining:
+		return voters.Leaving
+	case membership.Dead, membership.Left:
+		return voters.Gone
+	}
+	return voters.Away
+}
--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -4,10 +4,15 @@
 //
 // The pattern that it answers is VMs whose disks are lost or that are replaced
 // for good, one after the other, while others are restarted, frozen or cut off
-// for seconds. Without it each lost disk leaves one copy less, and the second
-// one takes the register with it. A voter that is only away must not be
-// replaced at once: each replacement costs two rounds of synced writes and
-// moves the set while it may be needed.
+// for seconds. A set that keeps a lost voter bears one loss less than the fleet is
+// run for, and the next loss takes the register with it for good: no majority is
+// left to agree on a repair.
+//
+// So a voter that is gone gives its place to a spare disk at once, and not after the
+// time in which it might return. A needless replacement costs two rounds of synced
+// writes and is harmless: who returns is a spare, and its old vote counts no more.
+// That the VM of a lost voter counts as made up for is known to the platform alone,
+// which says only how long that takes at least; nothing here waits for it.
 package voters
 
 import (
@@ -19,14 +24,48 @@
 )
 
 const (
-	// GoneAfter is how long a voter must be away before another disk takes its
-	// place: longer than a restart, a freeze or the pause of a link, which are
-	// over within 5 s, since the disk comes back with the VM.
-	GoneAfter = 6 * time.Second
-	// SettledAfter is how long a spare disk must have been seen without a break.
-	SettledAfter = time.Second
+	// AwayTime is how long a voter must have been away before it is replaced, beside
+	// being gone: a process that is restarted at once is back sooner, though its
+	// machine's refusal of connections has shown its end.
+	AwayTime = 1500 * time.Millisecond
+	// SettledTime is how long a spare disk must have been heard without a break.
+	SettledTime = time.Second
+	// TurnTime is how long a change must be due before the next voter in order carries
+	// it out: the one before it may be unable to.
+	TurnTime = 1500 * time.Millisecond
+)
+
+// Presence is how an entry is seen by the one that judges.
+type Presence uint8
+
+// The presences.
+const (
+	// Away: not heard, and not for long enough to be taken for gone.
+	Away Presence = iota
+	// Heard: alive.
+	Heard
+	// Leaving: alive, and about to stop as planned.
+	Leaving
+	// Gone: taken for dead, or stopped.
+	Gone
 )
 
+// String returns the presence as logs show it.
+func (p Presence) String() string {
+	switch p {
+	case Heard:
+		return "heard"
+	case Leaving:
+		return "leaving"
+	case Gone:
+		return "gone"
+	}
+	return "away"
+}
+
+// alive reports whether the entry still takes part.
+func (p Presence) alive() bool { return p == Heard || p == Leaving }
+
 // Disk is one entry with a data folder, voter or not.
 type Disk struct {
 	Entry job.EntryID
@@ -35,12 +74,25 @@
 	Voter bool
 	// Foreign says that the entry's disk is not the one that the register
 	// names: the named one was lost.
-	Foreign bool
-	// Alive says that the entry is heard, Since from when on it is or isn't.
-	Alive bool
+	Foreign  bool
+	Presence Presence
+	// Stopped says of one that is gone that it said so itself.
+	Stopped bool
+	// Since is from when on the entry has been alive without a break, or has not been.
 	Since time.Time
 }
 
+// Votes reports whether the entry is alive and holds the vote that the register names.
+func (d *Disk) Votes() bool { return d.Voter && !d.Foreign && d.Presence.alive() }
+
+// Spare reports whether the entry is alive to stay and does not vote.
+func (d *Disk) Spare() bool { return !d.Voter && d.Presence == Heard }
+
+// lost reports whether the voter's place is to be given away.
+func (d *Disk) lost(now time.Time) bool {
+	return d.Presence == Gone && (d.Stopped || now.Sub(d.Since) >= AwayTime)
+}
+
 // Action is one change of the voters; the zero value is none.
 type Action struct {
 	// Old is the voter that is replaced; empty for one that is added.
@@ -63,7 +115,7 @@
 	Lost Reason = "voter_lost"
 	// Narrow says that the fleet has to bear more losses than its voters do.
 	Narrow Reason = "too_few_voters"
-	// Awaited says that a voter is away, and not for long enough to be replaced.
+	// Awaited says that a voter is away and not taken for gone.
 	Awaited Reason = "voter_awaited"
 	// NoSpare says that a change is due and no spare disk is fit for it.
 	NoSpare Reason = "no_spare_disk"
@@ -87,34 +139,58 @@
 	disks = slices.Clone(disks)
 	slices.SortFunc(disks, func(a, b Disk) int { return cmp.Compare(a.Entry, b.Entry) })
 	for _, d := range disks {
-		if d.Voter && d.Foreign && d.Alive {
+		if d.Voter && d.Foreign && d.Presence.alive() {
 			return Verdict{Emptied, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
 		}
 	}
 	found := Verdict{Reason: Whole}
-	for _, d := range disks {
-		if !d.Voter || d.Alive {
-			continue
+	for _, presence := range []Presence{Gone, Away} {
+		for _, d := range disks {
+			if !d.Voter || d.Presence != presence {
+				continue
+			}
+			v := replace(now, disks, &d)
+			if v.Due() {
+				return v
+			}
+			if found.Reason == Whole {
+				found = v
+			}
 		}
-		if now.Sub(d.Since) < GoneAfter {
-			found = Verdict{Reason: Awaited, Voter: d.Entry}
-			continue
+	}
+	if count(disks) < want {
+		if spare, ok := pick(now, disks, ""); ok {
+			return Verdict{Reason: Narrow, Action: Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}}
 		}
-		if spare, ok := pick(now, disks, d.Entry); ok {
-			return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter has been away for long"}}
+		if found.Reason == Whole {
+			found.Reason = NoSpare
 		}
-		found = Verdict{Reason: NoSpare, Voter: d.Entry}
 	}
-	if count(disks) >= want {
-		return found
+	return found
+}
+
+// replace judges one voter that is not there to stay.
+func replace(now time.Time, disks []Disk, d *Disk) Verdict {
+	if !d.lost(now) {
+		return Verdict{Reason: Awaited, Voter: d.Entry}
 	}
-	if spare, ok := pick(now, disks, ""); ok {
-		return Verdict{Reason: Narrow, Action: Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}}
+	spare, ok := pick(now, disks, d.Entry)
+	if !ok {
+		return Verdict{Reason: NoSpare, Voter: d.Entry}
 	}
-	if found.Reason == Whole {
-		found.Reason = NoSpare
+	return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter is gone"}}
+}
+
+// Order lists who carries out a change, first to last: those that vote, by name.
+func Order(disks []Disk) []job.EntryID {
+	var order []job.EntryID
+	for _, d := range disks {
+		if d.Votes() {
+			order = append(order, d.Entry)
+		}
 	}
-	return found
+	slices.Sort(order)
+	return order
 }
 
 func count(disks []Disk) int {
@@ -130,16 +206,11 @@
 // pick returns the spare disk in the zone with the fewest voters other than
 // without, so that the loss of one zone takes as few as possible.
 func pick(now time.Time, disks []Disk, without job.EntryID) (job.EntryID, bool) {
-	inZone := map[job.Zone]int{}
-	for _, d := range disks {
-		if d.Voter && d.Entry != without {
-			inZone[d.Zone]++
-		}
-	}
+	inZone := votersInZones(disks, without)
 	var best *Disk
 	for i := range disks {
 		d := &disks[i]
-		if d.Voter || !d.Alive || now.Sub(d.Since) < SettledAfter {
+		if !d.Spare() || now.Sub(d.Since) < SettledTime {
 			continue
 		}
 		if best == nil || inZone[d.Zone] < inZone[best.Zone] {
@@ -151,3 +222,14 @@
 	}
 	return best.Entry, true
 }
+
+// votersInZones counts the voters other than without.
+func votersInZones(disks []Disk, without job.EntryID) map[job.Zone]int {
+	inZone := map[job.Zone]int{}
+	for _, d := range disks {
+		if d.Voter && d.Entry != without {
+			inZone[d.Zone]++
+		}
+	}
+	return inZone
+}
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -12,13 +12,27 @@
 var now = time.Unix(1000, 0)
 
 func alive(name job.EntryID, zone job.Zone, voter bool) Disk {
-	return Disk{Entry: name, Zone: zone, Voter: voter, Alive: true, Since: now.Add(-time.Minute)}
+	return Disk{Entry: name, Zone: zone, Voter: voter, Presence: Heard, Since: now.Add(-time.Minute)}
 }
 
 func away(name job.EntryID, zone job.Zone, since time.Duration) Disk {
 	return Disk{Entry: name, Zone: zone, Voter: true, Since: now.Add(-since)}
 }
 
+func gone(name job.EntryID, zone job.Zone, since time.Duration) Disk {
+	return Disk{Entry: name, Zone: zone, Voter: true, Presence: Gone, Since: now.Add(-since)}
+}
+
+func stopped(d Disk) Disk {
+	d.Presence, d.Stopped = Gone, true
+	return d
+}
+
+func leaving(d Disk) Disk {
+	d.Presence = Leaving
+	return d
+}
+
 func foreign(d Disk) Disk {
 	d.Foreign = true
 	return d
@@ -36,11 +50,14 @@
 	}{
 		{"all is well", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true)}, 3, "", ""},
 		{"an emptied disk is given its place back", []Disk{alive("a", "x", true), foreign(alive("b", "y", true)), alive("c", "z", true)}, 3, "b", "b"},
-		{"a voter that restarts keeps its place", []Disk{alive("a", "x", true), away("b", "y", 4*time.Second), alive("c", "z", true), alive("d", "y", false)}, 3, "", ""},
-		{"one that is gone is replaced", []Disk{alive("a", "x", true), away("b", "y", time.Minute), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
-		{"by a disk of a zone without a voter, if there is one", []Disk{alive("a", "x", true), away("b", "y", time.Minute), alive("c", "z", true), alive("d", "z", false), alive("e", "y", false)}, 3, "b", "e"},
-		{"without a spare disk nothing is done", []Disk{alive("a", "x", true), away("b", "y", time.Minute), alive("c", "z", true)}, 3, "", ""},
-		{"a spare that was just met is not taken", []Disk{alive("a", "x", true), away("b", "y", time.Minute), {Entry: "d", Zone: "y", Alive: true, Since: now}}, 3, "", ""},
+		{"a voter that is silent and not taken for gone keeps its place", []Disk{alive("a", "x", true), away("b", "y", time.Minute), alive("c", "z", true), alive("d", "y", false)}, 3, "", ""},
+		{"one whose process was restarted at once, too", []Disk{alive("a", "x", true), gone("b", "y", AwayTime-1), alive("c", "z", true), alive("d", "y", false)}, 3, "", ""},
+		{"one that is gone is replaced before the next loss", []Disk{alive("a", "x", true), gone("b", "y", AwayTime), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
+		{"one that has stopped as planned, at once", []Disk{alive("a", "x", true), stopped(alive("b", "y", true)), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
+		{"by a disk of a zone without a voter, if there is one", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), alive("d", "z", false), alive("e", "y", false)}, 3, "b", "e"},
+		{"without a spare disk nothing is done", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true)}, 3, "", ""},
+		{"a spare that was just met is not taken", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), {Entry: "d", Zone: "y", Presence: Heard, Since: now}}, 3, "", ""},
+		{"nor one that is about to stop", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), leaving(alive("d", "z", false))}, 3, "", ""},
 		{"the set is widened, one zone after the other", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false), alive("e", "w", false)}, 5, "", "e"},
 		{"and no further than asked", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false)}, 3, "", ""},
 	}
@@ -66,7 +83,7 @@
 	}{
 		{[]Disk{alive("a", "x", true), b, c}, 3, Whole, ""},
 		{[]Disk{away("a", "x", time.Second), b, c}, 3, Awaited, "a"},
-		{[]Disk{away("a", "x", time.Minute), b, c}, 3, NoSpare, "a"},
+		{[]Disk{gone("a", "x", time.Minute), b, c}, 3, NoSpare, "a"},
 		{[]Disk{alive("a", "x", true), b, c}, 5, NoSpare, ""},
 	}
 	for _, test := range cases {
@@ -74,3 +91,9 @@
 		qt.Check(t, v, qt.Equals, Verdict{Reason: test.reason, Voter: test.voter})
 	}
 }
+
+// Guards against a change that nobody carries out because the first in order can't.
+func TestOrderOfThoseWhoAct(t *testing.T) {
+	disks := []Disk{foreign(alive("a", "x", true)), alive("b", "y", true), leaving(alive("c", "z", true)), gone("d", "x", 0), alive("e", "y", false)}
+	qt.Check(t, Order(disks), qt.DeepEquals, []job.EntryID{"b", "c"})
+}
--- a/internal/register/dark_test.go
+++ b/internal/register/dark_test.go
@@ -250,10 +250,10 @@
 		gone := d.victims(1, "")[0]
 		at := d.acknowledge()
 		d.away[gone] = d.crash(gone, storagetest.KeepNone)
-		time.Sleep(voters.GoneAfter - time.Second + time.Duration(d.r.IntN(2500))*time.Millisecond)
+		time.Sleep(voters.AwayTime - time.Second + time.Duration(d.r.IntN(2500))*time.Millisecond)
 		d.powerLost(d.victims(d.tolerate-1, at))
 		d.served()
-		time.Sleep(voters.GoneAfter + returned)
+		time.Sleep(voters.AwayTime + returned)
 		qt.Assert(d.t, slices.Contains(d.names(), gone), qt.IsFalse)
 		at = d.acknowledge()
 		d.powerLost(d.victims(d.tolerate, at))
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -17,39 +18,81 @@
 const (
 	// mendInterval is how often the voters are looked at. A lost disk is mended
 	// within this, a probe of the returned entry and two rounds of the register.
-	mendInterval = 500 * time.Millisecond
+	mendInterval = 250 * time.Millisecond
 	// mendTimeout bounds one change of the voters: a large value to a slow disk.
 	mendTimeout = 3 * time.Second
+	// mendVisible bounds the wait until a change of the voters is seen here.
+	mendVisible = 500 * time.Millisecond
+	// unknownTime is how long after the start of this entry a voter that it has not
+	// found yet may still be starting.
+	unknownTime = 3 * time.Second
 )
 
 // Mend is what the voters are mended by.
 type Mend struct {
 	// Want is how many voters the fleet needs.
 	Want int
+	// Within is how soon a voter that is gone has to be replaced: from then on the
+	// fleet has to bear the next loss. Zero where the settings don't say.
+	Within time.Duration
 	// Disks lists the entries with a data folder as this entry sees them; the
-	// register fills in who votes.
+	// register fills in who votes, and since when who is not alive is away.
 	Disks func() []voters.Disk
 }
 
-// mendLoop has the voters mended, by the first of them that is alive: one at a
-// time keeps two from taking two disks for one lost. Another one may act on an
-// older view, and then the register refuses the second change.
+// mending is what the goroutine that mends the voters remembers.
+type mending struct {
+	// away is since when entries have not been alive.
+	away map[job.EntryID]time.Time
+	// due is the change that is due, dueAt since when.
+	due   dueChange
+	dueAt time.Time
+	// judged is what was last logged.
+	judged judged
+}
+
+// dueChange is one change of one version of the register.
+type dueChange struct {
+	version uint64
+	action  voters.Action
+}
+
+// mendLoop has the voters mended. The first of them that is alive does it, and if it
+// can't, the next one in order; two that act on one version do it once, since the
+// register refuses the second change.
 func (r *Register) mendLoop(ctx context.Context) {
-	for sleep(ctx, jitter(mendInterval)) {
-		s := r.current.Load()
-		if s == nil || !r.voting() {
-			continue
+	for {
+		for r.mendOnce(ctx) {
+			// Losses that came together are mended without a pause.
 		}
-		disks := r.judgeDisks(s)
-		verdict := voters.Plan(time.Now(), disks, r.opts.Mend.Want)
-		acts := r.firstAlive(disks)
-		r.tellVerdict(s, disks, verdict, acts)
-		if acts == r.self && verdict.Due() {
-			r.mend(ctx, s.Version, verdict.Action)
+		if !sleep(ctx, jitter(mendInterval)) {
+			return
 		}
 	}
 }
 
+// mendOnce looks at the voters, and reports whether it changed them.
+func (r *Register) mendOnce(ctx context.Context) bool {
+	s := r.current.Load()
+	if s == nil || !r.voting() {
+		return false
+	}
+	now := time.Now()
+	disks := r.judgeDisks(s, now)
+	verdict := voters.Plan(now, disks, r.opts.Mend.Want)
+	order := voters.Order(disks)
+	r.tellVerdict(s, disks, verdict, order)
+	due := dueChange{s.Version, verdict.Action}
+	if due != r.mending.due {
+		r.mending.due, r.mending.dueAt = due, now
+	}
+	turn := slices.Index(order, r.self)
+	if !verdict.Due() || turn < 0 || now.Sub(r.mending.dueAt) < time.Duration(turn)*voters.TurnTime {
+		return false
+	}
+	return r.mend(ctx, s.Version, verdict.Action)
+}
+
 // judged is what was last said of the voters.
 type judged struct {
 	reason voters.Reason
@@ -60,25 +103,29 @@
 
 // tellVerdict logs what a look at the voters found, when it differs from the last
 // one, and keeps the figures of the metrics.
-func (r *Register) tellVerdict(s *snapshot, disks []voters.Disk, v voters.Verdict, acts job.EntryID) {
+func (r *Register) tellVerdict(s *snapshot, disks []voters.Disk, v voters.Verdict, order []job.EntryID) {
 	heard, spares := 0, 0
 	for _, d := range disks {
 		switch {
-		case d.Alive && d.Voter && !d.Foreign:
+		case d.Votes():
 			heard++
-		case d.Alive && !d.Voter:
+		case d.Spare():
 			spares++
 		}
 	}
+	acts := job.EntryID("")
+	if len(order) > 0 {
+		acts = order[0]
+	}
 	majority := len(s.Voters)/2 + 1
 	r.votersHeard.Store(int64(heard))
 	r.votersToLose.Store(int64(heard - majority))
 	r.spareDisks.Store(int64(spares))
 	said := judged{v.Reason, v.Voter, v.Action.New, acts}
-	if said == r.judged {
+	if said == r.mending.judged {
 		return
 	}
-	r.judged = said
+	r.mending.judged = said
 	r.log.Info("voters judged", "reason", v.Reason, "voter", v.Voter, "spare", v.Action.New, "acts", acts,
 		"version", s.Version, "voters", len(s.Voters), "heard", heard, "losses_left", heard-majority,
 		"spare_disks", spares, "wanted", r.opts.Mend.Want, "disks", seen(disks, time.Now()))
@@ -88,55 +135,70 @@
 func seen(disks []voters.Disk, now time.Time) []string {
 	var out []string
 	for _, d := range disks {
-		role, state := "spare", "away"
+		role := "spare"
 		if d.Voter {
 			role = "voter"
 		}
 		if d.Foreign {
 			role = "emptied voter"
 		}
-		if d.Alive {
-			state = "heard"
-		}
 		age := "unknown"
 		if !d.Since.IsZero() {
 			age = now.Sub(d.Since).Round(time.Millisecond).String()
 		}
-		out = append(out, fmt.Sprintf("%s: %s, %s for %s", d.Entry, role, state, age))
+		out = append(out, fmt.Sprintf("%s: %s, %s for %s", d.Entry, role, d.Presence, age))
 	}
 	return out
 }
 
-func (r *Register) judgeDisks(s *snapshot) []voters.Disk {
+// judgeDisks lists the disks, with who votes and since when the others are away.
+func (r *Register) judgeDisks(s *snapshot, now time.Time) []voters.Disk {
 	disks := r.opts.Mend.Disks()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, v := range s.Voters {
 		i := slices.IndexFunc(disks, func(d voters.Disk) bool { return d.Entry == v.Entry })
 		if i < 0 {
-			// An entry that nobody remembers is gone for good.
-			disks = append(disks, voters.Disk{Entry: v.Entry})
+			disks = append(disks, r.unknownVoter(v.Entry, now))
 			i = len(disks) - 1
 		}
 		disks[i].Voter = true
 		said, known := r.disks[v.Entry]
 		disks[i].Foreign = v.Entry != r.self && known && said != v.Identity
 	}
+	r.mending.date(disks, now)
 	return disks
 }
 
-func (r *Register) firstAlive(disks []voters.Disk) job.EntryID {
-	var first job.EntryID
-	for _, d := range disks {
-		if d.Voter && d.Alive && !d.Foreign && (first == "" || d.Entry < first) {
-			first = d.Entry
+// unknownVoter is a voter that this entry has not found, or has forgotten.
+func (r *Register) unknownVoter(e job.EntryID, now time.Time) voters.Disk {
+	d := voters.Disk{Entry: e, Presence: voters.Gone}
+	if now.Sub(r.started) < unknownTime {
+		d.Presence = voters.Away
+	}
+	return d
+}
+
+// date fills in since when entries have not been alive. The membership's own date is
+// that of the last change of its judgement.
+func (m *mending) date(disks []voters.Disk, now time.Time) {
+	away := map[job.EntryID]time.Time{}
+	for i := range disks {
+		d := &disks[i]
+		if d.Presence == voters.Heard || d.Presence == voters.Leaving {
+			continue
+		}
+		since, known := m.away[d.Entry]
+		if !known {
+			since = now
 		}
+		away[d.Entry], d.Since = since, since
 	}
-	return first
+	m.away = away
 }
 
-// mend carries out one change of the voters.
-func (r *Register) mend(ctx context.Context, version uint64, a voters.Action) {
+// mend carries out one change of the voters, and reports whether it did.
+func (r *Register) mend(ctx context.Context, version uint64, a voters.Action) bool {
 	ctx, cancel := context.WithTimeout(ctx, mendTimeout)
 	defer cancel()
 	voter, err := r.identify(ctx, a.New)
@@ -149,10 +211,38 @@
 	}
 	if err != nil {
 		r.log.Warn("the voters were not mended", "old", a.Old, "new", a.New, "cause", a.Cause, "error", errors.Cause(err).Error())
-		return
+		return false
+	}
+	r.tellMended(a, voter.Identity)
+	r.awaitVersion(ctx, version)
+	return true
+}
+
+// tellMended logs a change of the voters, with how long the place of a lost one was
+// empty.
+func (r *Register) tellMended(a voters.Action, identity consensus.Identity) {
+	took := time.Duration(0)
+	if since, known := r.mending.away[a.Old]; known {
+		took = time.Since(since)
+	}
+	level := slog.LevelInfo
+	if within := r.opts.Mend.Within; within > 0 && took > within {
+		level = slog.LevelWarn
+	}
+	r.log.Log(context.Background(), level, "the voters were mended", "old", a.Old, "new", a.New, "identity", identity,
+		"cause", a.Cause, "away_ms", took.Milliseconds(), "within_ms", r.opts.Mend.Within.Milliseconds())
+	r.ev.Record(timeline.Event{Kind: timeline.VotersChanged, Peer: a.New, Cause: changeOf(a), Took: took})
+}
+
+// awaitVersion waits until a later version than the one given is seen here.
+func (r *Register) awaitVersion(ctx context.Context, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, mendVisible)
+	defer cancel()
+	for r.held() <= version {
+		if !sleep(ctx, confirmPause) {
+			return
+		}
 	}
-	r.log.Info("the voters were mended", "old", a.Old, "new", a.New, "identity", voter.Identity, "cause", a.Cause)
-	r.ev.Record(timeline.Event{Kind: timeline.VotersChanged, Peer: a.New, Cause: changeOf(a)})
 }
 
 // changeOf words a change of the voters for the time line.
--- a/internal/register/mend_test.go
+++ b/internal/register/mend_test.go
@@ -31,7 +31,11 @@
 			if runs != alive[e] || since[e].IsZero() {
 				alive[e], since[e] = runs, time.Now()
 			}
-			out = append(out, voters.Disk{Entry: e, Zone: job.Zone(e), Alive: runs, Since: since[e]})
+			presence := voters.Gone
+			if runs {
+				presence = voters.Heard
+			}
+			out = append(out, voters.Disk{Entry: e, Zone: job.Zone(e), Presence: presence, Since: since[e]})
 		}
 		return out
 	}}
@@ -145,9 +149,14 @@
 // confirmed wants each entry to confirm the number within the time, and no entry
 // ever to confirm an older one.
 func (f *fleet) confirmed(number uint64, within time.Duration) {
+	f.t.Helper()
+	f.confirmedOn(f.entries, number, within)
+}
+
+func (f *fleet) confirmedOn(entries []job.EntryID, number uint64, within time.Duration) {
 	f.t.Helper()
 	deadline := time.Now().Add(within)
-	for _, e := range f.entries {
+	for _, e := range entries {
 		for {
 			ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
 			got, err := f.nodes[e].Confirm(ctx)
@@ -180,7 +189,7 @@
 		time.Sleep(3 * time.Second)
 		f.mustApply("v1", 1)
 		disk := f.crash("v3", storagetest.KeepAll)
-		time.Sleep(voters.GoneAfter + 3*time.Second)
+		time.Sleep(voters.AwayTime + 3*time.Second)
 		names := f.nodes["v1"].State()
 		qt.Assert(t, slices.Contains(names.VoterEntries(), "v4"), qt.IsTrue)
 		qt.Assert(t, slices.Contains(names.VoterEntries(), "v3"), qt.IsFalse)
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -121,8 +121,8 @@
 	probed    int
 	idleTicks int
 
-	// judged belongs to the goroutine that mends the voters.
-	judged judged
+	// mending belongs to the goroutine that mends the voters.
+	mending mending
 	// votersHeard, votersToLose and spareDisks are what it found last.
 	votersHeard, votersToLose, spareDisks atomic.Int64
 
--- a/internal/register/series_test.go
+++ b/internal/register/series_test.go
@@ -64,13 +64,13 @@
 	defer s.mu.Unlock()
 	var out []voters.Disk
 	for _, e := range s.entries {
-		d := voters.Disk{Entry: e, Zone: job.Zone(e), Alive: true, Since: s.begun[e]}
+		d := voters.Disk{Entry: e, Zone: job.Zone(e), Presence: voters.Heard, Since: s.begun[e]}
 		if at, gone := s.ended[e]; gone {
 			switch silent := time.Since(at); {
 			case silent >= declared:
-				d.Alive, d.Since = false, at.Add(declared)
+				d.Presence, d.Since = voters.Gone, at.Add(declared)
 			case silent >= suspected:
-				d.Alive, d.Since = false, at.Add(suspected)
+				d.Presence, d.Since = voters.Away, at.Add(suspected)
 			}
 		}
 		out = append(out, d)
@@ -82,23 +82,32 @@
 // of them. It returns when they count as lost no more.
 func (s *series) replace(lost []job.EntryID, gap, catchUp time.Duration) {
 	for _, e := range lost {
-		s.crash(e, storagetest.KeepAll)
-		s.mu.Lock()
-		s.ended[e] = time.Now()
-		s.mu.Unlock()
+		s.lose(e)
 	}
 	time.Sleep(gap)
 	for range lost {
-		e := s.name()
-		s.mu.Lock()
-		s.entries = append(s.entries, e)
-		s.begun[e] = time.Now()
-		s.mu.Unlock()
-		s.start(e, &storagetest.FS{})
+		s.addNext()
 	}
 	time.Sleep(catchUp)
 }
 
+func (s *series) lose(e job.EntryID) {
+	s.crash(e, storagetest.KeepAll)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[e] = time.Now()
+}
+
+// addNext starts an empty disk of a new name.
+func (s *series) addNext() {
+	e := s.name()
+	s.mu.Lock()
+	s.entries = append(s.entries, e)
+	s.begun[e] = time.Now()
+	s.mu.Unlock()
+	s.start(e, &storagetest.FS{})
+}
+
 // alive lists the entries that run, in random order.
 func (s *series) alive() []job.EntryID {
 	var out []job.EntryID
@@ -149,18 +158,9 @@
 						s.replace(s.alive()[:c.together], c.gap, c.catchUp)
 					}
 					s.powerOff()
-					s.confirmedBy(rounds, 12*time.Second)
+					s.confirmedOn(s.alive(), rounds, 12*time.Second)
 				})
 			})
 		}
 	}
 }
-
-// confirmedBy wants each entry that runs to confirm the number within the time.
-func (s *series) confirmedBy(number uint64, within time.Duration) {
-	s.t.Helper()
-	all := s.entries
-	s.entries = s.alive()
-	s.confirmed(number, within)
-	s.entries = all
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -49,6 +50,9 @@
 	Founders []string
 	// WantVoters is how many voters a fleet that discovers itself keeps up.
 	WantVoters int
+	// RepairWithin is how soon after its successor's start a lost voter's place must be
+	// filled, since the next loss has to be borne from then on; zero where nobody says.
+	RepairWithin time.Duration
 	// Processors is the part of a processor that this VM has, LinkMbps the rate of its
 	// link in megabits a second; zero where they are not known.
 	Processors float64
