Have a voter that stops as planned pass its vote on first

Seen in the logs of a planned replacement (new core VM first, then SIGTERM): the old voter leaves at 10.85 s, and its place stays empty until 17.1 s. The platform counts the old VM as made up for from its stop on, since its successor has started 4 s before; a loss in between takes the majority.

Cause: a stop was only noticed, by the others and afterwards.

Now a voter that is told to stop has its place given to a spare disk at once, where there is one, and the stop waits for that for 2 s at most, beside the waits that it has anyway. Another voter proposes the change: one that has voted itself out can't tell when the change is safe, and took 1 s to find out. If it can't, the others do it after 1.5 s. An entry that is about to stop takes no place. Whoever returns is a spare; in a rolling restart beside a spare disk each voter is replaced once.

Weighed: replacing only after the stop, without a wait (leaves half a second); making the new disk one more voter beforehand (four voters bear no more than three, and the old one's stop then costs the majority's margin).

Test: TestPlannedReplacementLeavesNoGap fails in 8 of 8 cases without Retire.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,6 +27,8 @@
 		last := time.AfterFunc(e.opts.Grace, func() { e.join.StopAll(pipeline.ErrStopping) })
 		defer last.Stop()
 	}
+	var retired sync.WaitGroup
+	retired.Go(func() { e.retireVote() })
 	e.waitForNotice()
 	e.endIntake()
 	e.check.Drain()
@@ -36,12 +39,20 @@
 		return errors.Trace(err)
 	}
 	<-linger.C
+	retired.Wait()
 	e.registrar.Flush()
 	e.members.Leave(context.Background())
 	e.events.Record(timeline.Event{Kind: timeline.EntryStopped})
 	return nil
 }
 
+// retireVote passes this entry's vote on, if it has one and another disk can take it.
+func (e *Entry) retireVote() {
+	if e.register != nil {
+		e.register.Retire(context.Background())
+	}
+}
+
 // waitForNotice lets the balancer notice that the entry is not ready. What callers
 // send meanwhile is served: refused, it would be lost for a stop that was planned.
 func (e *Entry) waitForNotice() {
--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -90,7 +90,13 @@
 
 // lost reports whether the voter's place is to be given away.
 func (d *Disk) lost(now time.Time) bool {
-	return d.Presence == Gone && (d.Stopped || now.Sub(d.Since) >= AwayTime)
+	switch d.Presence {
+	case Leaving:
+		return true
+	case Gone:
+		return d.Stopped || now.Sub(d.Since) >= AwayTime
+	}
+	return false
 }
 
 // Action is one change of the voters; the zero value is none.
@@ -113,6 +119,8 @@
 	Emptied Reason = "voter_emptied"
 	// Lost says that a voter is gone and a spare disk takes its place.
 	Lost Reason = "voter_lost"
+	// Retiring says that a voter stops as planned and a spare disk takes its place.
+	Retiring Reason = "voter_leaving"
 	// Narrow says that the fleet has to bear more losses than its voters do.
 	Narrow Reason = "too_few_voters"
 	// Awaited says that a voter is away and not taken for gone.
@@ -144,7 +152,7 @@
 		}
 	}
 	found := Verdict{Reason: Whole}
-	for _, presence := range []Presence{Gone, Away} {
+	for _, presence := range []Presence{Gone, Leaving, Away} {
 		for _, d := range disks {
 			if !d.Voter || d.Presence != presence {
 				continue
@@ -175,21 +183,36 @@
 		return Verdict{Reason: Awaited, Voter: d.Entry}
 	}
 	spare, ok := pick(now, disks, d.Entry)
-	if !ok {
+	switch {
+	case !ok && d.Presence == Leaving:
+		// It votes until it stops, and returns with its disk.
+		return Verdict{Reason: Whole}
+	case !ok:
 		return Verdict{Reason: NoSpare, Voter: d.Entry}
+	case d.Presence == Leaving:
+		return Verdict{Retiring, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter stops as planned"}}
 	}
 	return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter is gone"}}
 }
 
-// Order lists who carries out a change, first to last: those that vote, by name.
-func Order(disks []Disk) []job.EntryID {
+// Order lists who carries out the change, first to last: a voter that stops as planned
+// its own replacement, and then those that vote, by name.
+func Order(disks []Disk, v *Verdict) []job.EntryID {
 	var order []job.EntryID
 	for _, d := range disks {
 		if d.Votes() {
 			order = append(order, d.Entry)
 		}
 	}
-	slices.Sort(order)
+	slices.SortFunc(order, func(a, b job.EntryID) int {
+		if v.Reason == Retiring && a != b && (a == v.Voter || b == v.Voter) {
+			if a == v.Voter {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
 	return order
 }
 
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -54,6 +54,9 @@
 		{"one whose process was restarted at once, too", []Disk{alive("a", "x", true), gone("b", "y", AwayTime-1), alive("c", "z", true), alive("d", "y", false)}, 3, "", ""},
 		{"one that is gone is replaced before the next loss", []Disk{alive("a", "x", true), gone("b", "y", AwayTime), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
 		{"one that has stopped as planned, at once", []Disk{alive("a", "x", true), stopped(alive("b", "y", true)), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
+		{"one that is about to stop, before it does", []Disk{alive("a", "x", true), leaving(alive("b", "y", true)), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
+		{"after one that is gone", []Disk{leaving(alive("a", "x", true)), gone("b", "y", time.Minute), alive("c", "z", true), alive("d", "z", false)}, 3, "b", "d"},
+		{"and keeps its place where no disk is spare", []Disk{alive("a", "x", true), leaving(alive("b", "y", true)), alive("c", "z", true)}, 3, "", ""},
 		{"by a disk of a zone without a voter, if there is one", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), alive("d", "z", false), alive("e", "y", false)}, 3, "b", "e"},
 		{"without a spare disk nothing is done", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true)}, 3, "", ""},
 		{"a spare that was just met is not taken", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), {Entry: "d", Zone: "y", Presence: Heard, Since: now}}, 3, "", ""},
@@ -95,5 +98,6 @@
 // Guards against a change that nobody carries out because the first in order can't.
 func TestOrderOfThoseWhoAct(t *testing.T) {
 	disks := []Disk{foreign(alive("a", "x", true)), alive("b", "y", true), leaving(alive("c", "z", true)), gone("d", "x", 0), alive("e", "y", false)}
-	qt.Check(t, Order(disks), qt.DeepEquals, []job.EntryID{"b", "c"})
+	qt.Check(t, Order(disks, &Verdict{Reason: Emptied, Voter: "a"}), qt.DeepEquals, []job.EntryID{"b", "c"})
+	qt.Check(t, Order(disks, &Verdict{Reason: Retiring, Voter: "c"}), qt.DeepEquals, []job.EntryID{"c", "b"})
 }
--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -150,13 +150,17 @@
 // Trying a second one after an unknown outcome is safe: a change carries its id,
 // and the register takes each id once.
 func (r *Register) carryOut(ctx context.Context, c consensus.Command) (Accepted, error) {
+	return r.carryOutAt(ctx, c, r.candidates())
+}
+
+// carryOutAt is carryOut with the voters to try, in order.
+func (r *Register) carryOutAt(ctx context.Context, c consensus.Command, candidates []job.EntryID) (Accepted, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, applyTimeout)
 		defer cancel()
 	}
 	unknown := false
-	candidates := r.candidates()
 	for i, to := range candidates {
 		if ctx.Err() != nil {
 			break
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -26,6 +26,10 @@
 	// unknownTime is how long after the start of this entry a voter that it has not
 	// found yet may still be starting.
 	unknownTime = 3 * time.Second
+	// retireTimeout bounds how long a planned stop waits until the vote has passed on.
+	retireTimeout = 2 * time.Second
+	// retirePoll is how often it looks.
+	retirePoll = 20 * time.Millisecond
 )
 
 // Mend is what the voters are mended by.
@@ -65,7 +69,13 @@
 		for r.mendOnce(ctx) {
 			// Losses that came together are mended without a pause.
 		}
-		if !sleep(ctx, jitter(mendInterval)) {
+		timer := time.NewTimer(jitter(mendInterval))
+		select {
+		case <-timer.C:
+		case <-r.retiring:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
 	}
@@ -80,7 +90,7 @@
 	now := time.Now()
 	disks := r.judgeDisks(s, now)
 	verdict := voters.Plan(now, disks, r.opts.Mend.Want)
-	order := voters.Order(disks)
+	order := voters.Order(disks, &verdict)
 	r.tellVerdict(s, disks, verdict, order)
 	due := dueChange{s.Version, verdict.Action}
 	if due != r.mending.due {
@@ -93,6 +103,23 @@
 	return r.mend(ctx, s.Version, verdict.Action)
 }
 
+// Retire has this entry's vote pass on to a spare disk, where there is one, before a
+// planned stop: the stop would otherwise leave the set with one voter less until it is
+// mended. It returns when the vote has passed on, or can't.
+func (r *Register) Retire(ctx context.Context) {
+	if r.opts.Mend == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	signal(r.retiring)
+	for r.voting() && r.spareDisks.Load() > 0 {
+		if !sleep(ctx, retirePoll) {
+			return
+		}
+	}
+}
+
 // judged is what was last said of the voters.
 type judged struct {
 	reason voters.Reason
@@ -207,7 +234,9 @@
 		if a.Old == "" {
 			c.Kind = consensus.Add
 		}
-		_, err = r.carryOut(ctx, c)
+		// A voter that has voted itself out can't tell when the change is safe.
+		candidates := slices.DeleteFunc(r.candidates(), func(e job.EntryID) bool { return e == a.Old })
+		_, err = r.carryOutAt(ctx, c, candidates)
 	}
 	if err != nil {
 		r.log.Warn("the voters were not mended", "old", a.Old, "new", a.New, "cause", a.Cause, "error", errors.Cause(err).Error())
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -126,9 +126,10 @@
 	// votersHeard, votersToLose and spareDisks are what it found last.
 	votersHeard, votersToLose, spareDisks atomic.Int64
 
-	kick  chan struct{}
-	write chan struct{}
-	run   atomic.Pointer[context.Context]
+	kick     chan struct{}
+	write    chan struct{}
+	retiring chan struct{}
+	run      atomic.Pointer[context.Context]
 }
 
 var _ config.View = (*Register)(nil)
@@ -147,6 +148,8 @@
 		pulling: map[job.EntryID]bool{},
 		kick:    make(chan struct{}, 1),
 		write:   make(chan struct{}, 1),
+
+		retiring: make(chan struct{}, 1),
 	}
 	if r.log == nil {
 		r.log = slog.New(slog.DiscardHandler)
--- a/internal/register/series_test.go
+++ b/internal/register/series_test.go
@@ -27,13 +27,15 @@
 	made  int
 	begun map[job.EntryID]time.Time
 	ended map[job.EntryID]time.Time
+	// leaving are the entries that are about to stop as planned.
+	leaving map[job.EntryID]bool
 }
 
 func newSeries(t *testing.T, seed uint64, disks, want int) *series {
 	s := &series{
 		fleet: &fleet{t: t, nodes: map[job.EntryID]*member{}, net: newNetwork()},
 		r:     rand.New(rand.NewPCG(seed, uint64(want))),
-		begun: map[job.EntryID]time.Time{}, ended: map[job.EntryID]time.Time{},
+		begun: map[job.EntryID]time.Time{}, ended: map[job.EntryID]time.Time{}, leaving: map[job.EntryID]bool{},
 	}
 	s.mend = &Mend{Want: want, Disks: s.seen}
 	for range disks {
@@ -65,6 +67,9 @@
 	var out []voters.Disk
 	for _, e := range s.entries {
 		d := voters.Disk{Entry: e, Zone: job.Zone(e), Presence: voters.Heard, Since: s.begun[e]}
+		if s.leaving[e] {
+			d.Presence = voters.Leaving
+		}
 		if at, gone := s.ended[e]; gone {
 			switch silent := time.Since(at); {
 			case silent >= declared:
@@ -108,6 +113,15 @@
 	s.start(e, &storagetest.FS{})
 }
 
+// stopPlanned has an entry stop as planned.
+func (s *series) stopPlanned(e job.EntryID) {
+	s.mu.Lock()
+	s.leaving[e] = true
+	s.mu.Unlock()
+	s.nodes[e].Retire(s.t.Context())
+	s.lose(e)
+}
+
 // alive lists the entries that run, in random order.
 func (s *series) alive() []job.EntryID {
 	var out []job.EntryID
@@ -164,3 +178,28 @@
 		}
 	}
 }
+
+// Guards against a planned replacement that leaves the set one loss short until it is mended.
+func TestPlannedReplacementLeavesNoGap(t *testing.T) {
+	sizes := []struct{ disks, want, together int }{{3, 3, 1}, {5, 5, 2}}
+	for _, size := range sizes {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%d voters/%d", size.want, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSeries(t, seed, size.disks, size.want)
+					defer s.stopAll()
+					time.Sleep(10 * time.Second)
+					s.mustApply(s.alive()[0], 1)
+					voting := s.alive()
+					s.addNext()
+					time.Sleep(4 * time.Second)
+					s.stopPlanned(voting[0])
+					s.replace(voting[1:1+size.together], time.Second, 6*time.Second)
+					s.mustApply(s.alive()[0], 2)
+					s.powerOff()
+					s.confirmedOn(s.alive(), 2, 12*time.Second)
+				})
+			})
+		}
+	}
+}
