Move a voter out of a zone that holds a majority of them

The set has to bear the loss of one availability zone. A replacement takes the spare disks that there are in that moment, so after some losses two of three voters, or three of five, may stand in one zone, and stay there: the plan looked at zones only when it picked a spare.

Now, when nothing else is due, a voter of such a zone gives its place to a spare disk of a zone that does not come to a majority by it. With two zones one of them always has the majority, and nothing moves.

Test: the case of TestPlan fails before.

--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -123,6 +123,8 @@
 	Retiring Reason = "voter_leaving"
 	// Narrow says that the fleet has to bear more losses than its voters do.
 	Narrow Reason = "too_few_voters"
+	// Crowded says that the loss of one availability zone would take the majority.
+	Crowded Reason = "zone_has_majority"
 	// Awaited says that a voter is away and not taken for gone.
 	Awaited Reason = "voter_awaited"
 	// NoSpare says that a change is due and no spare disk is fit for it.
@@ -174,7 +176,10 @@
 			found.Reason = NoSpare
 		}
 	}
-	return found
+	if found.Reason != Whole {
+		return found
+	}
+	return spread(now, disks)
 }
 
 // replace judges one voter that is not there to stay.
@@ -195,6 +200,29 @@
 	return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter is gone"}}
 }
 
+// spread has a voter of a zone that holds a majority of them give its place to a spare
+// disk of another zone. Replacements take the spare disks that there are, and so may
+// gather in one zone.
+func spread(now time.Time, disks []Disk) Verdict {
+	inZone := votersInZones(disks, "")
+	for _, d := range disks {
+		if !d.Voter || !majority(inZone[d.Zone], count(disks)) {
+			continue
+		}
+		spare, ok := pick(now, disks, d.Entry)
+		if !ok {
+			continue
+		}
+		i := slices.IndexFunc(disks, func(x Disk) bool { return x.Entry == spare })
+		if zone := disks[i].Zone; zone != d.Zone && !majority(inZone[zone]+1, count(disks)) {
+			return Verdict{Crowded, d.Entry, Action{Old: d.Entry, New: spare, Cause: "one availability zone holds a majority of the voters"}}
+		}
+	}
+	return Verdict{Reason: Whole}
+}
+
+func majority(n, of int) bool { return n > 1 && 2*n > of }
+
 // Order lists who carries out the change, first to last: a voter that stops as planned
 // its own replacement, and then those that vote, by name.
 func Order(disks []Disk, v *Verdict) []job.EntryID {
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -61,6 +61,8 @@
 		{"without a spare disk nothing is done", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true)}, 3, "", ""},
 		{"a spare that was just met is not taken", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), {Entry: "d", Zone: "y", Presence: Heard, Since: now}}, 3, "", ""},
 		{"nor one that is about to stop", []Disk{alive("a", "x", true), gone("b", "y", time.Minute), alive("c", "z", true), leaving(alive("d", "z", false))}, 3, "", ""},
+		{"a zone gives up its majority", []Disk{alive("a", "x", true), alive("b", "x", true), alive("c", "z", true), alive("d", "y", false)}, 3, "a", "d"},
+		{"but not to another one", []Disk{alive("a", "x", true), alive("b", "x", true), alive("c", "z", true), alive("d", "z", false)}, 3, "", ""},
 		{"the set is widened, one zone after the other", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false), alive("e", "w", false)}, 5, "", "e"},
 		{"and no further than asked", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false)}, 3, "", ""},
 	}
