Ask a voter for its disk before it is taken for emptied

It had lost its disk while it was a spare; other voters still remembered the disk before. Until they heard of the new one they took the voter for emptied: it did not count as heard, and each of them spent a round of agreement on it.

The answer to the question for its disk now updates what is remembered, and a disk that votes already is not proposed again.

--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -143,6 +143,7 @@
 	if answer.Self.Identity == "" {
 		return consensus.Voter{}, errors.NotFoundf("data folder of entry %s", entry)
 	}
+	r.noteDisk(entry, answer.Self.Identity)
 	return answer.Self, nil
 }
 
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -229,6 +229,10 @@
 	ctx, cancel := context.WithTimeout(ctx, mendTimeout)
 	defer cancel()
 	voter, err := r.identify(ctx, a.New)
+	if err == nil && slices.Contains(r.current.Load().Voters, voter) {
+		// What was known of its disk was out of date.
+		return false
+	}
 	if err == nil {
 		c := consensus.Command{Kind: consensus.Replace, Old: a.Old, New: voter, Expect: version}
 		if a.Old == "" {
--- a/internal/register/mend_test.go
+++ b/internal/register/mend_test.go
@@ -198,3 +198,19 @@
 		f.inForce(2, 5*time.Second, "v1", "v2", "v3", "v4")
 	})
 }
+
+// Guards against a voter that is taken for emptied because of what was last heard of its disk.
+func TestStaleWordOfADiskIsNoLostDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		changes := &voterChanges{}
+		f := newWidenedFleet(t, changes)
+		defer f.stopAll()
+		before := f.nodes["v1"].State().Version
+		f.nodes["v1"].noteDisk("v3", "the disk before this one")
+		time.Sleep(catchUp)
+		qt.Assert(t, f.nodes["v1"].State().Version, qt.Equals, before)
+		changes.mu.Lock()
+		defer changes.mu.Unlock()
+		qt.Assert(t, changes.causes, qt.HasLen, 2)
+	})
+}
