Take an entry in again that was forgotten in a long cut and is heard

For up to two minutes after the cut had healed, the others refused to know it, and it them. Another core VM lost power 5 s after the cut, and a change got no answer: two of three voters were there and did not talk to each other.

The dead are forgotten after 30 s, and news of a forgotten life are refused for 2 minutes, so that those who have not forgotten yet don't bring it back. Nothing told news of the dead from word of one that is alive.

Now whoever tells of an entry says whether it hears it at present (itself it always does), and a life that is heard is taken in again. An entry that knows nobody any more asks all seeds once a second in place of one address drawn by lot each two.

Tests: TestLifeThatIsHeardAgainIsKnownAgain fails before; that hearsay brings nobody back is tested as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,10 +29,14 @@
 	Disk bool `cbor:"3,keyasint,omitempty"`
 	// Carries is how many targets it can hold; zero where it does not say.
 	Carries int `cbor:"4,keyasint,omitempty"`
+	// Heard says that the teller hears this life at present. It is of the telling, and
+	// not kept in a book.
+	Heard bool `cbor:"5,keyasint,omitempty"`
 }
 
-// forgottenFor is how long the news of a forgotten life are refused. Others
-// forget it within seconds of this entry, and would bring it back until then.
+// forgottenFor is how long the news of a forgotten life are refused of those who do not
+// hear it. Others forget it within seconds of this entry, and would bring it back until
+// then.
 const forgottenFor = 2 * time.Minute
 
 // Book is what one entry knows of the others. It is safe for concurrent use and
@@ -68,11 +72,12 @@
 		if ok && known.Owner.Incarnation >= r.Owner.Incarnation {
 			continue
 		}
-		if d, gone := b.forgotten[r.Owner.Entry]; gone && r.Owner.Incarnation <= d.life && now.Before(d.until) {
+		if d, gone := b.forgotten[r.Owner.Entry]; gone && !r.Heard && r.Owner.Incarnation <= d.life && now.Before(d.until) {
 			continue
 		}
-		b.records[r.Owner.Entry] = r
 		news = append(news, r)
+		r.Heard = false
+		b.records[r.Owner.Entry] = r
 	}
 	return news
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -41,6 +41,40 @@
 	qt.Assert(t, b.All(), qt.HasLen, 2)
 }
 
+// Guards against entries that refuse each other for minutes after a cut that outlasted
+// their memory.
+func TestLifeThatIsHeardAgainIsKnownAgain(t *testing.T) {
+	var mesh peertest.Network
+	var seeds []string
+	entries := map[job.EntryID]*entry{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, name := range []job.EntryID{"a", "b", "c"} {
+		e := newEntry(&mesh, name, func() []string { return seeds }, "s")
+		e.server.Start()
+		defer e.server.Close()
+		entries[name] = e
+		wg.Go(func() { e.tellNews(ctx) })
+	}
+	defer wg.Wait()
+	defer cancel()
+	a, b, c := entries["a"], entries["b"], entries["c"]
+	seeds = []string{a.server.Listener.Addr().String()}
+	b.join(ctx, seeds[0])
+	c.join(ctx, seeds[0])
+	for _, forgets := range [][2]job.EntryID{{"a", "b"}, {"c", "b"}, {"b", "a"}, {"b", "c"}} {
+		entries[forgets[0]].opts.Book.Forget(time.Now(), forgets[1])
+	}
+	b.join(ctx, seeds[0])
+	deadline := time.Now().Add(5 * time.Second)
+	for _, e := range entries {
+		for len(e.opts.Book.All()) < len(entries) && time.Now().Before(deadline) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		qt.Check(t, e.opts.Book.All(), qt.HasLen, len(entries), qt.Commentf("%s", e.opts.Book.self.Owner.Entry))
+	}
+}
+
 // entry is one joiner behind a real listener.
 type entry struct {
 	*Joiner
--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -32,6 +32,9 @@
 	// firstJoins is the pace of joins until an entry has answered: all entries of
 	// a fleet start within some hundred milliseconds of each other.
 	firstJoins = 100 * time.Millisecond
+	// aloneJoins is the pace of joins of an entry that was cut off until it knew nobody
+	// any more.
+	aloneJoins = time.Second
 	// exchangePeriod is the pace of the exchange afterwards. It bounds how long
 	// two parts that started apart stay unknown to each other.
 	exchangePeriod = 2 * time.Second
@@ -55,6 +58,8 @@
 	Seeds func() []string
 	// Secret signs joins; empty on a trusted network.
 	Secret []byte
+	// Heard reports whether a life of another entry is heard at present; nil hears none.
+	Heard func(job.Owner) bool
 	// OnNews gets each record that was new, one call at a time.
 	OnNews func(Record)
 	Log    *slog.Logger
@@ -129,10 +134,14 @@
 	wg.Go(func() { j.tellNews(ctx) })
 	for ctx.Err() == nil {
 		wait := exchangePeriod
-		if !j.Joined() {
+		switch {
+		case !j.Joined():
 			wait = firstJoins
 			j.joinAll(ctx, &wg)
-		} else {
+		case j.alone():
+			wait = aloneJoins
+			j.joinAll(ctx, &wg)
+		default:
 			j.exchangeOne(ctx)
 		}
 		select {
@@ -143,6 +152,9 @@
 	return nil
 }
 
+// alone reports whether no other entry is known.
+func (j *Joiner) alone() bool { return len(j.opts.Book.All()) == 1 }
+
 // joinAll asks all seeds side by side, and waits for none: each may be down. A seed
 // without power swallows the first packet, and the kernel sends the next a second
 // later; only a new connection finds it once it is back. Waited for, it would also
@@ -176,9 +188,21 @@
 // Meet exchanges with an entry that linked itself without being known before.
 func (j *Joiner) Meet(address string) { j.join(context.Background(), address) }
 
+// told is what this entry tells others: all that it knows, and whom of them it hears.
+// Who was forgotten in a long cut is taken in again by that alone.
+func (j *Joiner) told() []Record {
+	records := j.opts.Book.All()
+	for i := range records {
+		r := &records[i]
+		self := r.Owner.Entry == j.opts.Mesh.Self().Entry
+		r.Heard = self || j.opts.Heard != nil && j.opts.Heard(r.Owner)
+	}
+	return records
+}
+
 // join tells one address all that is known and learns what is known there.
 func (j *Joiner) join(ctx context.Context, address string) {
-	answer, err := j.post(ctx, address, exchange{j.opts.Book.All()})
+	answer, err := j.post(ctx, address, exchange{j.told()})
 	if err != nil {
 		j.opts.Log.Debug("a seed does not answer", "address", address, "error", err)
 		return
@@ -289,7 +313,7 @@
 		return
 	}
 	j.Learn(e.Records...)
-	raw, err := cbor.Marshal(exchange{j.opts.Book.All()})
+	raw, err := cbor.Marshal(exchange{j.told()})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/entry/discover.go
+++ b/internal/entry/discover.go
@@ -58,7 +58,7 @@
 		seeds = func() []string { return e.opts.Settings.Seeds }
 	}
 	e.joiner = discovery.New(discovery.Options{
-		Book: e.book, Mesh: e.links, Seeds: seeds, Secret: e.opts.Settings.PeerSecret,
+		Book: e.book, Mesh: e.links, Seeds: seeds, Secret: e.opts.Settings.PeerSecret, Heard: e.hears,
 		OnNews: e.found, Log: e.log,
 	})
 }
@@ -69,6 +69,14 @@
 	e.members.Add(membership.Peer{Entry: r.Owner.Entry, Zone: r.Owner.Zone, Reserve: r.Disk, Carries: r.Carries})
 }
 
+// hears reports whether a life of another entry is heard at present.
+func (e *Entry) hears(life job.Owner) bool {
+	view := e.members.View()
+	m, known := view.Get(life.Entry)
+	heard := m.State == membership.Alive || m.State == membership.Draining
+	return known && heard && m.Incarnation == life.Incarnation
+}
+
 // foundNames returns the names of the found entries.
 func (e *Entry) foundNames() []job.EntryID {
 	if e.book == nil {
