Watch disks at the full pace among each other in large fleets

Entries with a disk now send each other heartbeats at the full pace, and take each other's silence by the times of a small fleet, unless there are more than 64 of them. Others that vouch for a silent disk by a list that is told in turn may still hold its death up for 4 s in all.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -205,22 +205,45 @@
 	return peer.Stretched(t, len(d.peers))
 }
 
+// closest returns whom this entry watches at the full pace also in a large fleet: if it
+// has a disk, the others that have one, unless they are as many as a full-paced fleet.
+// A lost voter has to be replaced within seconds, however large the fleet.
+func (d *Detector) closest() map[job.EntryID]bool {
+	if !d.self.Reserve || len(d.peers) <= peer.FullPace {
+		return nil
+	}
+	disks := map[job.EntryID]bool{}
+	for _, p := range d.peers {
+		if p.Reserve {
+			disks[p.Entry] = true
+		}
+	}
+	if len(disks) > peer.FullPace {
+		return nil
+	}
+	return disks
+}
+
 // Tick declares what silence has made certain. refused reports whether
 // connections to an entry are refused by its machine, which proves that the
 // process does not run.
 func (d *Detector) Tick(now time.Time, refused func(job.EntryID) bool) []Change {
 	var changes []Change
-	hold := d.stretched(vouchHold)
+	closest := d.closest()
 	for _, p := range d.peers {
+		stretched := d.stretched
+		if closest[p.Entry] {
+			stretched = func(t time.Duration) time.Duration { return t }
+		}
 		silent := now.Sub(p.heard)
-		vouched := now.Sub(p.vouched) <= hold
+		vouched := now.Sub(p.vouched) <= stretched(vouchHold)
 		switch {
 		case p.State == Left, p.State == Dead:
 		case silent > refusedAfter && !vouched && refused(p.Entry):
 			changes = d.set(p, now, Dead, p.Incarnation, "its machine refuses connections", changes)
-		case silent > d.stretched(p.timings.DeadAfter) && !vouched:
+		case silent > stretched(p.timings.DeadAfter) && !vouched:
 			changes = d.set(p, now, Dead, p.Incarnation, fmt.Sprintf("silent for %s and heard by nobody", silent), changes)
-		case silent > d.stretched(p.timings.SuspectAfter) && p.State == Alive:
+		case silent > stretched(p.timings.SuspectAfter) && p.State == Alive:
 			changes = d.set(p, now, Suspect, p.Incarnation, fmt.Sprintf("silent for %s", silent), changes)
 		}
 	}
--- a/internal/membership/pace_test.go
+++ b/internal/membership/pace_test.go
@@ -71,6 +71,37 @@
 	qt.Assert(t, m.detector.stretched(time.Second), qt.Equals, time.Second)
 }
 
+// Guards against a lost voter that a large fleet notices later than its place must be filled.
+func TestDisksOfALargeFleetWatchEachOtherClosely(t *testing.T) {
+	const seconds = 10
+	now := time.Unix(1_000, 0)
+	m := largeFleet(now, 300)
+	disks := []job.EntryID{"e-010", "e-011", "e-012", "e-013"}
+	for _, e := range append(disks, "self") {
+		m.detector.Add(now, Peer{Entry: e, Reserve: true})
+	}
+	sent := map[job.EntryID]int{}
+	hear := func(e job.EntryID) {
+		m.detector.Hear(now, job.Owner{Entry: e, Incarnation: 1}, Alive, nil)
+	}
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(InZone.Period) {
+		for _, d := range m.due(now, false) {
+			sent[d.to]++
+		}
+		for _, e := range append(disks, "e-020") {
+			hear(e)
+		}
+	}
+	for _, e := range disks {
+		qt.Check(t, sent[e], qt.Equals, int(seconds*time.Second/InZone.Period), qt.Commentf("%s", e))
+	}
+	qt.Check(t, sent["e-020"] < sent["e-010"]/2, qt.IsTrue)
+	now = now.Add(InZone.DeadAfter + InZone.Period)
+	m.detector.Tick(now, m.opts.Refused)
+	qt.Check(t, m.detector.peer("e-010").State, qt.Equals, Dead)
+	qt.Check(t, m.detector.peer("e-020").State, qt.Equals, Alive)
+}
+
 // In a large fleet an owner hands work to a holder that last heard its heartbeat a
 // second ago, or that has not heard this life at all. The holder must not take it for
 // silent and stop the work at once: the caller would get no answer.
