Log each decision of an entry, and show its figures as text

Commands that answer an operator keep standard output for the answer.

Tests: TestEntryLogsItsDecisionsAndShowsFigures and TestWrongMetricsAddressIsRefused fail before (unknown argument).

--- a/cmd/vanillagrade/entry.go
+++ b/cmd/vanillagrade/entry.go
@@ -4,6 +4,11 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/entry"
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -17,6 +22,7 @@
 	CallerAddr   string `arg:"--caller-addr,env:VANILLAGRADE_CALLER_ADDR,required" placeholder:"IP:PORT" help:"where callers and targets come"`
 	PeerAddr     string `arg:"--peer-addr,env:VANILLAGRADE_PEER_ADDR,required" placeholder:"IP:PORT" help:"where other entries come"`
 	OperatorAddr string `arg:"--operator-addr,env:VANILLAGRADE_OPERATOR_ADDR,required" placeholder:"IP:PORT" help:"where operators come"`
+	MetricsAddr  string `arg:"--metrics-addr,env:VANILLAGRADE_METRICS_ADDR" placeholder:"IP:PORT" help:"where figures are shown as text, at /metrics"`
 	Peers        string `arg:"--peers,env:VANILLAGRADE_PEERS" placeholder:"NAME=ZONE@IP:PORT,..." help:"all entries by their peer addresses"`
 	Data         string `arg:"--data,env:VANILLAGRADE_DATA" placeholder:"DIR" help:"folder on a disk, on VMs that have one"`
 	Voters       string `arg:"--voters,env:VANILLAGRADE_VOTERS" placeholder:"NAME,..." help:"the entries with a disk that agree on configurations"`
@@ -33,6 +39,7 @@
 		CallerAddr:   c.CallerAddr,
 		PeerAddr:     c.PeerAddr,
 		OperatorAddr: c.OperatorAddr,
+		MetricsAddr:  c.MetricsAddr,
 		DataDir:      c.Data,
 		Voters:       settings.ParseNames(c.Voters),
 		Processors:   c.Processors,
@@ -55,12 +62,25 @@
 	return s, s.Check()
 }
 
-func (c *entryCmd) run(ctx context.Context, _, stderr io.Writer) int {
+func (c *entryCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
 	s, err := c.settings()
 	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
-	e, err := entry.New(entry.Options{Settings: *s, Log: slog.Default()})
+	lines := logTo(ctx, stdout)
+	defer lines.Close()
+	options := entry.Options{Settings: *s, Log: slog.Default(), LogEvents: true}
+	if s.MetricsAddr != "" {
+		l, err := net.Listen("tcp", s.MetricsAddr)
+		if err != nil {
+			return fail(stderr, exitUsage, errors.Annotate(err, "--metrics-addr"))
+		}
+		options.Attach = func(e *entry.Entry) []entry.Attached {
+			figures := &http.Server{Handler: e.Metrics(lines.Dropped), ReadHeaderTimeout: metricsHeaderTime}
+			return []entry.Attached{{Listener: l, Server: figures}}
+		}
+	}
+	e, err := entry.New(options)
 	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
@@ -69,3 +89,6 @@
 	}
 	return exitOK
 }
+
+// metricsHeaderTime bounds how long the header of a request for figures may take.
+const metricsHeaderTime = 5 * time.Second
--- /dev/null
+++ b/cmd/vanillagrade/entry_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/vanillagrade/vanillagrade/internal/fleet"
+)
+
+// output is what a command has written so far.
+type output struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.String()
+}
+
+// freeAddress returns an address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	l, err := fleet.Listen()
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(untilTime); !holds(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s has not come about", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against an entry whose refusals leave no line and no figure.
+func TestEntryLogsItsDecisionsAndShowsFigures(t *testing.T) {
+	caller, figures := freeAddress(t), freeAddress(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var stdout, stderr output
+	ended := make(chan int, 1)
+	go func() {
+		ended <- runMain(ctx, []string{
+			"entry", "--name", "a1", "--az", "a", "--caller-addr", caller, "--peer-addr", freeAddress(t),
+			"--operator-addr", freeAddress(t), "--metrics-addr", figures,
+		}, &stdout, &stderr)
+	}()
+	eventually(t, "a refusal", func() bool {
+		resp, err := http.Post("http://"+caller+"/v1/jobs", "application/json", strings.NewReader(`{"id":"early","service":"none","tasks":[{}]}`))
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	eventually(t, "the line of the refusal", func() bool {
+		return strings.Contains(stdout.String(), `"msg":"submission_answered"`) && strings.Contains(stdout.String(), `"request":"early"`)
+	})
+	resp, err := http.Get("http://" + figures + "/metrics")
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(body), qt.Contains, `vanillagrade_events_total{kind="submission_answered",reason="not_configured"}`)
+	cancel()
+	qt.Assert(t, <-ended, qt.Equals, exitOK)
+	qt.Check(t, stderr.String(), qt.Equals, "")
+}
+
+// Guards against a wrong metrics address that shows only after the start.
+func TestWrongMetricsAddressIsRefused(t *testing.T) {
+	var stdout, stderr output
+	code := runMain(t.Context(), []string{
+		"entry", "--name", "a1", "--az", "a", "--caller-addr", freeAddress(t), "--peer-addr", freeAddress(t),
+		"--operator-addr", freeAddress(t), "--metrics-addr", "everywhere",
+	}, &stdout, &stderr)
+	qt.Check(t, code, qt.Equals, exitUsage)
+	qt.Check(t, stderr.String(), qt.Contains, `--metrics-addr: "everywhere" is not IP:PORT`)
+}
--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/eventlog"
 )
 
 // Exit codes of every subcommand.
@@ -98,6 +100,20 @@
 	return nil
 }
 
+// logTo makes JSON lines to out the process's log, at the level set before: within the
+// budget of lines, and never waiting for their reader. The caller closes the writer.
+func logTo(ctx context.Context, out io.Writer) *eventlog.Writer {
+	level := slog.LevelError
+	for _, l := range []slog.Level{slog.LevelWarn, slog.LevelInfo, slog.LevelDebug} {
+		if slog.Default().Enabled(ctx, l) {
+			level = l
+		}
+	}
+	lines := eventlog.NewWriter(out)
+	slog.SetDefault(slog.New(eventlog.Limit(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))))
+	return lines
+}
+
 // fail prints one line and returns code.
 func fail(stderr io.Writer, code int, err error) int {
 	fmt.Fprintln(stderr, "vanillagrade:", err)
--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -14,7 +14,6 @@
 	"github.com/vanillagrade/vanillagrade/internal/awake"
 	"github.com/vanillagrade/vanillagrade/internal/discovery"
 	"github.com/vanillagrade/vanillagrade/internal/entry"
-	"github.com/vanillagrade/vanillagrade/internal/eventlog"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/platform"
 )
@@ -28,9 +27,8 @@
 const reloadEvery = 2 * time.Second
 
 func (c *platformCmd) run(ctx context.Context, stdout, stderr io.Writer) int {
-	lines := eventlog.NewWriter(stdout)
+	lines := logTo(ctx, stdout)
 	defer lines.Close()
-	slog.SetDefault(slog.New(eventlog.Limit(slog.NewJSONHandler(lines, nil))))
 	s, err := platform.ReadSettings()
 	if err != nil {
 		printProblems(stderr, err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 	CallerAddr   string
 	PeerAddr     string
 	OperatorAddr string
+	// MetricsAddr is where the figures are shown as text; empty for nowhere.
+	MetricsAddr string
 	// Peers are all entries; this one may stand among them.
 	Peers []Peer
 	// DataDir is the folder on a disk, or empty on a VM without one.
@@ -115,7 +117,10 @@
 	if e.Zone == "" || len(e.Zone) > maxNameBytes {
 		return errors.Errorf("--az must have 1 to %d bytes", maxNameBytes)
 	}
-	for flag, address := range map[string]string{"--caller-addr": e.CallerAddr, "--peer-addr": e.PeerAddr, "--operator-addr": e.OperatorAddr} {
+	for flag, address := range map[string]string{"--caller-addr": e.CallerAddr, "--peer-addr": e.PeerAddr, "--operator-addr": e.OperatorAddr, "--metrics-addr": e.MetricsAddr} {
+		if address == "" && flag == "--metrics-addr" {
+			continue
+		}
 		if e.Discover && address == "" && flag == "--caller-addr" {
 			continue // an entry that only votes takes no callers
 		}
