Name the liveness of voters by the terms of the membership

The states that the plan of the voters judges by had names of their own (heard, away, leaving, gone) beside the membership's alive, suspect, draining, dead; the reasons follow (healthy, voter_suspect, voter_dead, voter_draining, voter_disk_lost, zone_has_majority). No decision changes.

--- a/internal/discovery/join.go
+++ b/internal/discovery/join.go
@@ -32,9 +32,9 @@
 	// firstJoins is the pace of joins until an entry has answered: all entries of
 	// a fleet start within some hundred milliseconds of each other.
 	firstJoins = 100 * time.Millisecond
-	// aloneJoins is the pace of joins of an entry that was cut off until it knew nobody
+	// isolatedJoins is the pace of joins of an entry that was cut off until it knew nobody
 	// any more.
-	aloneJoins = time.Second
+	isolatedJoins = time.Second
 	// exchangePeriod is the pace of the exchange afterwards. It bounds how long
 	// two parts that started apart stay unknown to each other.
 	exchangePeriod = 2 * time.Second
@@ -138,8 +138,8 @@
 		case !j.Joined():
 			wait = firstJoins
 			j.joinAll(ctx, &wg)
-		case j.alone():
-			wait = aloneJoins
+		case j.isolated():
+			wait = isolatedJoins
 			j.joinAll(ctx, &wg)
 		default:
 			j.exchangeOne(ctx)
@@ -152,8 +152,8 @@
 	return nil
 }
 
-// alone reports whether no other entry is known.
-func (j *Joiner) alone() bool { return len(j.opts.Book.All()) == 1 }
+// isolated reports whether no other entry is known.
+func (j *Joiner) isolated() bool { return len(j.opts.Book.All()) == 1 }
 
 // joinAll asks all seeds side by side, and waits for none: each may be down. A seed
 // without power swallows the first packet, and the kernel sends the next a second
@@ -188,9 +188,9 @@
 // Meet exchanges with an entry that linked itself without being known before.
 func (j *Joiner) Meet(address string) { j.join(context.Background(), address) }
 
-// told is what this entry tells others: all that it knows, and whom of them it hears.
+// recordsToSend is what this entry tells others: all that it knows, and whom of them it hears.
 // Who was forgotten in a long cut is taken in again by that alone.
-func (j *Joiner) told() []Record {
+func (j *Joiner) recordsToSend() []Record {
 	records := j.opts.Book.All()
 	for i := range records {
 		r := &records[i]
@@ -202,7 +202,7 @@
 
 // join tells one address all that is known and learns what is known there.
 func (j *Joiner) join(ctx context.Context, address string) {
-	answer, err := j.post(ctx, address, exchange{j.told()})
+	answer, err := j.post(ctx, address, exchange{j.recordsToSend()})
 	if err != nil {
 		j.opts.Log.Debug("a seed does not answer", "address", address, "error", err)
 		return
@@ -313,7 +313,7 @@
 		return
 	}
 	j.Learn(e.Records...)
-	raw, err := cbor.Marshal(exchange{j.told()})
+	raw, err := cbor.Marshal(exchange{j.recordsToSend()})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/entry/discover.go
+++ b/internal/entry/discover.go
@@ -144,21 +144,21 @@
 			continue
 		}
 		out = append(out, voters.Disk{
-			Entry: m.Entry, Zone: m.Zone, Presence: presenceOf(m.State),
+			Entry: m.Entry, Zone: m.Zone, Liveness: livenessOf(m.State),
 			Stopped: m.State == membership.Left, Since: m.Since,
 		})
 	}
 	return out
 }
 
-func presenceOf(s membership.State) voters.Presence {
+func livenessOf(s membership.State) voters.Liveness {
 	switch s {
 	case membership.Alive:
-		return voters.Heard
+		return voters.Alive
 	case membership.Draining:
-		return voters.Leaving
+		return voters.Draining
 	case membership.Dead, membership.Left:
-		return voters.Gone
+		return voters.Dead
 	}
-	return voters.Away
+	return voters.Suspect
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -85,12 +85,12 @@
 	busy := m.busy()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	closest := m.detector.closest()
+	fullPace := m.detector.fullPacePeers()
 	var peers, others []*peerState
 	for _, p := range m.detector.peers {
 		switch {
 		case !all && now.Sub(m.sent[p.Entry]) < p.timings.Period-slack:
-		case all || busy[p.Entry] || closest[p.Entry]:
+		case all || busy[p.Entry] || fullPace[p.Entry]:
 			peers = append(peers, p)
 		default:
 			others = append(others, p)
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -205,10 +205,10 @@
 	return peer.Stretched(t, len(d.peers))
 }
 
-// closest returns whom this entry watches at the full pace also in a large fleet: if it
+// fullPacePeers returns whom this entry watches at the full pace also in a large fleet: if it
 // has a disk, the others that have one, unless they are as many as a full-paced fleet.
 // A lost voter has to be replaced within seconds, however large the fleet.
-func (d *Detector) closest() map[job.EntryID]bool {
+func (d *Detector) fullPacePeers() map[job.EntryID]bool {
 	if !d.self.Reserve || len(d.peers) <= peer.FullPace {
 		return nil
 	}
@@ -229,10 +229,10 @@
 // process does not run.
 func (d *Detector) Tick(now time.Time, refused func(job.EntryID) bool) []Change {
 	var changes []Change
-	closest := d.closest()
+	fullPace := d.fullPacePeers()
 	for _, p := range d.peers {
 		stretched := d.stretched
-		if closest[p.Entry] {
+		if fullPace[p.Entry] {
 			stretched = func(t time.Duration) time.Duration { return t }
 		}
 		silent := now.Sub(p.heard)
--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -4,15 +4,13 @@
 //
 // The pattern that it answers is VMs whose disks are lost or that are replaced
 // for good, one after the other, while others are restarted, frozen or cut off
-// for seconds. A set that keeps a lost voter bears one loss less than the fleet is
-// run for, and the next loss takes the register with it for good: no majority is
-// left to agree on a repair.
+// for seconds. A set that keeps a dead voter tolerates one failure less than the fleet
+// is configured for, and the next one can take the majority for good: none is left to
+// agree on a repair.
 //
-// So a voter that is gone gives its place to a spare disk at once, and not after the
-// time in which it might return. A needless replacement costs two rounds of synced
-// writes and is harmless: who returns is a spare, and its old vote counts no more.
-// That the VM of a lost voter counts as made up for is known to the platform alone,
-// which says only how long that takes at least; nothing here waits for it.
+// So a dead voter gives its place to a spare disk at once, and not after the time in
+// which it might return. A needless replacement costs two rounds of synced writes and
+// is harmless: a voter that returns is a spare, and its old vote counts no more.
 package voters
 
 import (
@@ -24,9 +22,9 @@
 )
 
 const (
-	// AwayTime is how long a voter must have been away before it is replaced, beside
-	// being gone: a process that is restarted at once is back sooner, though its
-	// machine's refusal of connections has shown its end.
+	// AwayTime is how long a dead voter must have been silent before it is replaced: a
+	// process that is restarted at once is back sooner, though its machine's refusal of
+	// connections has shown its end.
 	AwayTime = 1500 * time.Millisecond
 	// SettledTime is how long a spare disk must have been heard without a break.
 	SettledTime = time.Second
@@ -35,36 +33,36 @@
 	TurnTime = 1500 * time.Millisecond
 )
 
-// Presence is how an entry is seen by the one that judges.
-type Presence uint8
+// Liveness is how the entry that judges sees another one.
+type Liveness uint8
 
-// The presences.
+// The kinds of liveness.
 const (
-	// Away: not heard, and not for long enough to be taken for gone.
-	Away Presence = iota
-	// Heard: alive.
-	Heard
-	// Leaving: alive, and about to stop as planned.
-	Leaving
-	// Gone: taken for dead, or stopped.
-	Gone
+	// Suspect has not been heard lately, and may be alive.
+	Suspect Liveness = iota
+	// Alive is heard.
+	Alive
+	// Draining is heard, and about to stop as planned.
+	Draining
+	// Dead has been declared dead, or has stopped.
+	Dead
 )
 
-// String returns the presence as logs show it.
-func (p Presence) String() string {
-	switch p {
-	case Heard:
-		return "heard"
-	case Leaving:
-		return "leaving"
-	case Gone:
-		return "gone"
+// String returns the liveness as logs show it.
+func (l Liveness) String() string {
+	switch l {
+	case Alive:
+		return "alive"
+	case Draining:
+		return "draining"
+	case Dead:
+		return "dead"
 	}
-	return "away"
+	return "suspect"
 }
 
-// alive reports whether the entry still takes part.
-func (p Presence) alive() bool { return p == Heard || p == Leaving }
+// running reports whether the entry still takes part.
+func (l Liveness) running() bool { return l == Alive || l == Draining }
 
 // Disk is one entry with a data folder, voter or not.
 type Disk struct {
@@ -75,25 +73,25 @@
 	// Foreign says that the entry's disk is not the one that the register
 	// names: the named one was lost.
 	Foreign  bool
-	Presence Presence
-	// Stopped says of one that is gone that it said so itself.
+	Liveness Liveness
+	// Stopped says of a dead one that it announced its stop.
 	Stopped bool
 	// Since is from when on the entry has been alive without a break, or has not been.
 	Since time.Time
 }
 
 // Votes reports whether the entry is alive and holds the vote that the register names.
-func (d *Disk) Votes() bool { return d.Voter && !d.Foreign && d.Presence.alive() }
+func (d *Disk) Votes() bool { return d.Voter && !d.Foreign && d.Liveness.running() }
 
 // Spare reports whether the entry is alive to stay and does not vote.
-func (d *Disk) Spare() bool { return !d.Voter && d.Presence == Heard }
+func (d *Disk) Spare() bool { return !d.Voter && d.Liveness == Alive }
 
-// lost reports whether the voter's place is to be given away.
-func (d *Disk) lost(now time.Time) bool {
-	switch d.Presence {
-	case Leaving:
+// replaceable reports whether the voter's place is to be given away.
+func (d *Disk) replaceable(now time.Time) bool {
+	switch d.Liveness {
+	case Draining:
 		return true
-	case Gone:
+	case Dead:
 		return d.Stopped || now.Sub(d.Since) >= AwayTime
 	}
 	return false
@@ -113,20 +111,20 @@
 
 // The reasons.
 const (
-	// Whole says that every voter is heard and the set is as wide as asked.
-	Whole Reason = "whole"
-	// Emptied says that a voter came back with an empty disk.
-	Emptied Reason = "voter_emptied"
-	// Lost says that a voter is gone and a spare disk takes its place.
-	Lost Reason = "voter_lost"
-	// Retiring says that a voter stops as planned and a spare disk takes its place.
-	Retiring Reason = "voter_leaving"
-	// Narrow says that the fleet has to bear more losses than its voters do.
-	Narrow Reason = "too_few_voters"
-	// Crowded says that the loss of one availability zone would take the majority.
-	Crowded Reason = "zone_has_majority"
-	// Awaited says that a voter is away and not taken for gone.
-	Awaited Reason = "voter_awaited"
+	// Healthy says that every voter is alive and there are as many as asked.
+	Healthy Reason = "healthy"
+	// DiskLost says that a voter came back with an empty disk.
+	DiskLost Reason = "voter_disk_lost"
+	// VoterDead says that a voter is dead and a spare disk takes its place.
+	VoterDead Reason = "voter_dead"
+	// VoterDraining says that a voter stops as planned and a spare disk takes its place.
+	VoterDraining Reason = "voter_draining"
+	// TooFew says that the fleet has to tolerate more failures than its voters do.
+	TooFew Reason = "too_few_voters"
+	// ZoneMajority says that the loss of one availability zone would take the majority.
+	ZoneMajority Reason = "zone_has_majority"
+	// VoterSuspect says that a voter is silent and not dead for long enough.
+	VoterSuspect Reason = "voter_suspect"
 	// NoSpare says that a change is due and no spare disk is fit for it.
 	NoSpare Reason = "no_spare_disk"
 )
@@ -149,34 +147,34 @@
 	disks = slices.Clone(disks)
 	slices.SortFunc(disks, func(a, b Disk) int { return cmp.Compare(a.Entry, b.Entry) })
 	for _, d := range disks {
-		if d.Voter && d.Foreign && d.Presence.alive() {
-			return Verdict{Emptied, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
+		if d.Voter && d.Foreign && d.Liveness.running() {
+			return Verdict{DiskLost, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
 		}
 	}
-	found := Verdict{Reason: Whole}
-	for _, presence := range []Presence{Gone, Leaving, Away} {
+	found := Verdict{Reason: Healthy}
+	for _, liveness := range []Liveness{Dead, Draining, Suspect} {
 		for _, d := range disks {
-			if !d.Voter || d.Presence != presence {
+			if !d.Voter || d.Liveness != liveness {
 				continue
 			}
 			v := replace(now, disks, &d)
 			if v.Due() {
 				return v
 			}
-			if found.Reason == Whole {
+			if found.Reason == Healthy {
 				found = v
 			}
 		}
 	}
 	if count(disks) < want {
 		if spare, ok := pick(now, disks, ""); ok {
-			return Verdict{Reason: Narrow, Action: Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}}
+			return Verdict{Reason: TooFew, Action: Action{New: spare, Cause: "the fleet has to bear more losses than its voters do"}}
 		}
-		if found.Reason == Whole {
+		if found.Reason == Healthy {
 			found.Reason = NoSpare
 		}
 	}
-	if found.Reason != Whole {
+	if found.Reason != Healthy {
 		return found
 	}
 	return spread(now, disks)
@@ -184,20 +182,20 @@
 
 // replace judges one voter that is not there to stay.
 func replace(now time.Time, disks []Disk, d *Disk) Verdict {
-	if !d.lost(now) {
-		return Verdict{Reason: Awaited, Voter: d.Entry}
+	if !d.replaceable(now) {
+		return Verdict{Reason: VoterSuspect, Voter: d.Entry}
 	}
 	spare, ok := pick(now, disks, d.Entry)
 	switch {
-	case !ok && d.Presence == Leaving:
+	case !ok && d.Liveness == Draining:
 		// It votes until it stops, and returns with its disk.
-		return Verdict{Reason: Whole}
+		return Verdict{Reason: Healthy}
 	case !ok:
 		return Verdict{Reason: NoSpare, Voter: d.Entry}
-	case d.Presence == Leaving:
-		return Verdict{Retiring, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter stops as planned"}}
+	case d.Liveness == Draining:
+		return Verdict{VoterDraining, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter stops as planned"}}
 	}
-	return Verdict{Lost, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter is gone"}}
+	return Verdict{VoterDead, d.Entry, Action{Old: d.Entry, New: spare, Cause: "the voter is dead"}}
 }
 
 // spread has a voter of a zone that holds a majority of them give its place to a spare
@@ -215,10 +213,10 @@
 		}
 		i := slices.IndexFunc(disks, func(x Disk) bool { return x.Entry == spare })
 		if zone := disks[i].Zone; zone != d.Zone && !majority(inZone[zone]+1, count(disks)) {
-			return Verdict{Crowded, d.Entry, Action{Old: d.Entry, New: spare, Cause: "one availability zone holds a majority of the voters"}}
+			return Verdict{ZoneMajority, d.Entry, Action{Old: d.Entry, New: spare, Cause: "one availability zone holds a majority of the voters"}}
 		}
 	}
-	return Verdict{Reason: Whole}
+	return Verdict{Reason: Healthy}
 }
 
 func majority(n, of int) bool { return n > 1 && 2*n > of }
@@ -233,7 +231,7 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b job.EntryID) int {
-		if v.Reason == Retiring && a != b && (a == v.Voter || b == v.Voter) {
+		if v.Reason == VoterDraining && a != b && (a == v.Voter || b == v.Voter) {
 			if a == v.Voter {
 				return -1
 			}
--- a/internal/register/mend.go
+++ b/internal/register/mend.go
@@ -36,8 +36,8 @@
 type Mend struct {
 	// Want is how many voters the fleet needs.
 	Want int
-	// Within is how soon a voter that is gone has to be replaced: from then on the
-	// fleet has to bear the next loss. Zero where the settings don't say.
+	// Within is how soon a dead voter has to be replaced: from then on the fleet has to
+	// tolerate the next failure. Zero where the settings don't say.
 	Within time.Duration
 	// Disks lists the entries with a data folder as this entry sees them; the
 	// register fills in who votes, and since when who is not alive is away.
@@ -91,7 +91,7 @@
 	disks := r.judgeDisks(s, now)
 	verdict := voters.Plan(now, disks, r.opts.Mend.Want)
 	order := voters.Order(disks, &verdict)
-	r.tellVerdict(s, disks, verdict, order)
+	r.logVerdict(s, disks, verdict, order)
 	due := dueChange{s.Version, verdict.Action}
 	if due != r.mending.due {
 		r.mending.due, r.mending.dueAt = due, now
@@ -128,9 +128,9 @@
 	acts   job.EntryID
 }
 
-// tellVerdict logs what a look at the voters found, when it differs from the last
+// logVerdict logs what a look at the voters found, when it differs from the last
 // one, and keeps the figures of the metrics.
-func (r *Register) tellVerdict(s *snapshot, disks []voters.Disk, v voters.Verdict, order []job.EntryID) {
+func (r *Register) logVerdict(s *snapshot, disks []voters.Disk, v voters.Verdict, order []job.EntryID) {
 	heard, spares := 0, 0
 	for _, d := range disks {
 		switch {
@@ -155,11 +155,11 @@
 	r.mending.judged = said
 	r.log.Info("voters judged", "reason", v.Reason, "voter", v.Voter, "spare", v.Action.New, "acts", acts,
 		"version", s.Version, "voters", len(s.Voters), "heard", heard, "losses_left", heard-majority,
-		"spare_disks", spares, "wanted", r.opts.Mend.Want, "disks", seen(disks, time.Now()))
+		"spare_disks", spares, "wanted", r.opts.Mend.Want, "disks", describe(disks, time.Now()))
 }
 
-// seen words how each disk is seen, and for how long.
-func seen(disks []voters.Disk, now time.Time) []string {
+// describe words how each disk is seen, and for how long.
+func describe(disks []voters.Disk, now time.Time) []string {
 	var out []string
 	for _, d := range disks {
 		role := "spare"
@@ -173,7 +173,7 @@
 		if !d.Since.IsZero() {
 			age = now.Sub(d.Since).Round(time.Millisecond).String()
 		}
-		out = append(out, fmt.Sprintf("%s: %s, %s for %s", d.Entry, role, d.Presence, age))
+		out = append(out, fmt.Sprintf("%s: %s, %s for %s", d.Entry, role, d.Liveness, age))
 	}
 	return out
 }
@@ -193,26 +193,26 @@
 		said, known := r.disks[v.Entry]
 		disks[i].Foreign = v.Entry != r.self && known && said != v.Identity
 	}
-	r.mending.date(disks, now)
+	r.mending.stampAway(disks, now)
 	return disks
 }
 
 // unknownVoter is a voter that this entry has not found, or has forgotten.
 func (r *Register) unknownVoter(e job.EntryID, now time.Time) voters.Disk {
-	d := voters.Disk{Entry: e, Presence: voters.Gone}
+	d := voters.Disk{Entry: e, Liveness: voters.Dead}
 	if now.Sub(r.started) < unknownTime {
-		d.Presence = voters.Away
+		d.Liveness = voters.Suspect
 	}
 	return d
 }
 
-// date fills in since when entries have not been alive. The membership's own date is
-// that of the last change of its judgement.
-func (m *mending) date(disks []voters.Disk, now time.Time) {
+// stampAway fills in since when entries have not been alive. The membership's own time
+// is that of the last change of state, such as from suspect to dead.
+func (m *mending) stampAway(disks []voters.Disk, now time.Time) {
 	away := map[job.EntryID]time.Time{}
 	for i := range disks {
 		d := &disks[i]
-		if d.Presence == voters.Heard || d.Presence == voters.Leaving {
+		if d.Liveness == voters.Alive || d.Liveness == voters.Draining {
 			continue
 		}
 		since, known := m.away[d.Entry]
@@ -246,14 +246,14 @@
 		r.log.Warn("the voters were not mended", "old", a.Old, "new", a.New, "cause", a.Cause, "error", errors.Cause(err).Error())
 		return false
 	}
-	r.tellMended(a, voter.Identity)
+	r.logMended(a, voter.Identity)
 	r.awaitVersion(ctx, version)
 	return true
 }
 
-// tellMended logs a change of the voters, with how long the place of a lost one was
+// logMended logs a change of the voters, with how long the place of a lost one was
 // empty.
-func (r *Register) tellMended(a voters.Action, identity consensus.Identity) {
+func (r *Register) logMended(a voters.Action, identity consensus.Identity) {
 	took := time.Duration(0)
 	if since, known := r.mending.away[a.Old]; known {
 		took = time.Since(since)
--- a/internal/register/mend_test.go
+++ b/internal/register/mend_test.go
@@ -31,11 +31,11 @@
 			if runs != alive[e] || since[e].IsZero() {
 				alive[e], since[e] = runs, time.Now()
 			}
-			presence := voters.Gone
+			liveness := voters.Dead
 			if runs {
-				presence = voters.Heard
+				liveness = voters.Alive
 			}
-			out = append(out, voters.Disk{Entry: e, Zone: job.Zone(e), Presence: presence, Since: since[e]})
+			out = append(out, voters.Disk{Entry: e, Zone: job.Zone(e), Liveness: liveness, Since: since[e]})
 		}
 		return out
 	}}
--- a/internal/register/series_test.go
+++ b/internal/register/series_test.go
@@ -27,15 +27,15 @@
 	made  int
 	begun map[job.EntryID]time.Time
 	ended map[job.EntryID]time.Time
-	// leaving are the entries that are about to stop as planned.
-	leaving map[job.EntryID]bool
+	// draining are the entries that are about to stop as planned.
+	draining map[job.EntryID]bool
 }
 
 func newSeries(t *testing.T, seed uint64, disks, want int) *series {
 	s := &series{
 		fleet: &fleet{t: t, nodes: map[job.EntryID]*member{}, net: newNetwork()},
 		r:     rand.New(rand.NewPCG(seed, uint64(want))),
-		begun: map[job.EntryID]time.Time{}, ended: map[job.EntryID]time.Time{}, leaving: map[job.EntryID]bool{},
+		begun: map[job.EntryID]time.Time{}, ended: map[job.EntryID]time.Time{}, draining: map[job.EntryID]bool{},
 	}
 	s.mend = &Mend{Want: want, Disks: s.seen}
 	for range disks {
@@ -66,16 +66,16 @@
 	defer s.mu.Unlock()
 	var out []voters.Disk
 	for _, e := range s.entries {
-		d := voters.Disk{Entry: e, Zone: job.Zone(e), Presence: voters.Heard, Since: s.begun[e]}
-		if s.leaving[e] {
-			d.Presence = voters.Leaving
+		d := voters.Disk{Entry: e, Zone: job.Zone(e), Liveness: voters.Alive, Since: s.begun[e]}
+		if s.draining[e] {
+			d.Liveness = voters.Draining
 		}
 		if at, gone := s.ended[e]; gone {
 			switch silent := time.Since(at); {
 			case silent >= declared:
-				d.Presence, d.Since = voters.Gone, at.Add(declared)
+				d.Liveness, d.Since = voters.Dead, at.Add(declared)
 			case silent >= suspected:
-				d.Presence, d.Since = voters.Away, at.Add(suspected)
+				d.Liveness, d.Since = voters.Suspect, at.Add(suspected)
 			}
 		}
 		out = append(out, d)
@@ -116,7 +116,7 @@
 // stopPlanned has an entry stop as planned.
 func (s *series) stopPlanned(e job.EntryID) {
 	s.mu.Lock()
-	s.leaving[e] = true
+	s.draining[e] = true
 	s.mu.Unlock()
 	s.nodes[e].Retire(s.t.Context())
 	s.lose(e)
