--- a/internal/register/series_test.go
+++ b/internal/register/series_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -54,11 +55,7 @@
 	return job.EntryID(fmt.Sprintf("v%02d", s.made))
 }
 
-func (s *series) add(e job.EntryID) {
-	s.begun[e] = time.Now()
-	delete(s.ended, e)
-	s.start(e, &storagetest.FS{})
-}
+func (s *series) add(e job.EntryID) { s.comeBack(e, &storagetest.FS{}) }
 
 // seen is what the membership tells of the disks: silence shows after a while only.
 func (s *series) seen() []voters.Disk {
@@ -98,9 +95,7 @@
 
 func (s *series) lose(e job.EntryID) {
 	s.crash(e, storagetest.KeepAll)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ended[e] = time.Now()
+	s.setEnded(e)
 }
 
 // addNext starts an empty disk of a new name.
@@ -108,9 +103,8 @@
 	e := s.name()
 	s.mu.Lock()
 	s.entries = append(s.entries, e)
-	s.begun[e] = time.Now()
 	s.mu.Unlock()
-	s.start(e, &storagetest.FS{})
+	s.add(e)
 }
 
 // stopPlanned has an entry stop as planned.
@@ -135,17 +129,41 @@
 }
 
 // powerOff stops all entries at once and starts them again from their disks.
-func (s *series) powerOff() {
+func (s *series) powerOff() { s.powerOffWithout(nil) }
+
+// powerOffWithout does so with the disks of some lost.
+func (s *series) powerOffWithout(lost []job.EntryID) {
+	running := s.alive()
 	disks := map[job.EntryID]*storagetest.FS{}
-	for _, e := range s.alive() {
+	for _, e := range running {
 		disks[e] = s.crash(e, storagetest.KeepNone)
+		s.setEnded(e)
+	}
+	for _, e := range lost {
+		disks[e] = &storagetest.FS{}
 	}
 	time.Sleep(time.Second)
-	for e, disk := range disks {
-		s.start(e, disk)
+	for _, e := range running {
+		s.comeBack(e, disks[e])
 	}
 }
 
+// setEnded notes that an entry has ended.
+func (s *series) setEnded(e job.EntryID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[e] = time.Now()
+}
+
+// comeBack starts an entry again.
+func (s *series) comeBack(e job.EntryID, disk *storagetest.FS) {
+	s.mu.Lock()
+	s.begun[e] = time.Now()
+	delete(s.ended, e)
+	s.mu.Unlock()
+	s.start(e, disk)
+}
+
 // Guards against a voter that is replaced only after the next loss that the fleet has to bear.
 func TestVotersReplacedInSeriesKeepTheirMajority(t *testing.T) {
 	cases := []struct {
@@ -203,3 +221,82 @@
 		}
 	}
 }
+
+// losses are the ways in which n entries are lost and replaced or come back. Each returns
+// when the next ones may be lost.
+var losses = map[string]func(s *series, n int, catchUp time.Duration){
+	"replaced": func(s *series, n int, catchUp time.Duration) {
+		s.replace(s.alive()[:n], s.upTo(2*time.Second), catchUp)
+	},
+	"replaced as planned": func(s *series, n int, catchUp time.Duration) {
+		for _, e := range s.alive()[:n] {
+			s.addNext()
+			time.Sleep(catchUp)
+			s.stopPlanned(e)
+		}
+	},
+	"disks lost": func(s *series, n int, catchUp time.Duration) {
+		s.away(s.alive()[:n], s.upTo(5*time.Second), false)
+		time.Sleep(catchUp)
+	},
+	"away for a while": func(s *series, n int, catchUp time.Duration) {
+		s.away(s.alive()[:n], s.upTo(8*time.Second), true)
+		time.Sleep(catchUp)
+	},
+	"all power lost, and disks": func(s *series, n int, catchUp time.Duration) {
+		s.powerOffWithout(s.alive()[:n])
+		time.Sleep(catchUp)
+	},
+}
+
+// away ends entries within a moment and has them come back, with their disks or with
+// empty ones.
+func (s *series) away(entries []job.EntryID, d time.Duration, keep bool) {
+	disks := map[job.EntryID]*storagetest.FS{}
+	for _, e := range entries {
+		disks[e] = &storagetest.FS{}
+		if found := s.crash(e, storagetest.KeepNone); keep {
+			disks[e] = found
+		}
+		s.setEnded(e)
+		time.Sleep(s.upTo(300 * time.Millisecond))
+	}
+	time.Sleep(d)
+	for _, e := range entries {
+		s.comeBack(e, disks[e])
+	}
+}
+
+func (s *series) upTo(d time.Duration) time.Duration { return time.Duration(s.r.Int64N(int64(d))) }
+
+// Guards against losses of different kinds in series that the voters don't outlive.
+func TestVotersOutliveLossesOfAllKindsInSeries(t *testing.T) {
+	sizes := []struct {
+		disks, want int
+		catchUp     time.Duration
+	}{{3, 3, 4 * time.Second}, {4, 3, 4 * time.Second}, {5, 5, 6 * time.Second}, {6, 5, 6 * time.Second}}
+	names := slices.Sorted(maps.Keys(losses))
+	for _, size := range sizes {
+		for seed := range uint64(lossSeeds) {
+			t.Run(fmt.Sprintf("%d disks/%d", size.disks, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSeries(t, seed, size.disks, size.want)
+					defer s.stopAll()
+					time.Sleep(10 * time.Second)
+					const rounds = 6
+					for round := range rounds {
+						s.mustApply(s.alive()[0], round+1)
+						time.Sleep(s.upTo(50 * time.Millisecond))
+						name := names[s.r.IntN(len(names))]
+						t.Log(name)
+						losses[name](s, 1+s.r.IntN(size.want/2), size.catchUp)
+					}
+					s.confirmedOn(s.alive(), rounds, 12*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// lossSeeds is how many courses each size is tried in.
+const lossSeeds = 8
