--- a/internal/fleet/keep_test.go
+++ b/internal/fleet/keep_test.go
@@ -52,7 +52,7 @@
 		t.Fatal("every voter holds targets: name the pool so that one does not")
 	}
 	body := jobBody("forecast", "spill", 4, 600)
-	f.killOnceStarted(owner, body, 4)
+	f.killOnceStarted(t, owner, body, 4)
 	qt.Assert(t, f.Restart(owner), qt.IsNil)
 	other := f.entries[0]
 	if other.name == owner {
@@ -71,7 +71,7 @@
 	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 3, TargetsPerZone: 2})
 	owner := f.entryWithoutTargets()
 	body := jobBody("copy", "report", 4, 600)
-	f.killOnceStarted(owner, body, 4)
+	f.killOnceStarted(t, owner, body, 4)
 	for _, m := range f.entries {
 		if m.name == owner {
 			continue
@@ -92,7 +92,7 @@
 	owner := f.Names()[0]
 	body := jobBody("gone", "spill", 4, 600)
 	address := f.CallerAddresses("")[0]
-	f.killOnceStarted(owner, body, 4)
+	f.killOnceStarted(t, owner, body, 4)
 	qt.Assert(t, f.Restart(owner), qt.IsNil)
 	qt.Assert(t, f.WaitReady(t.Context(), 16), qt.IsNil)
 	r := untilAnswered(t, address, body)
--- a/internal/fleet/resubmit_test.go
+++ b/internal/fleet/resubmit_test.go
@@ -86,7 +86,7 @@
 	f := startTest(t, Options{Zones: []job.Zone{"a"}, EntriesPerZone: 3, TargetsPerZone: 2})
 	owner := f.entryWithoutTargets()
 	body := jobBody("orphan", "alerts", 4, 700)
-	f.killOnceStarted(owner, body, 4)
+	f.killOnceStarted(t, owner, body, 4)
 	for _, m := range f.entries {
 		if m.name == owner {
 			continue
@@ -101,12 +101,22 @@
 }
 
 // killOnceStarted sends a job to an entry and kills the entry once targets run
-// that many tasks. The caller's broken connection is of no interest.
-func (f *Fleet) killOnceStarted(owner job.EntryID, body string, tasks uint64) {
+// that many tasks. The caller's broken connection is of no interest; an answer before
+// is none that the test is about.
+func (f *Fleet) killOnceStarted(t *testing.T, owner job.EntryID, body string, tasks uint64) {
+	t.Helper()
 	address := f.member(owner).listen.Caller.Addr().String()
-	go func() { _, _ = send(http.DefaultClient, address, body) }()
+	early := make(chan string, 1)
+	go func() {
+		r, err := send(http.DefaultClient, address, body)
+		early <- fmt.Sprintf("%+v, %v", r, err)
+	}()
 	for f.Ledger.Starts() < tasks {
-		time.Sleep(time.Millisecond)
+		select {
+		case answer := <-early:
+			t.Fatalf("%d of %d tasks had started when the answer came: %s", f.Ledger.Starts(), tasks, answer)
+		case <-time.After(time.Millisecond):
+		}
 	}
 	f.Kill(owner)
 }
