Cordon an availability zone: evacuation as a capability of the product

The set of cordoned zones is part of the voters' register, beside the configuration and independent of its number. A change names the revision that it replaces, so a request that was held up can't undo a later one, repeats are harmless, and starts and withdrawals end in the order of their acknowledgements. The first cordon is refused until every voter has said that its release keeps cordons; afterwards no other disk may join the voters, and records with cordons have a format that older releases refuse to read.

A holder in a cordoned zone starts nothing, returns what waits and what it is offered, and reports no slots, so that splitting, admission and the known capacity follow. Running tasks end. Entries of the zone keep serving callers. With every zone cordoned callers are refused at once (zone_cordoned, 503, retry after 5 s).

Considered: removing each target from the holder, as for a move; it closes the sessions to the targets and makes each target's holder look empty to the assignment of targets, so that they would move. A list in the configuration would tie it to the configuration's number.

--- a/cmd/vanillagrade/main.go
+++ b/cmd/vanillagrade/main.go
@@ -40,6 +40,8 @@
 	Check    *checkCmd        `arg:"subcommand:check" help:"check a declarative file offline"`
 	Apply    *applyCmd        `arg:"subcommand:apply" help:"apply a declarative file as a whole"`
 	Drain    *drainCmd        `arg:"subcommand:drain" help:"start a planned stop of one entry"`
+	Cordon   *cordonCmd       `arg:"subcommand:cordon" help:"start no new work in an availability zone"`
+	Uncordon *uncordonCmd     `arg:"subcommand:uncordon" help:"allow new work in an availability zone again"`
 	Replace  *replaceVoterCmd `arg:"subcommand:replace-voter" help:"replace a lost voter with an entry that has an empty data folder"`
 	Submit   *submitCmd       `arg:"subcommand:submit" help:"send a job and print its answer"`
 	Demo     *demoCmd         `arg:"subcommand:demo" help:"run a whole fleet in this process and send one job to it"`
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -30,12 +30,22 @@
 	ReplaceVoter(ctx context.Context, old, replacement job.EntryID) error
 }
 
+// Cordoner cordons and uncordons availability zones.
+type Cordoner interface {
+	// SetCordon returns once a majority of the voters has accepted the change. Its error is of
+	// type NotFound for an unknown zone, or one of register.SetCordon.
+	SetCordon(ctx context.Context, zone job.Zone, active bool) error
+	// CordonedZones returns the cordoned zones as this entry knows them.
+	CordonedZones() []job.Zone
+}
+
 // Operator handles the requests of operators.
 type Operator struct {
 	// Token is the bearer token. If it is empty, requests need none; the settings
 	// allow that only on loopback addresses.
 	Token        string
 	Configurator Configurator
+	Cordoner     Cordoner
 	Timeline     http.Handler
 	Status       http.Handler
 	Drain        func()
@@ -48,6 +58,9 @@
 	mux.HandleFunc("PUT /v1/configuration", o.putConfiguration)
 	mux.HandleFunc("GET /v1/configuration", o.getConfiguration)
 	mux.HandleFunc("POST /v1/voters/{old}/replace/{new}", o.replaceVoter)
+	mux.HandleFunc("GET /v1/cordons", o.getCordons)
+	mux.HandleFunc("PUT /v1/cordons/{zone}", o.setCordon(true))
+	mux.HandleFunc("DELETE /v1/cordons/{zone}", o.setCordon(false))
 	mux.HandleFunc("POST /v1/drain", o.drain)
 	mux.Handle("GET /v1/timeline", o.Timeline)
 	mux.Handle("GET /v1/status", o.Status)
@@ -124,7 +137,7 @@
 		writeJSON(w, http.StatusNotFound, problem{Error: err.Error()})
 	case errors.Is(err, errors.NotValid):
 		writeJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
-	case errors.Is(err, register.ErrUnavailable):
+	case errors.Is(err, register.ErrUnavailable), errors.Is(err, register.ErrCordonsUnsupported):
 		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error()})
 	default:
 		writeJSON(w, http.StatusServiceUnavailable, problem{Error: err.Error(), Unknown: true})
@@ -151,6 +164,25 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Cordons is the answer to GET /v1/cordons.
+type Cordons struct {
+	Zones []job.Zone `json:"zones"`
+}
+
+func (o *Operator) getCordons(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Cordons{Zones: append([]job.Zone{}, o.Cordoner.CordonedZones()...)})
+}
+
+func (o *Operator) setCordon(active bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := o.Cordoner.SetCordon(r.Context(), job.Zone(r.PathValue("zone")), active); err != nil {
+			writeApplyError(w, err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 func (o *Operator) drain(w http.ResponseWriter, _ *http.Request) {
 	o.Drain()
 	w.WriteHeader(http.StatusAccepted)
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -93,6 +93,7 @@
 	job.OwnerLost:       http.StatusBadGateway,
 	job.Paused:          http.StatusServiceUnavailable,
 	job.NoTarget:        http.StatusServiceUnavailable,
+	job.ZoneCordoned:    http.StatusServiceUnavailable,
 	job.Draining:        http.StatusServiceUnavailable,
 	job.NotConfigured:   http.StatusServiceUnavailable,
 	job.ZoneUnreachable: http.StatusServiceUnavailable,
--- a/internal/consensus/value.go
+++ b/internal/consensus/value.go
@@ -61,6 +61,8 @@
 	AcceptedAt int64 `cbor:"6,keyasint"`
 	// Recent holds the last RecentLimit accepted changes, oldest first.
 	Recent []Change `cbor:"7,keyasint"`
+	// Cordons holds the zones that were ever cordoned, sorted by name.
+	Cordons []Cordon `cbor:"8,keyasint,omitempty"`
 }
 
 // CommandKind is the type of a Command.
@@ -78,6 +80,8 @@
 	Read
 	// Add adds one disk to the voters.
 	Add
+	// SetCordon cordons or uncordons one availability zone.
+	SetCordon
 )
 
 // Command describes how to derive the next value from the latest one.
@@ -86,7 +90,8 @@
 	Change Change      `cbor:"2,keyasint"`
 	Body   []byte      `cbor:"3,keyasint,omitempty"`
 	At     int64       `cbor:"4,keyasint,omitempty"`
-	// Lineage and Voters are used by Form.
+	// Lineage and Voters are used by Form. In SetCordon, Voters are those that are known to
+	// keep cordons.
 	Lineage uint64  `cbor:"5,keyasint,omitempty"`
 	Voters  []Voter `cbor:"6,keyasint,omitempty"`
 	// Old and New are used by Replace; New also by Add.
@@ -96,6 +101,10 @@
 	// The need for the change was assessed on that version, and two entries that
 	// repair the same fault must not do so twice.
 	Expect uint64 `cbor:"9,keyasint,omitempty"`
+	// Cordon is used by SetCordon. Its Revision is the one that the change replaces.
+	Cordon Cordon `cbor:"10,keyasint,omitzero"`
+	// KeepsCordons is set in Replace and Add if the new voter keeps cordons.
+	KeepsCordons bool `cbor:"11,keyasint,omitempty"`
 }
 
 // ChangesVoters reports whether the command is a membership change.
@@ -122,6 +131,11 @@
 	Unavailable
 	// Unknown means that the change may have been accepted.
 	Unknown
+	// Outdated means that the zone's cordon has changed since the Revision that the change
+	// expects. The outcome carries the current one.
+	Outdated
+	// Unsupported means that a voter runs a release that does not keep cordons.
+	Unsupported
 )
 
 // Outcome is the answer to a request.
@@ -129,6 +143,8 @@
 	Kind OutcomeKind `cbor:"1,keyasint"`
 	// Change is the accepted change or, on a conflict, the change that won.
 	Change Change `cbor:"2,keyasint"`
+	// Cordon is the zone's cordon in the outcome of SetCordon.
+	Cordon Cordon `cbor:"3,keyasint,omitzero"`
 }
 
 // Decide evaluates a command on the value v. It returns either an outcome that
@@ -143,6 +159,8 @@
 		return v.decideAdd(c)
 	case Configure:
 		return v.decideConfigure(c)
+	case SetCordon:
+		return v.decideCordon(c)
 	}
 	return Outcome{}, true
 }
@@ -185,6 +203,9 @@
 	if !old || v.outdated(c) {
 		return Outcome{Kind: NotVoting, Change: v.Change}, false
 	}
+	if v.losesCordons(c) {
+		return Outcome{Kind: Unsupported, Change: v.Change}, false
+	}
 	return Outcome{}, true
 }
 
@@ -200,6 +221,9 @@
 	if v.outdated(c) {
 		return Outcome{Kind: NotVoting, Change: v.Change}, false
 	}
+	if v.losesCordons(c) {
+		return Outcome{Kind: Unsupported, Change: v.Change}, false
+	}
 	return Outcome{}, true
 }
 
@@ -234,6 +258,8 @@
 		}
 	case Add:
 		next.Voters = append(slices.Clone(v.Voters), c.New)
+	case SetCordon:
+		next.Cordons = v.withCordon(c.Cordon, next.Version)
 	case Configure:
 		next.Change, next.Body, next.AcceptedAt = c.Change, c.Body, c.At
 		keep := v.Recent
--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -27,19 +27,19 @@
 		propose bool
 	}{
 		"higher number":               {configure("four", 4, "z"), Outcome{}, true},
-		"resent":                      {configure("three", 3, "y"), Outcome{Accepted, three}, false},
-		"resent after another":        {configure("one", 1, "x"), Outcome{Accepted, one}, false},
-		"id of another file":          {configure("one", 9, "w"), Outcome{Reused, one}, false},
-		"same file under another id":  {configure("again", 3, "y"), Outcome{Accepted, three}, false},
-		"equal number, other file":    {configure("late", 3, "z"), Outcome{Conflicted, three}, false},
-		"old number that was used":    {configure("late", 1, "z"), Outcome{Conflicted, one}, false},
-		"old number that was skipped": {configure("late", 2, "z"), Outcome{Conflicted, three}, false},
-		"read":                        {&Command{Kind: Read}, Outcome{Accepted, three}, false},
+		"resent":                      {configure("three", 3, "y"), Outcome{Kind: Accepted, Change: three}, false},
+		"resent after another":        {configure("one", 1, "x"), Outcome{Kind: Accepted, Change: one}, false},
+		"id of another file":          {configure("one", 9, "w"), Outcome{Kind: Reused, Change: one}, false},
+		"same file under another id":  {configure("again", 3, "y"), Outcome{Kind: Accepted, Change: three}, false},
+		"equal number, other file":    {configure("late", 3, "z"), Outcome{Kind: Conflicted, Change: three}, false},
+		"old number that was used":    {configure("late", 1, "z"), Outcome{Kind: Conflicted, Change: one}, false},
+		"old number that was skipped": {configure("late", 2, "z"), Outcome{Kind: Conflicted, Change: three}, false},
+		"read":                        {&Command{Kind: Read}, Outcome{Kind: Accepted, Change: three}, false},
 		"replace":                     {swap("c", Voter{"d", "d#0"}), Outcome{}, true},
 		"replace by a new disk":       {swap("c", Voter{"c", "c#1"}), Outcome{}, true},
-		"replace again":               {swap("x", Voter{"c", "c#0"}), Outcome{Accepted, three}, false},
-		"replace a non-voter":         {swap("x", Voter{"d", "d#0"}), Outcome{NotVoting, three}, false},
-		"replace by another voter":    {swap("c", Voter{"b", "b#1"}), Outcome{NotVoting, three}, false},
+		"replace again":               {swap("x", Voter{"c", "c#0"}), Outcome{Kind: Accepted, Change: three}, false},
+		"replace a non-voter":         {swap("x", Voter{"d", "d#0"}), Outcome{Kind: NotVoting, Change: three}, false},
+		"replace by another voter":    {swap("c", Voter{"b", "b#1"}), Outcome{Kind: NotVoting, Change: three}, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,8 @@
 	// eventLog writes events to the log; nil if they are not logged.
 	eventLog *eventlog.Sink
 	metrics  *metrics.Sink
+	// cordonMu serialises the transfer of the cordons from the register to the holder.
+	cordonMu sync.Mutex
 	stopOnce sync.Once
 	killed   chan struct{}
 	killOnce sync.Once
@@ -232,6 +234,8 @@
 	e.configure(nil, e.config.Current())
 	e.register.OnChange(e.configure)
 	e.register.OnChange(func(_, _ *config.File) { go e.members.AnnounceConfig() })
+	e.followCordons()
+	e.register.OnCordonChange(func([]job.Zone) { go e.followCordons() })
 	e.members.OnChange(e.setView)
 	return nil
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -18,6 +18,7 @@
 	return &api.Operator{
 		Token:        e.opts.Settings.OperatorToken,
 		Configurator: e.register,
+		Cordoner:     e,
 		Timeline:     timeline.Handler(read),
 		Status:       status.Handler(sources.Read),
 		Drain:        e.Drain,
@@ -62,6 +63,7 @@
 		Outcomes:        e.record.Counts,
 		Wanted:          e.wantedPools,
 		ClockRejections: e.clock.Rejected,
+		CordonedZones:   e.register.CordonedZones,
 	}
 }
 
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -140,7 +140,7 @@
 // in its own line, and refusals may come by the hundred.
 func selfExplanatory(reason job.Reason) bool {
 	switch reason {
-	case "", job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NoTarget, job.Infeasible:
+	case "", job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NoTarget, job.ZoneCordoned, job.Infeasible:
 		return true
 	}
 	return false
--- a/internal/explore/voters.go
+++ b/internal/explore/voters.go
@@ -213,6 +213,7 @@
 var outcomeNames = map[consensus.OutcomeKind]string{
 	consensus.Accepted: "accepted", consensus.Conflicted: "conflict", consensus.Reused: "reused",
 	consensus.NotVoting: "not voting", consensus.Unavailable: "unavailable", consensus.Unknown: "unknown",
+	consensus.Outdated: "outdated", consensus.Unsupported: "unsupported",
 }
 
 // Key returns the key of a state.
--- a/internal/explore/voters_step.go
+++ b/internal/explore/voters_step.go
@@ -224,6 +224,7 @@
 		if v.Change != last.Change && v.Change.Number <= last.Change.Number {
 			h.fail("number %d chosen after number %d", v.Change.Number, last.Change.Number)
 		}
+		h.checkCordons(last, &v, operators)
 	}
 	h.Chosen = append(slices.Clone(h.Chosen), v)
 	for _, a := range h.Answers {
@@ -231,8 +232,28 @@
 	}
 }
 
+// checkCordons checks that each cordon that differs from the last value was changed by an
+// operator who knew the last value's revision of it.
+func (h *history) checkCordons(last, v *consensus.Value, operators []Operator) {
+	for _, c := range v.Cordons {
+		before := last.Cordon(c.Zone)
+		if c == before {
+			continue
+		}
+		wanted := consensus.Cordon{Zone: c.Zone, Active: c.Active, Revision: before.Revision}
+		if !slices.ContainsFunc(operators, func(o Operator) bool { return o.Command.Cordon == wanted }) {
+			h.fail("the cordon of %s at revision %d was changed by a request for another revision", c.Zone, before.Revision)
+		}
+	}
+	for _, c := range last.Cordons {
+		if v.Cordon(c.Zone).Revision < c.Revision {
+			h.fail("the cordon of %s at revision %d is lost", c.Zone, c.Revision)
+		}
+	}
+}
+
 func sameValue(a, b *consensus.Value) bool {
-	return a.Lineage == b.Lineage && a.Change == b.Change && slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Recent, b.Recent)
+	return a.Lineage == b.Lineage && a.Change == b.Change && slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Recent, b.Recent) && slices.Equal(a.Cordons, b.Cordons)
 }
 
 // recordAnswer records an answer and checks it against the history so far.
--- a/internal/explore/voters_test.go
+++ b/internal/explore/voters_test.go
@@ -42,6 +42,15 @@
 	return o
 }
 
+// cordon returns an operator who changes the cordon of a zone that has the given revision.
+func cordon(active bool, revision uint64, at ...int) Operator {
+	c := consensus.Command{Kind: consensus.SetCordon, Cordon: consensus.Cordon{Zone: "z", Active: active, Revision: revision}}
+	for _, name := range names[:3] {
+		c.Voters = append(c.Voters, consensus.Voter{Entry: name, Identity: diskName(name, 0)})
+	}
+	return Operator{Command: c, At: at}
+}
+
 func abandoning(o Operator) Operator {
 	o.Abandons = true
 	return o
@@ -98,6 +107,18 @@
 	{"a change resent to another voter", always, func() *Voters {
 		return three(1, configure("x", 2, 0, 2))
 	}, []string{"0: accepted"}},
+	{"a cordon sent again and its withdrawal, at one voter", notUnderRace, func() *Voters {
+		return three(1, cordon(true, 0, 0, 0), cordon(false, 2, 0))
+	}, []string{"0: accepted", "0: outdated", "1: accepted"}},
+	{"a cordon sent again and its withdrawal, at three voters", onlyDeep, func() *Voters {
+		return three(1, cordon(true, 0, 0, 2), cordon(false, 2, 1))
+	}, nil},
+	{"a cordon and a change at once", notUnderRace, func() *Voters {
+		return three(1, cordon(true, 0, 0), configure("x", 2, 1))
+	}, []string{"0: accepted", "1: accepted"}},
+	{"a cordon and the loss of all power", always, func() *Voters {
+		return three(1, cordon(true, 0, 0)).withPowerLoss(0)
+	}, []string{"0: accepted"}},
 	{"an operator who abandons a change", always, func() *Voters {
 		return three(1, abandoning(configure("x", 2, 0)))
 	}, []string{"0: accepted", "0: unavailable", "0: unknown"}},
@@ -319,6 +340,17 @@
 			}
 		})
 	}, "reads number 0, though 2 was acknowledged"},
+	{"a cordon is decided by the revision that the voter knows", notUnderRace, func() *Voters {
+		return three(1, cordon(true, 0, 0, 0), cordon(false, 2, 0)).with(func(m *Voters) {
+			m.OnStep = func(step Stepper, s consensus.State, in consensus.Input) (consensus.State, consensus.Output) {
+				if submit, ok := in.(consensus.Submit); ok {
+					submit.Command.Cordon.Revision = s.Chosen.Cordon("z").Revision
+					in = submit
+				}
+				return step(s, in)
+			}
+		})
+	}, "changed by a request for another revision"},
 	{"a restart reuses its old ballots", notUnderRace, func() *Voters {
 		return three(1, configure("x", 2, 0), configure("y", 2, 0)).with(func(m *Voters) {
 			m.SyncAtOnce, m.SameIncarnation, m.Crashes = false, true, 1
--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -113,7 +113,7 @@
 		return false
 	}
 	switch o.Reason {
-	case job.NoTarget, job.TargetRefused, job.Draining, job.OwnerLost, job.HolderLost, job.Overloaded, job.QueueFull:
+	case job.NoTarget, job.ZoneCordoned, job.TargetRefused, job.Draining, job.OwnerLost, job.HolderLost, job.Overloaded, job.QueueFull:
 		return true
 	}
 	return false
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -71,6 +71,8 @@
 	mu    sync.RWMutex
 	file  *config.File
 	pools map[string]*pool
+	// cordoned is set while the zone of this entry, and so of its targets, is cordoned.
+	cordoned bool
 	// poolOf maps the id of each held target to its pool.
 	poolOf map[job.TargetID]*pool
 }
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -24,6 +24,8 @@
 	links   map[job.TargetID]*link
 	budgets map[string]*retry.Budget
 	timer   *time.Timer
+	// cordoned is set while the zone is cordoned.
+	cordoned bool
 	// latestTransient maps each transient submission to its latest batch, whatever
 	// the owner.
 	latestTransient map[job.ID]*batch
@@ -65,6 +67,7 @@
 		budgets:         make(map[string]*retry.Budget),
 		latestTransient: make(map[job.ID]*batch),
 		file:            f,
+		cordoned:        h.cordoned,
 	}
 	if f != nil { // targets may arrive before the first configuration
 		p.sched.Configure(time.Now(), f)
@@ -92,6 +95,9 @@
 // advance applies the scheduler's current decisions: expired tasks, starts and
 // the next wake-up.
 func (p *pool) advance(now time.Time, e *effects) {
+	if p.cordoned {
+		p.returnAllQueued(now, e)
+	}
 	d := p.sched.Next(now)
 	p.recordExpired(now, d.Expired)
 	for i := range d.Expired {
@@ -166,7 +172,11 @@
 func (p *pool) load() job.HolderLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.sched.Load(time.Now())
+	l := p.sched.Load(time.Now())
+	if p.cordoned {
+		l.Cordoned, l.Slots, l.Free = true, 0, 0
+	}
+	return l
 }
 
 // offer admits or refuses a batch. The caller has entered the gate for it.
@@ -181,6 +191,11 @@
 			p.refuse(e, report, notStartedOutcomes(offered.Tasks, scheduler.Admission{Reason: job.HolderLost, Detail: "no recent proof that the owner is alive"}))
 			return
 		}
+		if p.cordoned {
+			p.record(timeline.Event{Kind: timeline.TaskDropped, Submission: offered.Submission, Reason: job.ZoneCordoned, Cause: cordonedDetail, Count: len(offered.Tasks), Peer: offered.Owner.Entry})
+			p.refuse(e, report, notStartedOutcomes(offered.Tasks, scheduler.Admission{Reason: job.ZoneCordoned, Detail: cordonedDetail}))
+			return
+		}
 		if p.refuseCrashing(now, offered, report, e) || p.deferBatch(now, &waitingBatch{offered, service, report, now}, e) {
 			return
 		}
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -19,6 +19,9 @@
 	Wait [UrgencyUrgent + 1]time.Duration `cbor:"8,keyasint"`
 	// Largest is the largest task that any of the targets could ever hold.
 	Largest Size `cbor:"9,keyasint"`
+	// Cordoned is set while the holder's zone is cordoned. It then starts nothing, has no slots
+	// and returns what it is offered.
+	Cordoned bool `cbor:"10,keyasint,omitempty" json:",omitempty"`
 }
 
 // Size is the resource demand of a task or the capacity of a target.
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -33,6 +33,7 @@
 	Overloaded      Reason = "overloaded"
 	QueueFull       Reason = "queue_full"
 	NoTarget        Reason = "no_target"
+	ZoneCordoned    Reason = "zone_cordoned"
 	Draining        Reason = "draining"
 	NotConfigured   Reason = "not_configured"
 	DeadlinePassed  Reason = "deadline_passed"
--- a/internal/pipeline/collect.go
+++ b/internal/pipeline/collect.go
@@ -149,7 +149,7 @@
 // was not started for reason r.
 func mayGoElsewhere(r job.Reason) bool {
 	switch r {
-	case job.NoTarget, job.Overloaded, job.QueueFull, job.Draining, job.HolderLost, job.TargetRefused, job.Infeasible:
+	case job.NoTarget, job.ZoneCordoned, job.Overloaded, job.QueueFull, job.Draining, job.HolderLost, job.TargetRefused, job.Infeasible:
 		return true
 	}
 	return false
@@ -234,10 +234,16 @@
 	switch o.Reason {
 	case job.NoTarget, job.Overloaded, job.QueueFull, job.HolderLost, job.TargetRefused, job.Draining:
 		return time.Second
+	case job.ZoneCordoned:
+		return cordonRetryAfter
 	}
 	return 0
 }
 
+// cordonRetryAfter is the retry delay while all zones that could run the job are cordoned. An
+// operator keeps a zone cordoned for at least as long as it takes to empty it.
+const cordonRetryAfter = 5 * time.Second
+
 // Stop ends the submission early: after a cancellation, at its deadline or once
 // its caller is gone. Tasks may be queued or running, so the answer says "not
 // run" only if no task was ever offered.
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -71,7 +71,7 @@
 	Parts []Part
 	// Wait is the expected time until the last task starts.
 	Wait time.Duration
-	// Reason is set when no plan is possible: NoTarget or Infeasible.
+	// Reason is set when no plan is possible: NoTarget, ZoneCordoned or Infeasible.
 	Reason job.Reason
 }
 
@@ -157,8 +157,12 @@
 // Split distributes the tasks of a job over the holders of a pool, except the excluded
 // ones.
 func (s *Splitter) Split(now time.Time, pool string, u job.Urgency, tasks []job.BatchTask, excluded ...job.EntryID) Plan {
-	all := slices.DeleteFunc(s.candidates(pool, u), func(c *candidate) bool { return slices.Contains(excluded, c.load.Entry) })
-	if len(all) == 0 {
+	open, cordoned := s.candidates(pool, u)
+	all := slices.DeleteFunc(open, func(c *candidate) bool { return slices.Contains(excluded, c.load.Entry) })
+	switch {
+	case len(all) == 0 && len(open) == 0 && len(cordoned) > 0:
+		return Plan{Reason: job.ZoneCordoned}
+	case len(all) == 0:
 		return Plan{Reason: job.NoTarget}
 	}
 	local := localCandidates(all)
@@ -169,7 +173,7 @@
 	for _, t := range tasks {
 		c, start := s.earliest(all, t.Size())
 		if c == nil {
-			return Plan{Reason: job.Infeasible}
+			return Plan{Reason: reasonNotFitting(cordoned, t)}
 		}
 		c.taken++
 		c.assigned = append(c.assigned, t)
@@ -258,10 +262,25 @@
 	return cost
 }
 
-func (s *Splitter) candidates(pool string, u job.Urgency) []*candidate {
+// reasonNotFitting returns why a task that fits no open holder can't be placed: the targets
+// that are large enough may be in a cordoned zone.
+func reasonNotFitting(cordoned []*candidate, t job.BatchTask) job.Reason {
+	if allFit(cordoned, []job.BatchTask{t}) {
+		return job.ZoneCordoned
+	}
+	return job.Infeasible
+}
+
+// candidates returns the holders of a pool that accept work, in the order of their ranks, and
+// those in cordoned zones.
+func (s *Splitter) candidates(pool string, u job.Urgency) (open, cordoned []*candidate) {
 	var out []*candidate
 	for k, h := range s.holders {
-		if k.pool == pool && h.load.Targets > 0 {
+		switch {
+		case k.pool != pool || h.load.Targets == 0:
+		case h.load.Cordoned:
+			cordoned = append(cordoned, &candidate{holder: h})
+		default:
 			out = append(out, s.candidate(h, u))
 		}
 	}
@@ -272,7 +291,7 @@
 		c.rank = s.rank(c)
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].rank < out[j].rank })
-	return out
+	return out, cordoned
 }
 
 func (s *Splitter) candidate(h *holder, u job.Urgency) *candidate {
--- a/internal/policy/split/split_test.go
+++ b/internal/policy/split/split_test.go
@@ -155,3 +155,24 @@
 		}
 	}
 }
+
+// Guards against work that is sent to a cordoned zone, and against a job that is called
+// infeasible although targets that are large enough are only cordoned.
+func TestCordonedHoldersGetNothing(t *testing.T) {
+	cordoned := load("e1", "z1", 80, 80, 0)
+	cordoned.Cordoned = true
+	open := load("f1", "z2", 80, 40, 50*time.Millisecond)
+	plan := splitter(cordoned, open).Split(now, pool, job.UrgencyInteractive, tasks(60))
+	qt.Assert(t, counts(plan), qt.DeepEquals, map[job.EntryID]int{"f1": 60})
+
+	qt.Assert(t, splitter(cordoned).Split(now, pool, job.UrgencyInteractive, tasks(1)).Reason, qt.Equals, job.ZoneCordoned)
+
+	large := tasks(1)
+	large[0].Processors = 16
+	open.Largest = job.Size{Processors: 8, MemoryMB: 64000}
+	s := splitter(cordoned, open)
+	qt.Assert(t, s.Split(now, pool, job.UrgencyInteractive, large).Reason, qt.Equals, job.ZoneCordoned)
+	large[0].Processors = 64
+	qt.Assert(t, s.Split(now, pool, job.UrgencyInteractive, large).Reason, qt.Equals, job.Infeasible)
+	qt.Assert(t, s.Split(now, pool, job.UrgencyInteractive, tasks(1), "f1").Reason, qt.Equals, job.NoTarget)
+}
--- a/internal/register/apply.go
+++ b/internal/register/apply.go
@@ -80,7 +80,7 @@
 		Kind: consensus.Configure, Change: change, Body: pack(body), At: r.clock().UnixMilli(),
 	})
 	if err == nil {
-		r.awaitInstalled(ctx, accepted.Number)
+		r.awaitInstalled(ctx, func() bool { current, _ := r.Summary(); return current >= accepted.Number })
 	}
 	return accepted, err
 }
@@ -93,12 +93,12 @@
 // accepts a change some milliseconds earlier: without the wait, a job sent here right
 // after the answer would run under the previous file or be refused as not configured. The
 // change remains accepted in any case, so the wait is bounded and its timeout is no error.
-func (r *Register) awaitInstalled(ctx context.Context, number uint64) {
+func (r *Register) awaitInstalled(ctx context.Context, installed func() bool) {
 	timer := time.NewTimer(installTimeout)
 	defer timer.Stop()
 	for {
 		changed := r.nextChange()
-		if current, _ := r.Summary(); current >= number {
+		if installed() {
 			return
 		}
 		select {
@@ -126,7 +126,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "asking %s for its disk", updated)
 	}
-	_, err = r.execute(ctx, consensus.Command{Kind: consensus.Replace, Old: old, New: voter})
+	_, err = r.execute(ctx, consensus.Command{Kind: consensus.Replace, Old: old, New: voter, KeepsCordons: r.keepsCordons(voter)})
 	return errors.Annotatef(err, "replacing %s by %s", old, updated)
 }
 
@@ -138,14 +138,15 @@
 		if r.node != nil {
 			answer.Self = r.node.Self
 		}
+		answer.KeepsCordons = true
 		r.mu.Unlock()
-	} else if err := r.mesh.Call(ctx, entry, peer.ConfigPull, pullRequest{Version: r.currentVersion()}, &answer); err != nil {
+	} else if err := r.mesh.Call(ctx, entry, peer.ConfigPull, pullRequest{Version: r.currentVersion(), KeepsCordons: true}, &answer); err != nil {
 		return consensus.Voter{}, errors.Annotatef(ErrUnavailable, "%v", err)
 	}
 	if answer.Self.Identity == "" {
 		return consensus.Voter{}, errors.NotFoundf("data folder of entry %s", entry)
 	}
-	r.recordDisk(entry, answer.Self.Identity)
+	r.recordDisk(answer.Self, answer.KeepsCordons)
 	return answer.Self, nil
 }
 
@@ -158,6 +159,13 @@
 
 // executeAt is execute with an explicit ordered list of voters.
 func (r *Register) executeAt(ctx context.Context, c consensus.Command, candidates []job.EntryID) (Accepted, error) {
+	o := r.submit(ctx, c, candidates)
+	return acceptedOf(o), errorOf(o)
+}
+
+// submit submits the command to the voters one after the other and returns the first
+// outcome that is final.
+func (r *Register) submit(ctx context.Context, c consensus.Command, candidates []job.EntryID) consensus.Outcome {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, applyTimeout)
@@ -176,26 +184,38 @@
 		case consensus.Unknown:
 			unknown = true
 		default:
-			return resultOf(o)
+			return o
 		}
 	}
 	if unknown {
-		return Accepted{}, ErrUnknown
+		return consensus.Outcome{Kind: consensus.Unknown}
 	}
-	return Accepted{}, ErrUnavailable
+	return consensus.Outcome{Kind: consensus.Unavailable}
 }
 
-func resultOf(o consensus.Outcome) (Accepted, error) {
-	number, digest := o.Change.Number, o.Change.Digest.String()
+// acceptedOf returns the configuration that an accepted command leaves in effect.
+func acceptedOf(o consensus.Outcome) Accepted {
+	if o.Kind != consensus.Accepted {
+		return Accepted{}
+	}
+	return Accepted{Number: o.Change.Number, Digest: o.Change.Digest.String(), ChangeID: o.Change.ID}
+}
+
+// errorOf returns the error for the outcome of a command; nil if it was accepted.
+func errorOf(o consensus.Outcome) error {
 	switch o.Kind {
 	case consensus.Accepted:
-		return Accepted{Number: number, Digest: digest, ChangeID: o.Change.ID}, nil
+		return nil
 	case consensus.Conflicted, consensus.Reused:
-		return Accepted{}, &Conflict{Number: number, Digest: digest, ChangeID: o.Change.ID, Reused: o.Kind == consensus.Reused}
+		return &Conflict{Number: o.Change.Number, Digest: o.Change.Digest.String(), ChangeID: o.Change.ID, Reused: o.Kind == consensus.Reused}
 	case consensus.NotVoting:
-		return Accepted{}, errors.NotValidf("the old entry is no voter, or the new one is already; the replacement")
+		return errors.NotValidf("the old entry is no voter, or the new one is already; the replacement")
+	case consensus.Unsupported:
+		return ErrCordonsUnsupported
+	case consensus.Unavailable, consensus.Outdated:
+		return ErrUnavailable
 	}
-	return Accepted{}, ErrUnknown
+	return ErrUnknown
 }
 
 // candidates returns the voters in the order in which execute tries them: this
@@ -280,6 +300,10 @@
 		if file.Number != req.Command.Change.Number || consensus.DigestOf(body) != req.Command.Change.Digest {
 			return nil, errors.NotValidf("change that does not match its file")
 		}
+	case consensus.SetCordon:
+		if err := checkZone(req.Command.Cordon.Zone); err != nil {
+			return nil, errors.Trace(err)
+		}
 	case consensus.Replace, consensus.Add, consensus.Read:
 	default:
 		return nil, errors.NotValidf("command of kind %d", req.Command.Kind)
--- a/internal/register/propagation.go
+++ b/internal/register/propagation.go
@@ -62,12 +62,12 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var answer pullResponse
-	req := pullRequest{Version: r.durableVersion(), Disk: r.diskIdentity()}
+	req := pullRequest{Version: r.durableVersion(), Disk: r.diskIdentity(), KeepsCordons: true}
 	if err := r.mesh.Call(ctx, from, peer.ConfigPull, req, &answer); err != nil {
 		return
 	}
 	r.recordContact(from)
-	r.recordDisk(from, answer.Self.Identity)
+	r.recordDisk(consensus.Voter{Entry: from, Identity: answer.Self.Identity}, answer.KeepsCordons)
 	if answer.Newer == nil || r.belongsToOtherFleet(from, answer.Newer) {
 		return
 	}
@@ -109,13 +109,18 @@
 	return r.node.Self.Identity
 }
 
-func (r *Register) recordDisk(of job.EntryID, identity consensus.Identity) {
-	if identity == "" {
+// recordDisk records the disk that an entry has reported and whether the entry keeps cordons.
+func (r *Register) recordDisk(disk consensus.Voter, keepsCordons bool) {
+	if disk.Identity == "" {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.disks[of] = identity
+	if former := r.disks[disk.Entry]; former != disk.Identity {
+		delete(r.cordonKeepers, consensus.Voter{Entry: disk.Entry, Identity: former})
+	}
+	r.disks[disk.Entry] = disk.Identity
+	r.cordonKeepers[disk] = keepsCordons
 }
 
 func (r *Register) diskUsable() bool {
@@ -156,7 +161,7 @@
 	voters := r.voters()
 	for _, to := range r.others() {
 		if !slices.Contains(voters, to) {
-			_ = r.mesh.Send(to, peer.ConfigPull, pullRequest{Version: s.Version, Hint: true, Disk: r.diskIdentity()})
+			_ = r.mesh.Send(to, peer.ConfigPull, pullRequest{Version: s.Version, Hint: true, Disk: r.diskIdentity(), KeepsCordons: true})
 		}
 	}
 }
@@ -174,14 +179,14 @@
 		return nil, errors.Annotate(err, "decoding a pull")
 	}
 	r.recordContact(from.Entry)
-	r.recordDisk(from.Entry, req.Disk)
+	r.recordDisk(consensus.Voter{Entry: from.Entry, Identity: req.Disk}, req.KeepsCordons)
 	if req.Version > r.currentVersion() {
 		r.startPull(from.Entry)
 	}
 	if req.Hint {
 		return nil, nil
 	}
-	var answer pullResponse
+	answer := pullResponse{KeepsCordons: true}
 	r.mu.Lock()
 	if r.node != nil {
 		answer.Self = r.node.Self
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -101,7 +101,9 @@
 	// changed.
 	installing sync.Mutex
 	watchers   []func(old, updated *config.File)
-	// changed is closed and replaced when another file takes effect.
+	// cordonWatchers are called with the cordoned zones when these have changed.
+	cordonWatchers []func(zones []job.Zone)
+	// changed is closed and replaced when another file or cordon takes effect.
 	changed chan struct{}
 
 	// hasDisk never changes after New.
@@ -118,9 +120,11 @@
 	foreignFleet string
 	lastContact  map[job.EntryID]time.Time
 	// disks are the disk identities that entries reported last.
-	disks   map[job.EntryID]consensus.Identity
-	started time.Time
-	stale   bool
+	disks map[job.EntryID]consensus.Identity
+	// cordonKeepers are the disks whose entries have reported that they keep cordons.
+	cordonKeepers map[consensus.Voter]bool
+	started       time.Time
+	stale         bool
 	// pulling holds the entries with a pull in progress.
 	pulling    map[job.EntryID]bool
 	probeCount int
@@ -152,9 +156,11 @@
 		outcomes:    map[consensus.Token]chan consensus.Outcome{},
 		lastContact: map[job.EntryID]time.Time{},
 		disks:       map[job.EntryID]consensus.Identity{},
-		pulling:     map[job.EntryID]bool{},
-		retryNeeded: make(chan struct{}, 1),
-		writeNeeded: make(chan struct{}, 1),
+
+		cordonKeepers: map[consensus.Voter]bool{},
+		pulling:       map[job.EntryID]bool{},
+		retryNeeded:   make(chan struct{}, 1),
+		writeNeeded:   make(chan struct{}, 1),
 
 		retiring: make(chan struct{}, 1),
 	}
@@ -263,6 +269,7 @@
 	if old != nil && old.Change == s.Change {
 		s.file, s.body, s.since = old.file, old.body, old.since
 		r.current.Store(s)
+		r.reportCordons(old, s)
 		return
 	}
 	var previous *config.File
@@ -279,6 +286,7 @@
 		}
 	}
 	r.current.Store(s)
+	r.reportCordons(old, s)
 	if s.file == nil || s.file == previous {
 		return
 	}
@@ -287,11 +295,16 @@
 	for _, f := range r.watchers {
 		f(previous, s.file)
 	}
+	r.signalChange()
+}
+
+// signalChange wakes those who wait for a change. The caller holds installing.
+func (r *Register) signalChange() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// nextChange returns a channel that is closed when the next file takes effect.
+// nextChange returns a channel that is closed when the next file or cordon takes effect.
 func (r *Register) nextChange() <-chan struct{} {
 	r.installing.Lock()
 	defer r.installing.Unlock()
--- a/internal/register/repair.go
+++ b/internal/register/repair.go
@@ -240,7 +240,7 @@
 		return false
 	}
 	if err == nil {
-		c := consensus.Command{Kind: consensus.Replace, Old: a.Old, New: voter, Expect: version}
+		c := consensus.Command{Kind: consensus.Replace, Old: a.Old, New: voter, Expect: version, KeepsCordons: r.keepsCordons(voter)}
 		if a.Old == "" {
 			c.Kind = consensus.Add
 		}
--- a/internal/register/repair_test.go
+++ b/internal/register/repair_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/vanillagrade/vanillagrade/internal/consensus"
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/policy/voters"
 	"github.com/vanillagrade/vanillagrade/internal/storage/storagetest"
@@ -209,7 +210,7 @@
 		f := newWidenedFleet(t, changes)
 		defer f.stopAll()
 		before := f.nodes["v1"].State().Version
-		f.nodes["v1"].recordDisk("v3", "the disk before this one")
+		f.nodes["v1"].recordDisk(consensus.Voter{Entry: "v3", Identity: "the disk before this one"}, true)
 		time.Sleep(catchUp)
 		qt.Assert(t, f.nodes["v1"].State().Version, qt.Equals, before)
 		changes.mu.Lock()
--- a/internal/register/wire.go
+++ b/internal/register/wire.go
@@ -22,6 +22,8 @@
 	// Body is the packed file.
 	Body       []byte `cbor:"5,keyasint"`
 	AcceptedAt int64  `cbor:"6,keyasint"`
+	// Cordons are as in consensus.Value.
+	Cordons []consensus.Cordon `cbor:"7,keyasint,omitempty"`
 
 	body  []byte
 	file  *config.File
@@ -49,7 +51,7 @@
 func snapshotOf(v *consensus.Value) *snapshot {
 	return &snapshot{
 		Version: v.Version, Lineage: v.Lineage, Voters: v.Voters,
-		Change: v.Change, Body: v.Body, AcceptedAt: v.AcceptedAt,
+		Change: v.Change, Body: v.Body, AcceptedAt: v.AcceptedAt, Cordons: v.Cordons,
 	}
 }
 
@@ -65,6 +67,8 @@
 	// Disk is the identity of the sender's disk; empty without one. It reveals a voter
 	// that lost its disk as soon as that voter sends any request.
 	Disk consensus.Identity `cbor:"3,keyasint,omitempty"`
+	// KeepsCordons is set by releases that keep cordons.
+	KeepsCordons bool `cbor:"4,keyasint,omitempty"`
 }
 
 // pullResponse is the answer to a pullRequest.
@@ -73,6 +77,8 @@
 	Self consensus.Voter `cbor:"1,keyasint"`
 	// Newer is nil if the requesting entry is up to date.
 	Newer *snapshot `cbor:"2,keyasint,omitempty"`
+	// KeepsCordons is set by releases that keep cordons.
+	KeepsCordons bool `cbor:"3,keyasint,omitempty"`
 }
 
 // commandRequest is a command that an entry submits to a voter.
@@ -85,16 +91,28 @@
 const (
 	recordName   = "register"
 	recordFormat = 1
+	// cordonRecordFormat is the format of a record that contains cordons. Releases that do not
+	// keep cordons refuse to read it and so do not vote, instead of losing the cordons.
+	cordonRecordFormat = 2
 )
 
+// formatOf returns the format in which a record is written.
+func formatOf(record *consensus.Record) uint32 {
+	accepted := record.Accepted
+	if len(record.Chosen.Cordons) > 0 || accepted != nil && accepted.Command.Kind == consensus.SetCordon {
+		return cordonRecordFormat
+	}
+	return recordFormat
+}
+
 func loadRecord(s *storage.Store) (consensus.Record, error) {
 	var record consensus.Record
 	format, body, err := s.Load(recordName)
 	if err != nil {
 		return record, errors.Trace(err)
 	}
-	if format != recordFormat {
-		return record, errors.Errorf("record of format %d; this release reads %d", format, recordFormat)
+	if format != recordFormat && format != cordonRecordFormat {
+		return record, errors.Errorf("record of format %d; this release reads %d and %d", format, recordFormat, cordonRecordFormat)
 	}
 	if err := cbor.Unmarshal(body, &record); err != nil {
 		return record, errors.Annotatef(storage.ErrCorrupt, "decoding: %v", err)
@@ -107,5 +125,5 @@
 	if err != nil {
 		return errors.Annotate(err, "encoding the record")
 	}
-	return errors.Trace(s.Save(recordName, recordFormat, body))
+	return errors.Trace(s.Save(recordName, formatOf(&record), body))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,8 @@
 	OperatorAddr string
 	// MetricsAddr is the address that serves metrics as text; empty disables it.
 	MetricsAddr string
+	// Zones lists the availability zones of the fleet, beside those of the known entries.
+	Zones []job.Zone
 	// Peers lists all entries and may include this one.
 	Peers []Peer
 	// DataDir is the folder on a disk, or empty on a VM without one.
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -30,6 +30,8 @@
 	Queues        []Queue               `json:"queues"`
 	Outcomes      map[string]uint64     `json:"outcomes"`
 	Refusals      map[job.Reason]uint64 `json:"refusals_by_reason"`
+	// CordonedZones are the zones in which no new work starts.
+	CordonedZones []job.Zone `json:"cordoned_zones,omitempty"`
 	// ClockRejections counts the timestamps of peers that were too far ahead to follow.
 	ClockRejections uint64 `json:"clock_rejections,omitempty"`
 }
@@ -108,6 +110,7 @@
 	Voters        func() []job.EntryID
 	Configuration func() Configuration
 	Outcomes      func() (map[job.Outcome]uint64, map[job.Reason]uint64)
+	CordonedZones func() []job.Zone
 	// Wanted returns the pools that the configuration in effect needs.
 	Wanted          func() []string
 	ClockRejections func() uint64
@@ -119,7 +122,7 @@
 		Entry: s.Self.Entry, Zone: s.Self.Zone, Incarnation: s.Self.Incarnation, Version: s.Version,
 		Draining: callOrZero(s.Draining), Running: callOrZero(s.Running), Members: callOrZero(s.Members),
 		Holders: callOrZero(s.Holders), Configuration: callOrZero(s.Configuration),
-		ClockRejections: callOrZero(s.ClockRejections),
+		ClockRejections: callOrZero(s.ClockRejections), CordonedZones: callOrZero(s.CordonedZones),
 	}
 	for _, pool := range callOrZero(s.Pools) {
 		st.addPool(&pool)
--- a/internal/status/write.go
+++ b/internal/status/write.go
@@ -36,6 +36,9 @@
 		fmt.Fprintf(&out, "  ! %s\n", why)
 	}
 	st.writeConfiguration(&out)
+	for _, zone := range st.CordonedZones {
+		fmt.Fprintf(&out, "zone %s is cordoned: no new work starts there\n", zone)
+	}
 	tab := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 	st.writeMembers(tab)
 	st.writePools(tab)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -51,6 +51,8 @@
 	ConfigurationInEffect Kind = "configuration_in_force"
 	ConfigurationProposed Kind = "configuration_proposed"
 	ConfigurationStale    Kind = "configuration_stale"
+	ZoneCordoned          Kind = "zone_cordoned"
+	ZoneUncordoned        Kind = "zone_uncordoned"
 	EntryStarted          Kind = "entry_started"
 	EntryDraining         Kind = "entry_draining"
 	EntryStopped          Kind = "entry_stopped"
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -20,6 +20,7 @@
 	job.Overloaded:      "the expected wait is longer than the request can bear",
 	job.QueueFull:       "the queue is full",
 	job.NoTarget:        "no target of the service is announced",
+	job.ZoneCordoned:    "all zones with targets for it are cordoned",
 	job.Draining:        "the entry takes no new work because it is stopping",
 	job.NotConfigured:   "the entry holds no configuration yet",
 	job.DeadlinePassed:  "its deadline had passed",
@@ -146,6 +147,8 @@
 	ConfigurationInEffect: "a configuration is in force%s",
 	ConfigurationProposed: "a configuration is proposed%s",
 	ConfigurationStale:    "the configuration may be stale%s",
+	ZoneCordoned:          "a zone is cordoned%s",
+	ZoneUncordoned:        "a zone is uncordoned%s",
 	EntryStarted:          "entry %s starts",
 	EntryDraining:         "entry %s drains",
 	EntryStopped:          "entry %s stops",
@@ -167,7 +170,7 @@
 		subject = string(ev.Target)
 	case EntryStarted, EntryDraining, EntryStopped, EntryPaused:
 		subject = string(ev.Entry)
-	case ConfigurationInEffect, ConfigurationProposed, ConfigurationStale:
+	case ConfigurationInEffect, ConfigurationProposed, ConfigurationStale, ZoneCordoned, ZoneUncordoned:
 		subject = ""
 		if ev.Count > 0 {
 			subject = fmt.Sprintf(", number %d", ev.Count)
