Refuse a start on a session that has ended

Cause: a target is released (its session closes, for want of runs) between the scheduler's decision and Session.Start. The run was registered on a session whose context had ended: the start got no answer, no poll loop could begin, and the run never ended. Its batch stayed open until the caller's deadline, and the slot was lost.

--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -193,7 +193,12 @@
 	ref := Ref{t.Submission, t.Index}
 	r := &run{number: max(1, t.Run), percent: -1, expected: t.Expected, timeLeft: t.Left, done: make(chan target.Result, 1)}
 	s.mu.Lock()
-	if s.runs[ref] != nil {
+	switch {
+	case s.replaced || s.deposed || s.ctx.Err() != nil:
+		// The session has ended since it was settled, so nothing would learn the end of the run.
+		s.mu.Unlock()
+		return notStarted(target.Draining, "this entry no longer holds the target")
+	case s.runs[ref] != nil:
 		s.mu.Unlock()
 		return notStarted(target.Busy, "an earlier run of the task still exists")
 	}
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -447,3 +447,25 @@
 		drain()
 	})
 }
+
+// Guards against a task that never ends because its target is released between the decision to
+// start the task and the start itself.
+func TestStartOnAClosedSessionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorker()
+		s := NewSession(Options{Client: w})
+		time.Sleep(time.Second)
+		s.Close()
+		done := make(chan target.Result, 1)
+		go func() { done <- s.Start(context.Background(), taskOf("a", 1)) }()
+		time.Sleep(5 * time.Second)
+		select {
+		case res := <-done:
+			qt.Assert(t, res.Status, qt.Equals, job.TaskNotStarted)
+		default:
+			t.Error("the start has not returned")
+		}
+		w.set(func() { qt.Check(t, w.starts, qt.Equals, 0) })
+		drain()
+	})
+}
