Let the copies of requests follow the measured share of losses

Cause: a target counted as lossy for a second after a single loss, and then got a poll every 30 ms and copies of starts every 10 ms, tuned for half of the requests lost. At 6% every target was lossy all the time. The copies took connections beyond the idle ones and processor time, answers were read late, and late answers counted as losses.

Change: the share of losses is measured per target over 2 to 4 s. Few losses: as many copies of a poll as leave 2% undelivered (two at 6%), 60 ms apart, the poll's wait and the start's timers as without losses. From a quarter on as before. A call whose own timeout fired late is no evidence of a loss.

--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/vanillagrade/vanillagrade/internal/policy/hedge"
 )
 
 // Load pattern: half of the requests get lost in transit or are carried out seconds later, while
@@ -27,20 +29,24 @@
 	// the shortest timeout for its answer.
 	maxPromptCopies = 6
 	// maxLossyCopies and lossyResendDelay replace maxPromptCopies and the usual resend delay where
-	// requests get lost. The usual delay grows with late answers, but there an answer is missing
-	// because its request is lost, so a longer wait gains nothing. With 10 ms the last start of a
-	// job of eight tasks arrives after 30 to 40 ms.
+	// many requests get lost. The usual delay grows with late answers, but there an answer is
+	// missing because its request is lost, so a longer wait gains nothing. With 10 ms the last
+	// start of a job of eight tasks arrives after 30 to 40 ms.
 	maxLossyCopies   = 12
 	lossyResendDelay = 10 * time.Millisecond
-	// Where requests get lost, lossyPollWait is how long a poll waits at the target for an end,
-	// and lossyPollInterval how long after one such poll the next is sent. While a poll waits, it
-	// can't be told from a lost one, so further polls are sent and each costs a call. Three or four
-	// polls wait at a time; in one of ten cases all of them are lost when a run ends.
+	// Where many requests get lost, lossyPollWait is how long a poll waits at the target for an
+	// end, and lossyPollInterval how long after one such poll the next is sent. While a poll waits,
+	// it can't be told from a lost one, so further polls are sent and each costs a call. Three or
+	// four polls wait at a time; in one of ten cases all of them are lost when a run ends.
 	// maxLossyPollCopies bounds the number of polls: the session does not wait for them longer than
 	// they all take.
 	lossyPollWait      = 100 * time.Millisecond
 	lossyPollInterval  = 30 * time.Millisecond
 	maxLossyPollCopies = 6
+	// hedgedPollInterval replaces lossyPollInterval where few requests get lost. The wait at the
+	// target stays as it is. A lost poll then delays the report of an end by less than the slack of
+	// the shortest tasks.
+	hedgedPollInterval = 60 * time.Millisecond
 	// lossyPeriod is how long a target counts as lossy after the last loss: several polls, at
 	// least one of which shows whether the losses go on.
 	lossyPeriod = time.Second
@@ -151,26 +157,30 @@
 	}
 }
 
-// recordCallOutcome records the outcome of a call that was made at begun. A call that failed,
-// although the target has answered another one since, was lost: the target is healthy and the link
-// to it is not.
-func (s *Session) recordCallOutcome(begun time.Time, err error) {
+// recordCallOutcome records the outcome of a call that was made at begun with a timeout. A call
+// that failed, although the target has answered another one since, was lost: the target is healthy
+// and the link to it is not. A call whose timeout fired late says nothing: its answer may lie
+// unread because this entry did not run.
+func (s *Session) recordCallOutcome(begun time.Time, timeout time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	if err == nil {
-		s.lastAnswer = time.Now()
+		s.lastAnswer = now
+		s.losses.Record(now, false)
 		return
 	}
-	if s.ctx.Err() == nil && s.lastAnswer.After(begun) {
-		s.noteLoss(time.Now())
+	if s.ctx.Err() == nil && s.lastAnswer.After(begun) && firedInTime(begun, now, timeout) {
+		s.losses.Record(now, true)
+		s.noteLoss(now)
 	}
 }
 
 // noteLoss notes that a request got lost. The caller holds the lock.
 func (s *Session) noteLoss(now time.Time) {
-	lossy := s.lossy(now)
+	heavy := s.heavyLosses(now)
 	s.lossyUntil = now.Add(lossyPeriod)
-	if !lossy {
+	if !heavy && s.heavyLosses(now) {
 		s.pollNow() // the poll in flight waits too long for an answer that may get lost
 	}
 }
@@ -185,7 +195,7 @@
 // promptPolicyLocked is promptPolicy for a caller that holds the lock.
 func (s *Session) promptPolicyLocked(now time.Time) callPolicy {
 	policy := callPolicy{maxCopies: maxPromptCopies, resendDelay: s.answers.resendDelay(), timeout: s.answers.timeout()}
-	if s.lossy(now) {
+	if s.heavyLosses(now) {
 		policy.maxCopies, policy.resendDelay = maxLossyCopies, lossyResendDelay
 	}
 	return policy
@@ -194,6 +204,11 @@
 // lossy reports whether requests to the target get lost. The caller holds the lock.
 func (s *Session) lossy(now time.Time) bool { return now.Before(s.lossyUntil) }
 
+// heavyLosses reports whether many requests to the target get lost. The caller holds the lock.
+func (s *Session) heavyLosses(now time.Time) bool {
+	return s.lossy(now) && hedge.Heavy(s.losses.Share(now))
+}
+
 // pollPolicy returns the policy for a poll. It shortens the poll's wait at the target where
 // requests get lost, and removes it while a start is in doubt. The caller holds the lock.
 func (s *Session) pollPolicy(now time.Time, o *PollRequest) callPolicy {
@@ -205,11 +220,14 @@
 		return callPolicy{maxCopies: 1, resendDelay: maxAnswerWait, timeout: maxAnswerWait}
 	case o.WaitMillis == 0:
 		return s.promptPolicyLocked(now)
-	case s.lossy(now):
+	case s.heavyLosses(now):
 		o.WaitMillis = min(o.WaitMillis, lossyPollWait.Milliseconds())
 		return callPolicy{maxCopies: maxLossyPollCopies, resendDelay: lossyPollInterval, timeout: lossyPollWait + s.answers.timeout()}
 	}
 	timeout := time.Duration(o.WaitMillis)*time.Millisecond + maxAnswerWait
+	if copies := hedge.Copies(s.losses.Share(now), maxLossyPollCopies); copies > 1 {
+		return callPolicy{maxCopies: copies, resendDelay: hedgedPollInterval, timeout: timeout}
+	}
 	return callPolicy{maxCopies: 1, resendDelay: timeout, timeout: timeout}
 }
 
@@ -234,7 +252,7 @@
 	begun := time.Now()
 	s.opts.Calls.Starts.Add(1)
 	reply, err := s.opts.Client.Start(ctx, o)
-	s.recordCallOutcome(begun, err)
+	s.recordCallOutcome(begun, maxAnswerWait, err)
 	if err == nil {
 		s.recordAnswerTime(time.Since(begun))
 	}
@@ -248,7 +266,7 @@
 	begun := time.Now()
 	s.opts.Calls.Polls.Add(1)
 	l, err := s.opts.Client.Renew(ctx, o)
-	s.recordCallOutcome(begun, err)
+	s.recordCallOutcome(begun, timeout, err)
 	if err == nil && l.Refusal == Accepted {
 		// The loop processes the first answer only. A later answer may report an end that would
 		// otherwise wait for the next poll.
@@ -268,7 +286,7 @@
 		begun := time.Now()
 		s.opts.Calls.Stops.Add(1)
 		reply, err := s.opts.Client.Stop(ctx, o)
-		s.recordCallOutcome(begun, err)
+		s.recordCallOutcome(begun, p.timeout, err)
 		return reply, err
 	})
 	return got.value, err
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/hedge"
 	"github.com/vanillagrade/vanillagrade/internal/target"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 )
@@ -104,11 +105,13 @@
 	unresponsive bool
 	// lastAnswer is when the target last answered a call. missedPolls counts the unanswered polls
 	// since the last answered one. The target counts as lossy, that is, its requests get lost,
-	// until lossyUntil. overtakenAt is when a start was last answered only at a later copy.
+	// until lossyUntil. overtakenAt is when a start was last answered only at a later copy. losses
+	// measures the share of lost calls.
 	lastAnswer  time.Time
 	missedPolls int
 	lossyUntil  time.Time
 	overtakenAt time.Time
+	losses      hedge.Losses
 	// deposed is set when another entry has taken the target. Runs left there are stopped, or end
 	// with the lease, which is no longer renewed.
 	deposed bool
