Collect registrar records through another entry while a link is broken

While the link between two entries of a zone is broken, neither collection is complete, and kept ids that may have been sent before are refused for as long as both count as alive.

Change: a failed request for records goes through another entry of the zone in turn. The answer names whose records it holds, so an entry of an older release, which would answer with its own, is not taken for a relay. At-most-once does not change: the same records arrive by another way.

--- a/internal/registrar/messages.go
+++ b/internal/registrar/messages.go
@@ -112,6 +112,9 @@
 	Set  uint64 `cbor:"5,keyasint,omitempty"`
 	// Claimed is how much longer ids count as claimed in the zone.
 	Claimed time.Duration `cbor:"6,keyasint,omitempty"`
+	// Of, when set, is the entry whose records are requested; the receiver passes the request
+	// on to it.
+	Of job.EntryID `cbor:"7,keyasint,omitempty"`
 }
 
 type syncReply struct {
@@ -124,6 +127,9 @@
 	Losses []lossMessage `cbor:"3,keyasint,omitempty"`
 	// Next is the shard to request next; it is shardCount after the last shard.
 	Next int `cbor:"4,keyasint"`
+	// From is the entry whose records these are. An older release does not relay requests and
+	// answers them with its own records, without From.
+	From job.EntryID `cbor:"5,keyasint,omitempty"`
 }
 
 type lossMessage struct {
--- a/internal/registrar/sync.go
+++ b/internal/registrar/sync.go
@@ -125,15 +125,22 @@
 // pull collects all records from one entry. It retries until the set of live entries
 // changes and reports whether it succeeded.
 func (r *Registrar) pull(ctx context.Context, from job.EntryID, base []job.EntryID, setDigest uint64, out *syncReply) bool {
+	route := syncRoute{to: from}
+	for _, entry := range base {
+		if entry != from && entry != r.self.Entry {
+			route.relays = append(route.relays, entry)
+		}
+	}
 	for i := 0; i < shardCount; {
 		if ctx.Err() != nil || !r.isCurrent(setDigest) {
 			return false
 		}
 		var part syncReply
 		call, cancel := context.WithTimeout(ctx, syncTimeout)
-		err := r.opts.Mesh.Call(call, from, peer.RegistrarSync, syncRequest{For: r.self.Entry, Base: base, Shard: i, Claimed: r.claimsActiveFor()}, &part)
+		err := route.call(call, r.opts.Mesh, syncRequest{For: r.self.Entry, Base: base, Shard: i, Claimed: r.claimsActiveFor()}, &part)
 		cancel()
 		if err != nil {
+			route.next()
 			select {
 			case <-time.After(syncRetryDelay):
 			case <-ctx.Done():
@@ -187,14 +194,58 @@
 	}
 }
 
-func (r *Registrar) handleSync(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
+// syncRoute is the way to an entry whose records are collected: directly, or through another
+// entry of the zone. Otherwise a broken link between two entries that both count as alive would
+// leave the records incomplete, and kept submissions refused, for as long as it lasts.
+type syncRoute struct {
+	to     job.EntryID
+	relays []job.EntryID
+	// failures counts the failed calls; it determines the next way.
+	failures int
+}
+
+// next chooses another way after a failed call: the direct one and one relay in turns.
+func (w *syncRoute) next() { w.failures++ }
+
+func (w *syncRoute) call(ctx context.Context, mesh peer.Mesh, req syncRequest, part *syncReply) error {
+	if w.failures%2 == 0 || len(w.relays) == 0 {
+		return mesh.Call(ctx, w.to, peer.RegistrarSync, req, part)
+	}
+	req.Of = w.to
+	relay := w.relays[w.failures/2%len(w.relays)]
+	if err := mesh.Call(ctx, relay, peer.RegistrarSync, req, part); err != nil {
+		return errors.Trace(err)
+	}
+	if part.From != w.to {
+		return errors.NotSupportedf("relaying by entry %s", relay)
+	}
+	return nil
+}
+
+// relaySync passes a request for the records of another entry on to that entry.
+func (r *Registrar) relaySync(ctx context.Context, req *syncRequest) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	to := req.Of
+	req.Of = ""
+	var part syncReply
+	if err := r.opts.Mesh.Call(ctx, to, peer.RegistrarSync, *req, &part); err != nil {
+		return nil, errors.Annotatef(err, "relaying a sync to %s", to)
+	}
+	return part, nil
+}
+
+func (r *Registrar) handleSync(ctx context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
 	var req syncRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "decoding a sync")
 	}
+	if req.Of != "" && req.Of != r.self.Entry {
+		return r.relaySync(ctx, &req)
+	}
 	r.markClaimsActive(req.Claimed)
 	now := time.Now()
-	var answer syncReply
+	answer := syncReply{From: r.self.Entry}
 	r.mu.Lock()
 	if req.Done {
 		r.completeness.recordSynced(from.Entry, req.Set)
@@ -207,7 +258,7 @@
 		return nil, errors.NotValidf("shard %d", req.Shard)
 	}
 	for answer.Next = req.Shard; answer.Next < shardCount && len(answer.Records) < minSyncPartRecords; answer.Next++ {
-		answer.Records = append(answer.Records, r.export(answer.Next, now, from.Entry, req.Base)...)
+		answer.Records = append(answer.Records, r.export(answer.Next, now, req.For, req.Base)...)
 	}
 	if answer.Next < shardCount {
 		answer.Losses = nil
