Count a lost target only against tasks that it had accepted

The session reported all its runs as lost with their target, the refused start among them, so a task counted against itself a target on which it never ran. - A start whose connection was refused counted as in doubt. The poll that followed found nobody listening either, and the holder counted the end of the target against each task that it had sent there, 1.2 s later. - A start that was sent to a target that had ended before, and got no answer, was treated like a run.

A refused connection and another incarnation's answer prove that nothing started: the task goes elsewhere at once. Only a run that the target is known to have accepted is lost with its target; a start whose connection broke before its answer is weak evidence, of which three end a task. A copy of a call is not sent at once to an address where nobody listens.

Ruled out: that the mass rule (four targets and three tenths of those held) is the cause. It doesn't apply to an entry with ten targets, but the first two jobs traced never ran on their second target.

--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -124,6 +124,17 @@
 	NotifyStop(submission job.ID, index int)
 }
 
+// startConfirmer is a connection that knows whether the target has accepted the start of a task.
+type startConfirmer interface {
+	Accepted(submission job.ID, index int) bool
+}
+
+// ran reports whether a task that was sent to the target may have run there.
+func (l *link) ran(submission job.ID, index int) bool {
+	c, ok := l.conn.(startConfirmer)
+	return !ok || c.Accepted(submission, index)
+}
+
 // stop queues a request to the target to stop a task. One goroutine per target
 // sends these requests one at a time, so that a wave of cancellations occupies
 // only one connection.
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -187,13 +187,13 @@
 }
 
 // targetEnded counts the loss of a target against the tasks that run there as soon as the loss
-// is known. Their runs are known to be over only later; other tasks of the same jobs wait until
-// then.
+// is known, except those whose start the target has not accepted. Their runs are known to be
+// over only later; other tasks of the same jobs wait until then.
 func (p *pool) targetEnded(id job.TargetID) {
 	p.update(func(now time.Time, _ *effects) {
 		for key, b := range p.batches {
 			for index, l := range b.running {
-				if l.target.ID == id && !l.planned && p.recordTargetLoss(now, b, index, l, true).Suspect {
+				if l.target.ID == id && !l.planned && l.ran(key.id, index) && p.recordTargetLoss(now, b, index, l, true).Suspect {
 					p.sched.Suspect(scheduler.Key{Owner: key.owner, Submission: key.id, Index: index})
 				}
 			}
--- a/internal/runs/poll.go
+++ b/internal/runs/poll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -169,19 +168,35 @@
 	if delay, lost := s.pollMaybeLost(time.Now(), err); lost {
 		return delay
 	}
-	if !s.unresponsive {
-		s.unresponsive = true
-		s.opts.Log.Warn("target silent", "target", s.opts.Target, "runs", len(s.runs), "epoch", s.epoch, "error", err)
-	}
+	s.markUnresponsive(err)
 	s.expireRuns(time.Now())
 	return unresponsivePollInterval
 }
 
+// markUnresponsive makes starts fail at once until the target answers a poll again. The caller
+// holds the lock.
+func (s *Session) markUnresponsive(err error) {
+	if s.unresponsive {
+		return
+	}
+	s.unresponsive = true
+	s.opts.Log.Warn("target silent", "target", s.opts.Target, "runs", len(s.runs), "epoch", s.epoch, "error", err)
+}
+
+// noteNotListening notes that the target's machine refused the connection for a start.
+func (s *Session) noteNotListening(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteConnRefused(err)
+	s.markUnresponsive(err)
+	s.pollNow()
+}
+
 // noteConnRefused notes that the target's machine refuses connections, which means that the
 // target's process has ended, and calls Options.Ended if runs of this session are there. The runs
 // still count as over only when the lease has expired. The caller holds the lock.
 func (s *Session) noteConnRefused(err error) {
-	if s.connRefused || !errors.Is(err, syscall.ECONNREFUSED) {
+	if s.connRefused || !isConnRefused(err) {
 		return
 	}
 	s.connRefused = true
@@ -212,7 +227,7 @@
 	}
 	s.record(timeline.LeaseExpired, "the target is silent, and its last lease of epoch %d has ended by any clock; %d runs", s.epoch, len(s.runs))
 	for ref, r := range s.runs {
-		s.endRunLocked(ref, r, lostWithTarget("the target was silent until its lease had run out", s.connRefused))
+		s.endRunLocked(ref, r, r.lostWithTarget("the target was silent until its lease had run out", s.connRefused))
 	}
 }
 
@@ -383,7 +398,7 @@
 	s.replaced = true
 	s.opts.Log.Info("target gone", "target", s.opts.Target, "cause", why, "runs", len(s.runs))
 	for ref, r := range s.runs {
-		s.endRunLocked(ref, r, lostWithTarget(why, true))
+		s.endRunLocked(ref, r, r.lostWithTarget(why, true))
 	}
 	if s.opts.Gone != nil {
 		go s.opts.Gone()
--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -70,12 +72,26 @@
 	resendDelay, timeout time.Duration
 }
 
-// callResult is the result of a call: the answer, the number of copies sent, and whether a later
-// copy was answered while an earlier one had no answer.
+// callResult is the result of a call: the answer, the number of copies sent, how many of them were
+// refused a connection, and whether a later copy was answered while an earlier one had no answer.
 type callResult[T any] struct {
-	value     T
-	sent      int
-	overtaken bool
+	value         T
+	sent, refused int
+	overtaken     bool
+}
+
+// unsent reports whether no copy has reached the target, because its machine refused every
+// connection.
+func (c *callResult[T]) unsent() bool { return c.sent == c.refused }
+
+// repeated reports whether more than one copy may have reached the target.
+func (c *callResult[T]) repeated() bool { return c.sent-c.refused > 1 }
+
+func isConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// isConnBroken reports whether a connection ended after it had been established.
+func isConnBroken(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // copyResult is the result of one copy of a call.
@@ -93,7 +109,7 @@
 }
 
 // firstAnswer makes a call and returns the first answer to a copy of it. A copy that fails is
-// followed by the next one at once. While this entry's own timers fire late, no copy is sent, and
+// followed by the next one at once, unless nobody listens at the address. While this entry's own timers fire late, no copy is sent, and
 // the timeout of the call is extended by as much as they are late. Copies still in flight when
 // firstAnswer returns end by their own timeouts: an answered call leaves its connection reusable,
 // while a cancelled one would cost a new connection. A policy of one copy calls send directly, and
@@ -102,6 +118,9 @@
 	if policy.maxCopies == 1 {
 		got.sent = 1
 		got.value, err = send(ctx)
+		if isConnRefused(err) {
+			got.refused = 1
+		}
 		return got, err
 	}
 	detached := context.WithoutCancel(ctx)
@@ -132,7 +151,12 @@
 				return got, nil
 			}
 			pending--
-			sendCopy()
+			if isConnRefused(r.err) {
+				got.refused++
+			}
+			if !got.unsent() {
+				sendCopy()
+			}
 			if pending == 0 {
 				return got, r.err
 			}
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -143,6 +143,8 @@
 	// higher one shows whether the start was carried out.
 	doubtEpoch uint64
 	stopping   bool
+	// connBroken is set when the connection of the start broke before its answer.
+	connBroken bool
 	// timeLeft returns how long the run may go on; nil sets no bound. deadline is when the run
 	// must be over once its stop was decided. Nothing that the owner reports later extends it.
 	timeLeft func() time.Duration
@@ -318,6 +320,15 @@
 	return -1
 }
 
+// Accepted reports whether the target is known to have accepted the start of a task that still
+// counts as running.
+func (s *Session) Accepted(submission job.ID, index int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runs[Ref{submission, index}]
+	return r != nil && !r.confirmedAt.IsZero()
+}
+
 // endRun delivers the end of a run.
 func (s *Session) endRun(ref Ref, r *run, res target.Result) {
 	s.mu.Lock()
@@ -355,10 +366,16 @@
 }
 
 // lostWithTarget returns the result of a run that was lost with its target, which is known to have
-// ended or was unresponsive for too long.
-func lostWithTarget(detail string, ended bool) target.Result {
+// ended or was unresponsive for too long. The target may have ended before a start that it did not
+// answer, so such a run does not count as its cause unless the connection broke meanwhile.
+func (r *run) lostWithTarget(detail string, ended bool) target.Result {
 	res := erred(job.TargetLost, detail, true)
-	res.TargetEnded, res.TargetSilent = ended, !ended
+	switch {
+	case !r.confirmedAt.IsZero():
+		res.TargetEnded, res.TargetSilent = ended, !ended
+	case r.connBroken:
+		res.TargetSilent = true
+	}
 	return res
 }
 
--- a/internal/runs/start.go
+++ b/internal/runs/start.go
@@ -31,12 +31,17 @@
 		p := s.promptPolicy()
 		begun := time.Now()
 		got, err := firstAnswer(s.ctx, p, func(ctx context.Context) (Reply, error) { return s.sendStart(ctx, o) })
-		if err != nil {
+		switch {
+		case err != nil && got.unsent():
+			s.noteNotListening(err)
+			s.abandonStart(ref, r, inDoubt, notStarted(target.Unreachable, "the target's machine refuses connections"))
+			return
+		case err != nil:
 			s.doubtStart(ref, r, err)
 			return
 		}
 		reply := got.value
-		inDoubt = inDoubt || got.sent > 1
+		inDoubt = inDoubt || got.repeated()
 		if got.overtaken {
 			s.noteOvertaken()
 		}
@@ -71,7 +76,9 @@
 		case NoCapacity:
 			s.resync()
 		case WrongIncarnation:
+			s.abandonStart(ref, r, inDoubt, refusalResult(reply))
 			s.endSession("another incarnation of the target listens at its address")
+			return
 		}
 		s.abandonStart(ref, r, inDoubt, refusalResult(reply))
 		return
@@ -196,6 +203,7 @@
 	}
 	s.raiseEpoch()
 	r.doubtEpoch = s.epoch
+	r.connBroken = isConnBroken(err)
 	s.pollNow()
 	s.mu.Unlock()
 }
--- a/internal/target/start.go
+++ b/internal/target/start.go
@@ -102,7 +102,8 @@
 	// then run again without two runs overlapping.
 	Over bool
 	// TargetEnded is set with Over if the target is known to have ended while it ran the
-	// task, TargetSilent if the target was unresponsive until the run had ended.
+	// task. TargetSilent is set if the target was unresponsive until the run had ended, or
+	// ended before it had answered the start.
 	TargetEnded, TargetSilent bool
 }
 
