Tell the processes of a target apart by their start

By reading: the cursor of ends of the former process hid the ends of the new one; epochs count from the target's clock, which begins anew, so a holder that came after a restart was refused; runs were lost only with the lease; a target that had announced its stop, withdrawn or been found ended was refused for a minute after it was back; a late announcement of the former process stopped or renewed the new one.

Change. job.Target has StartedAt. A session follows a restart in place: it claims an epoch above all earlier ones (epochs now count from the start of the process), polls under it, keeps the runs that the new process lists and takes all others as lost at once. A run that is not listed is over only once the new process has accepted the newer epoch, since a start for the former process may still be in transit. A later start is believed when the address confirms it, an earlier one never. Where targets of a pool report their start, announcements without it are refused and counted. Health begins anew.

Ruled out: a new session for each process. The runs of the old one could end only with the lease, since nothing would tell which of them the new process has accepted.

--- a/internal/entry/announced.go
+++ b/internal/entry/announced.go
@@ -34,6 +34,9 @@
 	if err == nil {
 		err = t.checkPool(announced)
 	}
+	if err == nil {
+		err = t.checkStart(announced)
+	}
 	return t.countMalformed(err)
 }
 
@@ -55,6 +58,17 @@
 	return errors.NotValidf("service %q: not in configuration %d: target", announced.Pool, file.Number)
 }
 
+// checkStart refuses an announcement without the start of the process where other targets of
+// the pool report it: such an announcement can't be told from one of a former process.
+func (t *targets) checkStart(announced *job.Target) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if announced.StartedAt == 0 && t.reportsStart[announced.Pool] {
+		return errors.NotValidf("announcement without the start of the process, which other targets of service %q report:", announced.Pool)
+	}
+	return nil
+}
+
 // isKnown reports whether the same target is held here or was announced through this
 // entry.
 func (t *targets) isKnown(announced *job.Target) bool {
@@ -74,7 +88,7 @@
 }
 
 // resolveConflict decides on an announcement that contradicts the registry: a held name
-// with another address, or a held address with another name. The announcement is accepted
+// with another address or a later start, or a held address with another name. The announcement is accepted
 // if the announced incarnation answers at the address.
 func (t *targets) resolveConflict(announced *job.Target) error {
 	held, ok := t.registry.Get(announced.ID)
@@ -83,7 +97,8 @@
 	}
 	former, displaced := t.registry.Displaced(time.Now(), announced)
 	moved := ok && held.Address != announced.Address
-	if !displaced && !moved {
+	restarted := ok && announced.RestartedSince(&held)
+	if !displaced && !moved && !restarted {
 		return nil
 	}
 	if !t.isListening(*announced) {
@@ -108,14 +123,17 @@
 		// A renewal without an epoch and without a lease changes nothing at the target.
 		reply, err := client.Renew(ctx, runs.PollRequest{})
 		// A target always reports its clock; another program that answers may not.
-		return err == nil && reply.Clock != 0 && (reply.Refusal == runs.Accepted || reply.Refusal == runs.Fenced)
+		if err != nil || reply.Clock == 0 || reply.Refusal != runs.Accepted && reply.Refusal != runs.Fenced {
+			return false
+		}
+		return t.StartedAt == 0 || reply.StartedAt == 0 || reply.StartedAt == t.StartedAt
 	}
 }
 
 // removeStopping stops new work on a target that has announced its planned stop, unless
 // another target is held under its name.
 func (t *targets) removeStopping(leaving *job.Target) error {
-	if held, ok := t.registry.Get(leaving.ID); ok && !sameTarget(&held, leaving) {
+	if held, ok := t.registry.Get(leaving.ID); ok && (!sameTarget(&held, leaving) || held.RestartedSince(leaving)) {
 		return errors.AlreadyExistsf("target %s of service %s at %s", held.ID, held.Pool, held.Address)
 	}
 	t.inventory.drop(leaving.ID)
@@ -125,6 +143,6 @@
 	}
 	delete(t.transfers, leaving.ID)
 	t.mu.Unlock()
-	t.remove(leaving.ID, leaving.Address, t.holder.RemoveStoppingTarget)
+	t.remove(leaving, t.holder.RemoveStoppingTarget)
 	return nil
 }
--- a/internal/entry/inventory_test.go
+++ b/internal/entry/inventory_test.go
@@ -105,7 +105,7 @@
 		keeper, a := z.start("keeper", 1), z.start("a", 1)
 		z.hold(a, "t1", "t2", "t3", "t4")
 		a.report(t.Context())
-		a.targets.remove("t4", "", a.targets.holder.RemoveStoppingTarget)
+		a.targets.remove(&job.Target{ID: "t4"}, a.targets.holder.RemoveStoppingTarget)
 		qt.Assert(t, a.targets.removeStopping(&job.Target{ID: "t3", Pool: "p", Address: "10.0.0.1:3", Zone: "z"}), qt.IsNil)
 		keeper.targets.removeEnded("t4")
 		keeper.targets.removeEnded("t3")
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -161,7 +161,10 @@
 	if remembered.Zone != t.self.Zone || t.registry.Holds(remembered.ID) || t.lastHolder(remembered.ID) != "" {
 		return false
 	}
-	if t.checkPool(&remembered) != nil || !t.isListening(remembered) {
+	// The target may have restarted under its id meanwhile.
+	anyProcess := remembered
+	anyProcess.StartedAt = 0
+	if t.checkPool(&remembered) != nil || !t.isListening(anyProcess) {
 		return false
 	}
 	_, err := localTargets{t}.Announce(remembered)
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -50,6 +50,8 @@
 	// announcements are the last announcements that targets made through this entry.
 	mu            sync.Mutex
 	announcements map[job.TargetID]announcement
+	// reportsStart are the pools whose targets report when their processes started.
+	reportsStart map[string]bool
 	// recentlySent are the targets that were recently sent to a holder, by pool.
 	recentlySent map[string][]assign.SentTarget
 	// transfers are the held targets to transfer, with their new holders. Targets that
@@ -139,6 +141,12 @@
 		t.recentlySent[pool] = append(assign.DropExpired(now, t.recentlySent[pool]), assign.SentTarget{Holder: holder, At: now})
 	}
 	t.announcements[announced.ID] = announcement{announced, holder, now.Add(lease)}
+	if announced.StartedAt != 0 {
+		if t.reportsStart == nil {
+			t.reportsStart = map[string]bool{}
+		}
+		t.reportsStart[announced.Pool] = true
+	}
 }
 
 // Withdraw implements api.Announcer. The request contains only the target's name. A target
@@ -217,23 +225,30 @@
 
 // removeEnded removes a target whose process has ended and stops new work on it at once.
 func (t *targets) removeEnded(id job.TargetID) {
-	t.forgetTarget(id)
-	t.remove(id, "", t.holder.RemoveEndedTarget)
+	startedAt := t.forgetTarget(id)
+	t.remove(&job.Target{ID: id, StartedAt: startedAt}, t.holder.RemoveEndedTarget)
 }
 
 // removeWithdrawn stops new work on a target that has withdrawn. No task becomes suspect
 // because of the target's end.
 func (t *targets) removeWithdrawn(id job.TargetID) {
-	t.forgetTarget(id)
-	t.remove(id, "", t.holder.RemoveStoppingTarget)
+	startedAt := t.forgetTarget(id)
+	t.remove(&job.Target{ID: id, StartedAt: startedAt}, t.holder.RemoveStoppingTarget)
 }
 
-func (t *targets) forgetTarget(id job.TargetID) {
+// forgetTarget drops what was announced by a target, and returns when its process started;
+// zero if that is unknown.
+func (t *targets) forgetTarget(id job.TargetID) (startedAt int64) {
 	t.inventory.drop(id)
+	if held, ok := t.registry.Get(id); ok {
+		startedAt = held.StartedAt
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	startedAt = max(startedAt, t.announcements[id].target.StartedAt)
 	delete(t.announcements, id)
 	delete(t.transfers, id)
+	return startedAt
 }
 
 func (t *targets) handleWithdraw(_ context.Context, _ job.Owner, body cbor.RawMessage) (any, error) {
@@ -274,17 +289,17 @@
 // remove stops new work on a target; removeFromHolder removes it from the holder. Where one
 // entry at a time controls each target, later announcements of the target at this address are
 // refused. An empty address stands for any address.
-func (t *targets) remove(id job.TargetID, address string, removeFromHolder func(job.TargetID)) {
+func (t *targets) remove(leaving *job.Target, removeFromHolder func(job.TargetID)) {
 	t.changeMu.Lock()
 	defer t.changeMu.Unlock()
 	if t.exclusive {
-		t.registry.RecordEnded(time.Now(), id, address)
+		t.registry.RecordEnded(time.Now(), leaving.ID, leaving.Address, leaving.StartedAt)
 	}
-	if _, held := t.registry.Withdraw(time.Now(), id); !held {
+	if _, held := t.registry.Withdraw(time.Now(), leaving.ID); !held {
 		return
 	}
-	removeFromHolder(id)
-	t.events.Record(timeline.Event{Kind: timeline.TargetStopping, Target: id, Cause: "the target withdrew"})
+	removeFromHolder(leaving.ID)
+	t.events.Record(timeline.Event{Kind: timeline.TargetStopping, Target: leaving.ID, Cause: "the target withdrew"})
 }
 
 // transferTimeout bounds the transfer of one target to its new holder; the target's
--- a/internal/entry/targets_test.go
+++ b/internal/entry/targets_test.go
@@ -37,7 +37,7 @@
 				}
 			})
 		}
-		both.Go(func() { held.remove(id, "", held.holder.RemoveStoppingTarget) })
+		both.Go(func() { held.remove(&job.Target{ID: id}, held.holder.RemoveStoppingTarget) })
 		both.Wait()
 	}
 	ts.expireLeases(time.Now().Add(time.Hour))
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -44,6 +44,9 @@
 			l = &link{conn: p.connect(t)}
 			p.links[t.ID] = l
 		}
+		if t.RestartedSince(&l.target) {
+			e.then(func() { l.followRestart(t.StartedAt) })
+		}
 		l.target = t
 		l.maxSize = l.maxSize.Max(t.Capacity())
 		l.removed, l.planned = false, false
@@ -124,6 +127,18 @@
 	NotifyStop(submission job.ID, index int)
 }
 
+// restartFollower is a connection that outlives the process of its target.
+type restartFollower interface {
+	Restarted(startedAt int64)
+}
+
+// followRestart tells the connection that the target has announced a later process.
+func (l *link) followRestart(startedAt int64) {
+	if c, ok := l.conn.(restartFollower); ok {
+		c.Restarted(startedAt)
+	}
+}
+
 // startConfirmer is a connection that knows whether the target has accepted the start of a task.
 type startConfirmer interface {
 	Accepted(submission job.ID, index int) bool
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -98,6 +98,16 @@
 	// MilliProcessors is a fraction of a processor, in thousandths, in addition to
 	// Processors.
 	MilliProcessors int `json:"milli_processors,omitempty" cbor:"12,keyasint,omitempty"`
+	// StartedAt is when the target's process started, in Unix milliseconds; zero if the
+	// target does not report it. It tells a target from the one that ran before it under
+	// the same id.
+	StartedAt int64 `json:"started_at_ms,omitempty" cbor:"13,keyasint,omitempty"`
+}
+
+// RestartedSince reports whether t is a later process of a target that ran before under
+// the same id.
+func (t *Target) RestartedSince(before *Target) bool {
+	return before.StartedAt != 0 && t.StartedAt > before.StartedAt
 }
 
 // Capacity returns the total capacity of the target.
--- a/internal/runs/clock.go
+++ b/internal/runs/clock.go
@@ -51,7 +51,8 @@
 	return c.millis + now.Sub(c.millisAt).Milliseconds()
 }
 
-// epoch returns the epoch for a moment of the target's clock.
-func (c *clock) epoch(now time.Time, salt uint16) uint64 {
-	return uint64(max(c.estimate(now), 0))<<epochShift | uint64(salt&saltMask)
+// epoch returns the epoch for a moment of the target's clock. The clock begins anew with the
+// target's process, so the epoch counts from the start of the process where it is known.
+func (c *clock) epoch(now time.Time, startedAt int64, salt uint16) uint64 {
+	return uint64(max(startedAt+c.estimate(now), 0))<<epochShift | uint64(salt&saltMask)
 }
--- a/internal/runs/poll.go
+++ b/internal/runs/poll.go
@@ -243,6 +243,8 @@
 	case l.Refusal == WrongIncarnation:
 		s.endSessionLocked("another incarnation of the target listens at its address")
 		return 0
+	case o.Epoch < s.restartEpoch:
+		return 0 // the target's process was replaced after this poll was sent
 	case o.Epoch == 0:
 		// The first poll only fetches the target's clock.
 		s.claimEpoch()
@@ -363,6 +365,8 @@
 			continue
 		}
 		switch {
+		case r.restarted && r.confirmedAt.IsZero():
+			s.endRunLocked(ref, r, r.lostWithTarget("the target restarted", true))
 		case !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent):
 			s.endRunLocked(ref, r, erred(job.TargetLost, "the target no longer lists the run", true))
 		case r.doubtEpoch != 0 && o.Epoch >= r.doubtEpoch && r.confirmedAt.IsZero():
--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -295,8 +295,11 @@
 		// The loop processes the first answer only. A later answer may report an end that would
 		// otherwise wait for the next poll.
 		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.observeIncarnation(&l) {
+			return l, errOtherProcess
+		}
 		s.deliverEnds(l.Ended)
-		s.mu.Unlock()
 	}
 	return l, err
 }
--- a/internal/runs/requests.go
+++ b/internal/runs/requests.go
@@ -116,6 +116,9 @@
 // PollReply is the target's answer to a poll.
 type PollReply struct {
 	Reply
+	// StartedAt is when the target's process started, in Unix milliseconds; zero if the target does
+	// not report it.
+	StartedAt int64
 	Running []Running
 	Ended   []End
 }
--- a/internal/runs/session.go
+++ b/internal/runs/session.go
@@ -56,6 +56,8 @@
 type Options struct {
 	Client TargetClient
 	Target job.TargetID
+	// StartedAt is when the target's process started, in Unix milliseconds; zero if it is unknown.
+	StartedAt int64
 	// Salt makes the epochs of two entries differ in their low bits.
 	Salt uint16
 	// Lease is the longest lease that the target grants; zero selects DefaultLease.
@@ -64,8 +66,9 @@
 	// is called once when another entry has taken the target.
 	Gone    func()
 	Yielded func()
-	// Ended is called when the target's machine refuses connections while runs of this session are
-	// there, which means that the target's process has ended. It may be nil.
+	// Ended is called when the target's process is found to have ended while runs of this session
+	// were there: its machine refuses connections, or another process answers under its id. It may
+	// be nil.
 	Ended func()
 	// Events receives each change of the target's holder and each expiry of a lease; nil discards
 	// them.
@@ -89,6 +92,10 @@
 	clock   clock
 	answers answerTimes
 	epoch   uint64
+	// startedAt is when the target's process started, in Unix milliseconds; zero while it is
+	// unknown. Answers to polls with an epoch below restartEpoch are about a former process.
+	startedAt    int64
+	restartEpoch uint64
 	// lastSeenEnd is the number of the last end that was processed, lastAckedEnd the last one that
 	// the target has received as acknowledged.
 	lastSeenEnd, lastAckedEnd uint64
@@ -145,6 +152,9 @@
 	stopping   bool
 	// connBroken is set when the connection of the start broke before its answer.
 	connBroken bool
+	// restarted is set when the target's process was replaced since the start was requested,
+	// acceptedBefore if the former process had accepted the start.
+	restarted, acceptedBefore bool
 	// timeLeft returns how long the run may go on; nil sets no bound. deadline is when the run
 	// must be over once its stop was decided. Nothing that the owner reports later extends it.
 	timeLeft func() time.Duration
@@ -173,7 +183,7 @@
 		o.Calls = &Calls{}
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Session{opts: o, ctx: ctx, stop: stop, runs: map[Ref]*run{}, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
+	s := &Session{opts: o, ctx: ctx, stop: stop, startedAt: o.StartedAt, runs: map[Ref]*run{}, ready: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.mu.Lock()
 	s.ensurePolling()
 	s.mu.Unlock()
@@ -247,7 +257,7 @@
 // from the target's own clock, so they grow from holder to holder without any agreement, even
 // while no voter is up. The caller holds the lock.
 func (s *Session) claimEpoch() {
-	s.epoch = max(s.epoch+epochStep, s.clock.epoch(time.Now(), s.opts.Salt))
+	s.epoch = max(s.epoch+epochStep, s.clock.epoch(time.Now(), s.startedAt, s.opts.Salt))
 	s.settled = false
 	s.resetReady()
 }
@@ -326,9 +336,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[Ref{submission, index}]
-	return r != nil && !r.confirmedAt.IsZero()
+	return r != nil && r.accepted()
 }
 
+// accepted reports whether a process of the target is known to have accepted the start.
+func (r *run) accepted() bool { return r.acceptedBefore || !r.confirmedAt.IsZero() }
+
 // endRun delivers the end of a run.
 func (s *Session) endRun(ref Ref, r *run, res target.Result) {
 	s.mu.Lock()
@@ -371,7 +384,7 @@
 func (r *run) lostWithTarget(detail string, ended bool) target.Result {
 	res := erred(job.TargetLost, detail, true)
 	switch {
-	case !r.confirmedAt.IsZero():
+	case r.accepted():
 		res.TargetEnded, res.TargetSilent = ended, !ended
 	case r.connBroken:
 		res.TargetSilent = true
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -22,7 +22,9 @@
 type worker struct {
 	mu         sync.Mutex
 	clockStart time.Time
-	epoch      uint64
+	// startedAt is reported as the start of the process, in Unix milliseconds; zero if it is not.
+	startedAt int64
+	epoch     uint64
 	until      int64
 	running    map[Ref]*task
 	highest    map[Ref]int
@@ -214,6 +216,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l.Reply = Reply{Clock: w.clock()}
+	l.StartedAt = w.startedAt
 	for ref, x := range w.running {
 		l.Running = append(l.Running, Running{Task: ref, Run: x.run})
 	}
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -106,6 +106,11 @@
 		t.removed = false
 		p.ranked.Push(t)
 	}
+	if announced.RestartedSince(&t.announced) {
+		p.fleet.Drop(&t.health)
+		t.health = health.Target{}
+		p.fleet.Add(&t.health)
+	}
 	t.announced = announced
 	t.Target = p.withDefaults(announced)
 	t.reducedSize = nil
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"net/netip"
 	"sort"
 	"sync"
@@ -38,8 +39,7 @@
 	withdrawnPeriod = time.Second
 )
 
-// endedPeriod is how long announcements are refused from a target that has ended and
-// whose name is never reused. It is longer than a partition can delay an announcement.
+// endedPeriod is how long announcements are refused from a target that has ended. It is longer than a partition can delay an announcement.
 const endedPeriod = time.Minute
 
 // maxEnded bounds the targets that are recorded as ended although they were not
@@ -61,9 +61,8 @@
 	held      map[job.TargetID]*lease
 	byAddress map[string]job.TargetID
 	withdrawn map[job.TargetID]formerAddress
-	// ended holds targets whose names are never reused, and when their records
-	// expire.
-	ended map[endedKey]time.Time
+	// ended holds the targets that have ended.
+	ended map[endedKey]endedRecord
 }
 
 // endedKey identifies a target that has ended. An empty address means any address.
@@ -72,6 +71,14 @@
 	address string
 }
 
+// endedRecord refuses the announcements of a target that has ended, until it expires. A
+// process that started after startedAt is a later one under the same id; its announcements
+// are accepted.
+type endedRecord struct {
+	expires   time.Time
+	startedAt int64
+}
+
 // lease is one held target.
 type lease struct {
 	target  job.Target
@@ -85,6 +92,8 @@
 type formerAddress struct {
 	address string
 	until   time.Time
+	// startedAt is the start of the process that used the address.
+	startedAt int64
 }
 
 // NewRegistry returns an empty registry for an entry in the given zone.
@@ -95,19 +104,21 @@
 		held:      make(map[job.TargetID]*lease),
 		byAddress: make(map[string]job.TargetID),
 		withdrawn: make(map[job.TargetID]formerAddress),
-		ended:     make(map[endedKey]time.Time),
+		ended:     make(map[endedKey]endedRecord),
 	}
 }
 
 // RecordEnded records that a target at an address has ended, so that its further
-// announcements are refused. An empty address means any address.
-func (r *Registry) RecordEnded(now time.Time, id job.TargetID, address string) {
+// announcements are refused. An empty address means any address. startedAt is when the
+// process that has ended started; zero, if it is unknown, means any process that has
+// started by now.
+func (r *Registry) RecordEnded(now time.Time, id job.TargetID, address string, startedAt int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.held[id] == nil && len(r.ended) >= maxEnded {
 		return
 	}
-	r.ended[endedKey{id, address}] = now.Add(endedPeriod)
+	r.ended[endedKey{id, address}] = endedRecord{now.Add(endedPeriod), cmp.Or(startedAt, now.UnixMilli())}
 }
 
 // EndedCount returns the number of targets that are recorded as ended.
@@ -119,7 +130,11 @@
 
 // hasEnded reports whether a target is recorded as ended. The caller holds the lock.
 func (r *Registry) hasEnded(now time.Time, t *job.Target) bool {
-	return now.Before(r.ended[endedKey{t.ID, ""}]) || now.Before(r.ended[endedKey{t.ID, t.Address}])
+	return r.ended[endedKey{t.ID, ""}].refuses(now, t) || r.ended[endedKey{t.ID, t.Address}].refuses(now, t)
+}
+
+func (e endedRecord) refuses(now time.Time, t *job.Target) bool {
+	return now.Before(e.expires) && t.StartedAt <= e.startedAt
 }
 
 // Get returns a held target.
@@ -160,9 +175,12 @@
 	if r.hasEnded(now, &t) {
 		return ErrWithdrawn
 	}
-	if d, ok := r.withdrawn[t.ID]; ok && d.address == t.Address && now.Before(d.until) {
+	if d, ok := r.withdrawn[t.ID]; ok && d.address == t.Address && now.Before(d.until) && t.StartedAt <= d.startedAt {
 		return ErrWithdrawn
 	}
+	if l := r.held[t.ID]; l != nil && t.StartedAt < l.target.StartedAt {
+		return errors.AlreadyExistsf("a later process of target %s", t.ID)
+	}
 	if l := r.held[t.ID]; l != nil && l.former.address == t.Address && now.Before(l.former.until) {
 		return errors.AlreadyExistsf("target %s at %s (two targets announce one id)", t.ID, l.target.Address)
 	}
@@ -230,7 +248,7 @@
 	if l == nil {
 		return job.Target{}, false
 	}
-	r.withdrawn[id] = formerAddress{address: l.target.Address, until: now.Add(withdrawnPeriod)}
+	r.withdrawn[id] = formerAddress{l.target.Address, now.Add(withdrawnPeriod), l.target.StartedAt}
 	r.remove(id)
 	return l.target, true
 }
@@ -244,9 +262,9 @@
 			delete(r.withdrawn, id)
 		}
 	}
-	for id, until := range r.ended {
-		if !now.Before(until) {
-			delete(r.ended, id)
+	for key, e := range r.ended {
+		if !now.Before(e.expires) {
+			delete(r.ended, key)
 		}
 	}
 	return r.removeMatching(func(l *lease) bool { return !now.Before(l.expires) })
