--- a/internal/runs/requests.go
+++ b/internal/runs/requests.go
@@ -119,8 +119,8 @@
 	// StartedAt is when the target's process started, in Unix milliseconds; zero if the target does
 	// not report it.
 	StartedAt int64
-	Running []Running
-	Ended   []End
+	Running   []Running
+	Ended     []End
 }
 
 // TargetClient sends requests to one target. After an error the request may be carried out or
--- a/internal/runs/session_test.go
+++ b/internal/runs/session_test.go
@@ -25,13 +25,13 @@
 	// startedAt is reported as the start of the process, in Unix milliseconds; zero if it is not.
 	startedAt int64
 	epoch     uint64
-	until      int64
-	running    map[Ref]*task
-	highest    map[Ref]int
-	ended      []End
-	last       uint64
-	acked      uint64
-	changed    chan struct{}
+	until     int64
+	running   map[Ref]*task
+	highest   map[Ref]int
+	ended     []End
+	last      uint64
+	acked     uint64
+	changed   chan struct{}
 	// runTime is how long a run takes. lose decides which answers are lost, and delay is how much
 	// later a request whose answer is lost is carried out.
 	runTime      time.Duration
