Renew the right to act for an owner while its work is here

The right to act for an owner is a lease of 950 ms from the owner's last proof. A pair that shares no work exchanges heartbeats once a second or less, so an offer came with a proof of up to 950 ms, and the lease ran out before the close exchange (250 ms) had begun. The number of pairs grows with the square of a zone, the work that a pair shares falls: with 54 entries a zone nearly each batch is the first in a while. The same expiry, without any work, wrote "owner_silent ... its transient work here is stopped" eleven times a second at each entry (8,781 lines of 37,433 in 22 s at 49 VMs).

A holder asks an owner for a proof (one message and its answer) when the last one is over 550 ms old while work of that owner is here, each 100 ms at the most; an offer whose proof leaves under 200 ms is answered with a fresh reading, as a too old one was. So the cost follows the work that is shared, not the pairs. owner_silent is told only of an owner whose work is stopped. What a proof is, the term and the bounds of ownership's model stay.

Ruled out: a longer term (callers come back after 1.3 s); heartbeats every 250 ms between all pairs of a zone (their square).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -293,6 +293,7 @@
 	fresh := &pipeline.Freshness{Events: e.events}
 	if e.rights != nil {
 		e.handoverServer.RequireRights(e.rights)
+		serveProofRequests(e.links, e.mayProve)
 		fresh.Right = e.rights.ownRight
 	}
 	e.chain = pipeline.Chain(
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -23,6 +23,7 @@
 // slowConn is a connection to a target whose runs end when the test ends them.
 type slowConn struct {
 	starts atomic.Int64
+	stops  atomic.Int64
 	ends   chan target.Result
 }
 
@@ -39,8 +40,12 @@
 	}
 }
 
-func (c *slowConn) Stop(context.Context, job.ID, int) error { return nil }
-func (c *slowConn) Close()                                  {}
+func (c *slowConn) Stop(context.Context, job.ID, int) error {
+	c.stops.Add(1)
+	return nil
+}
+
+func (c *slowConn) Close() {}
 
 // pausableEntry consists of the parts of an entry that hold work, and of another entry that
 // owns some of that work. The entry can be paused: none of its parts runs, and messages sent
@@ -55,19 +60,30 @@
 	self      job.Owner
 	stopEntry context.CancelFunc
 	cancel    context.CancelFunc
+	across    membership.Timings
+	// mute makes the owner prove nothing when it is asked.
+	mute atomic.Bool
 }
 
 func newPausableEntry(t *testing.T) *pausableEntry {
+	return newPausableEntryWatched(t, crossZoneTimings)
+}
+
+// newPausableEntryWatched returns an entry that exchanges heartbeats with its owner at the given
+// timings.
+func newPausableEntryWatched(t *testing.T, across membership.Timings) *pausableEntry {
 	p := &pausableEntry{
-		t: t, net: &peertest.Network{Delay: time.Millisecond},
+		across: across,
+		t:      t, net: &peertest.Network{Delay: time.Millisecond},
 		conn: &slowConn{ends: make(chan target.Result)},
 	}
 	p.ctx, p.cancel = context.WithCancel(t.Context())
 	p.self = job.Owner{Entry: "h", Incarnation: 1, Zone: "z"}
 	mesh := p.net.Join(p.self)
 	other := p.net.Join(job.Owner{Entry: "o", Incarnation: 1, Zone: "y"})
+	serveProofRequests(other, func(job.EntryID) bool { return !p.mute.Load() })
 	p.entry = p.assemble(mesh)
-	otherMembers := membership.New(membership.Options{Mesh: other, Peers: []membership.Peer{{Entry: "h", Zone: "z"}}, Across: crossZoneTimings})
+	otherMembers := membership.New(membership.Options{Mesh: other, Peers: []membership.Peer{{Entry: "h", Zone: "z"}}, Across: p.across})
 	p.owner = handover.NewRemote(handover.RemoteOptions{Mesh: other, SinceLastMessage: otherMembers.Silent, Proof: otherMembers.LastReading, Learn: otherMembers.RecordReading})
 	go func() { _ = otherMembers.Run(p.ctx) }()
 	p.resume()
@@ -81,7 +97,8 @@
 	e := &Entry{self: p.self, log: discardLogger(), events: timeline.Discard{}}
 	e.holder = holder.New(holder.Options{Self: p.self, Config: config.Fixed{}, Connect: func(job.Target) holder.Connection { return p.conn }})
 	e.rights = newRights(e)
-	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: crossZoneTimings, Proved: e.rights.recordProof})
+	e.rights.mesh = mesh
+	e.members = membership.New(membership.Options{Mesh: mesh, Peers: []membership.Peer{{Entry: "o", Zone: "y"}}, Across: p.across, Proved: e.rights.recordProof})
 	e.handoverServer = handover.Serve(mesh, e.holder)
 	e.handoverServer.OnOffer(e.members.Touch)
 	e.handoverServer.RequireRights(e.rights)
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/policy/ownership"
 	"github.com/vanillagrade/vanillagrade/internal/timeline"
 	"github.com/vanillagrade/vanillagrade/internal/vmclock"
@@ -25,6 +27,8 @@
 	table   ownership.Table
 	proofOf func(life job.Incarnation, at vmclock.Timestamp) (time.Time, bool)
 	reading func() vmclock.Timestamp
+	// mesh carries the requests for proofs of owners.
+	mesh peer.Mesh
 
 	mu     sync.Mutex
 	unread ownership.UnreadTracker
@@ -39,6 +43,7 @@
 		self: e.self, clock: &e.vmClock,
 		proofOf: func(life job.Incarnation, at vmclock.Timestamp) (time.Time, bool) { return e.members.Proof(life, at) },
 		reading: func() vmclock.Timestamp { return e.members.Reading() },
+		mesh:    e.links,
 	}
 }
 
@@ -85,10 +90,12 @@
 	if !ok {
 		return nil
 	}
-	lease := r.table.Renew(r.clock.Now(), owner, at)
-	if lease == nil {
+	now := r.clock.Now()
+	lease := r.table.Renew(now, owner, at)
+	if lease == nil || now.Sub(lease.Proof()) > ownership.MaxOfferAge {
 		return nil
 	}
+	r.refresh(now, owner)
 	return r.newRight(lease, remaining)
 }
 
@@ -162,9 +169,15 @@
 		gap := now.Sub(last)
 		last = now
 		e.recordPause(gap)
+		busy := e.holder.Owners()
+		for _, owner := range busy {
+			e.rights.refresh(now, owner)
+		}
 		expired := e.rights.table.Sweep(now)
 		for owner, age := range expired {
-			e.recordOwnerLost(owner, age)
+			if slices.Contains(busy, owner) {
+				e.recordOwnerLost(owner, age)
+			}
 		}
 		e.rights.recordRun(now, gap)
 		if len(expired) > 0 {
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -24,6 +24,7 @@
 	BatchFetch:       "batch_fetch",
 	SubmissionKeep:   "submission_keep",
 	TaskCrashed:      "task_crashed",
+	ProofRequest:     "proof_request",
 	ConsensusMessage: "consensus_message",
 	ConfigPull:       "config_pull",
 	ConfigApply:      "config_apply",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,6 +34,7 @@
 	BatchFetch       Kind = 22
 	SubmissionKeep   Kind = 23
 	TaskCrashed      Kind = 24
+	ProofRequest     Kind = 25
 	ConsensusMessage Kind = 30
 	ConfigPull       Kind = 31
 	ConfigApply      Kind = 32
--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -38,6 +38,22 @@
 	MaxWorkAfterProof = 1200 * time.Millisecond
 )
 
+// Load pattern: in a large fleet an owner and a holder seldom share work and exchange heartbeats
+// once a second or less. The proof in an offer is then up to a term old, and the lease would
+// expire before the next heartbeat while the work of a live owner runs. So a holder asks for a
+// proof of its own when one gets old while work depends on it.
+const (
+	// RefreshAge is the age of a proof from which a newer one is requested. Proofs from
+	// heartbeats at their regular interval don't reach it while the fleet is small.
+	RefreshAge = 550 * time.Millisecond
+	// refreshInterval is the shortest time between two requests to one owner: several round
+	// trips.
+	refreshInterval = 100 * time.Millisecond
+	// MaxOfferAge is the age of the proof up to which work is accepted. What is left of the term
+	// covers the request of a newer proof and the pause of a VM whose CPU quota is used up.
+	MaxOfferAge = Term - 200*time.Millisecond
+)
+
 // Lease is the right to act for one incarnation of an owner. It begins with the first
 // proof and expires once no proof has renewed it for a term. It is safe for concurrent
 // use.
@@ -50,6 +66,8 @@
 	mu      sync.Mutex
 	proof   time.Time
 	expired bool
+	// requested is when a newer proof was last requested.
+	requested time.Time
 }
 
 // NewLease returns a lease that begins with a proof of liveness. resumed says that an
@@ -93,6 +111,17 @@
 	return true
 }
 
+// RequestDue reports whether a newer proof has to be requested now, and records that it is.
+func (l *Lease) RequestDue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expired || now.Sub(l.proof) < RefreshAge || now.Sub(l.requested) < refreshInterval {
+		return false
+	}
+	l.requested = now
+	return true
+}
+
 // Lost returns a channel that is closed once a check has found the lease expired.
 func (l *Lease) Lost() <-chan struct{} { return l.lost }
 
