Tell each other how many targets holders have while a zone forms

A zone of 500 targets needs 25 holders, and they fill one after the other. Who passes an announcement on knows of another zone only the four holders with the most room, and of its own what was reported half a second ago; each full holder named a next one by its own view, which sent it back. With six hops a target found its holder by luck, the later the more holders were full: 15 s until the last of 2,500 had one. The number of hops grew with the holders of a zone.

Who declines a target says how many it holds; who passes on a target without a holder sends along what it knows, with the age of each number; the newest number counts (policy/assign, MergeReports). So each entry learns of a full holder once, and the next one in the order accepts. At twice the size a zone has twice the holders, and each first announcement carries some 15 bytes for each; what has a holder carries nothing.

Ruled out: more hops (their number still grows with the holders); a holder that accepts whatever it has room for (two entries with different views would spread a small pool over several holders).

--- a/internal/entry/assign.go
+++ b/internal/entry/assign.go
@@ -108,6 +108,15 @@
 // targets that this entry has sent to the holder since the holder's last report.
 func (t *targets) targetCounts(pool string) map[job.EntryID]int {
 	now := time.Now()
+	reported := t.holderReports(now, pool)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return assign.CountTargets(now, reported, t.recentlySent[pool])
+}
+
+// holderReports returns the reports of how many targets of a pool each entry holds: the regular
+// ones, and those that came with answers.
+func (t *targets) holderReports(now time.Time, pool string) []assign.HolderReport {
 	var reported []assign.HolderReport
 	for _, l := range t.members.AgedLoads() {
 		if l.Pool == pool {
@@ -116,7 +125,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return assign.CountTargets(now, reported, t.recentlySent[pool])
+	return assign.MergeReports(now, reported, t.learned[pool])
 }
 
 // mayHold reports whether a member may hold targets in this entry's view. This entry itself
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -54,6 +54,9 @@
 	reportsStart map[string]bool
 	// recentlySent are the targets that were recently sent to a holder, by pool.
 	recentlySent map[string][]assign.SentTarget
+	// learned are the numbers of targets that holders have reported with their answers, by
+	// pool.
+	learned map[string][]assign.HolderReport
 	// transfers are the held targets to transfer, with their new holders. Targets that
 	// are controlled by one entry at a time are transferred once they are idle.
 	transfers map[job.TargetID]job.EntryID
@@ -96,11 +99,68 @@
 		exclusive: e.opts.NewTargetClient != nil,
 		started:   e.started,
 	}
-	t.forward = handover.NewTargets(e.links, t.holderOf, localTargets{t})
+	t.connectForwarding(handover.NewTargets(e.links, t.holderOf, localTargets{t}))
 	t.mesh.Handle(peer.TargetWithdraw, t.handleWithdraw)
 	return t
 }
 
+// connectForwarding sets how announcements are passed on, and learns what holders report with
+// their answers.
+func (t *targets) connectForwarding(forward *handover.Targets) {
+	forward.Held, forward.Known, forward.Learn = t.heldOf, t.knownCounts, t.learnCounts
+	t.forward = forward
+}
+
+// heldOf returns how many targets of a pool this entry holds.
+func (t *targets) heldOf(pool string) int {
+	n := 0
+	for _, held := range t.registry.Held() {
+		if held.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// knownCounts returns how many targets of a new target's pool each entry of its zone holds.
+func (t *targets) knownCounts(announced *job.Target) []handover.Count {
+	if t.lastHolder(announced.ID) != "" {
+		return nil
+	}
+	now := time.Now()
+	reportedAt := map[job.EntryID]time.Time{}
+	for _, r := range t.holderReports(now, announced.Pool) {
+		if r.At.After(reportedAt[r.Entry]) {
+			reportedAt[r.Entry] = r.At
+		}
+	}
+	var out []handover.Count
+	for _, h := range t.zoneHolders(announced.Zone, announced.Pool) {
+		if at, known := reportedAt[h.Entry]; known && h.Targets > 0 {
+			out = append(out, handover.Count{Entry: h.Entry, Targets: h.Targets, AgeMillis: now.Sub(at).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// learnCounts records how many targets of a pool other entries hold by another entry's word.
+func (t *targets) learnCounts(pool string, counts []handover.Count) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.learned == nil {
+		t.learned = map[string][]assign.HolderReport{}
+	}
+	var reports []assign.HolderReport
+	for _, c := range counts {
+		if c.Entry != t.self.Entry {
+			at := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
+			reports = append(reports, assign.HolderReport{Entry: c.Entry, Targets: c.Targets, At: at})
+		}
+	}
+	t.learned[pool] = assign.MergeReports(now, t.learned[pool], reports)
+}
+
 // announcementsPerLease is how many announcements a target makes in one lease, so that
 // two may be lost before the lease expires.
 const announcementsPerLease = 3
--- a/internal/handover/targets.go
+++ b/internal/handover/targets.go
@@ -35,6 +35,18 @@
 	// sender has held the target until now, or an entry that remembers the target's
 	// holder has named the receiver.
 	Released bool `cbor:"2,keyasint,omitempty"`
+	// Known are the numbers of targets that the sender knows of the zone's entries, for a
+	// target that has no holder yet.
+	Known []Count `cbor:"3,keyasint,omitempty"`
+}
+
+// Count is the number of targets of a pool that an entry holds.
+type Count struct {
+	_       struct{} `cbor:",toarray"`
+	Entry   job.EntryID
+	Targets int
+	// AgeMillis is the age of the report that the number is from.
+	AgeMillis int64
 }
 
 // forwarded is the answer of peer.TargetForward. Holder is set if the answering
@@ -44,6 +56,8 @@
 	Lease     time.Duration `cbor:"1,keyasint,omitempty"`
 	Holder    job.EntryID   `cbor:"2,keyasint,omitempty"`
 	Remembers bool          `cbor:"3,keyasint,omitempty"`
+	// Held is how many targets of the pool the answering entry holds, if it declines.
+	Held int `cbor:"4,keyasint,omitempty"`
 }
 
 // Targets forwards the announcements that this entry receives to the holders.
@@ -61,6 +75,13 @@
 	// that has just started would itself ask this entry and send the announcement back.
 	// Nil on entries that don't remember holders.
 	Remembers func(job.TargetID) bool
+	// Held returns how many targets of a pool this entry holds, and Known what it knows of the
+	// other entries in the zone of a target without a holder. Learn receives the same from
+	// others. While all targets of a large zone announce themselves, one holder after the
+	// other gets full between two regular reports. All three are optional.
+	Held  func(pool string) int
+	Known func(t *job.Target) []Count
+	Learn func(pool string, counts []Count)
 }
 
 // NewTargets returns a forwarder of announcements and handles those that other
@@ -88,12 +109,13 @@
 			return lease, to, err
 		}
 		var answer forwarded
-		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{Target: target, Released: authoritative}, &answer); err != nil {
+		if err := t.mesh.Call(ctx, to, peer.TargetForward, forward{Target: target, Released: authoritative, Known: t.known(&target)}, &answer); err != nil {
 			return 0, "", errors.Annotatef(err, "holder %s of target %s", to, target.ID)
 		}
 		if answer.Holder == "" {
 			return answer.Lease, to, nil
 		}
+		t.learn(target.Pool, []Count{{Entry: to, Targets: answer.Held}})
 		to, authoritative = answer.Holder, answer.Remembers
 	}
 	return 0, "", errors.Annotatef(ErrNoHolder, "the entries of zone %s currently disagree on the holder of target %s", target.Zone, target.ID)
@@ -110,6 +132,19 @@
 	return errors.Annotatef(err, "holder %s of target %s", to, target.ID)
 }
 
+func (t *Targets) learn(pool string, counts []Count) {
+	if t.Learn != nil && len(counts) > 0 {
+		t.Learn(pool, counts)
+	}
+}
+
+func (t *Targets) known(target *job.Target) []Count {
+	if t.Known == nil {
+		return nil
+	}
+	return t.Known(target)
+}
+
 func (t *Targets) local(target job.Target) (time.Duration, error) {
 	lease, err := t.registry.Announce(target)
 	return lease, errors.Trace(err)
@@ -120,11 +155,16 @@
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return nil, errors.Annotate(err, "decoding an announcement")
 	}
+	t.learn(f.Target.Pool, f.Known)
 	if holder := t.holderOf(&f.Target); holder != t.mesh.Self().Entry && !f.Released {
 		if holder == "" {
 			return nil, errors.Trace(ErrNoHolder)
 		}
-		return forwarded{Holder: holder, Remembers: t.Remembers != nil}, nil
+		answer := forwarded{Holder: holder, Remembers: t.Remembers != nil}
+		if t.Held != nil {
+			answer.Held = t.Held(f.Target.Pool)
+		}
+		return answer, nil
 	}
 	lease, err := t.local(f.Target)
 	if err != nil {
--- a/internal/policy/assign/held.go
+++ b/internal/policy/assign/held.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
@@ -31,7 +32,31 @@
 // several report intervals.
 const inTransitFor = time.Second
 
-// CountTargets returns how many targets each entry holds, including targets in transit.
+// LearnedFor is how long a number of targets counts that an entry has reported with an answer and
+// that no regular report has replaced: as long as a dead entry is remembered. Entries of other
+// zones get the regular reports of a few holders only.
+const LearnedFor = 30 * time.Second
+
+// MergeReports returns the latest report of each entry from two lists, without those that no
+// longer count.
+func MergeReports(now time.Time, known, further []HolderReport) []HolderReport {
+	latest := map[job.EntryID]HolderReport{}
+	for _, r := range slices.Concat(known, further) {
+		if last, found := latest[r.Entry]; !found || r.At.After(last.At) {
+			latest[r.Entry] = r
+		}
+	}
+	out := make([]HolderReport, 0, len(latest))
+	for _, r := range latest {
+		if now.Sub(r.At) < LearnedFor {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// CountTargets returns how many targets each entry holds, including targets in transit. There is
+// one report of an entry at the most.
 func CountTargets(now time.Time, reported []HolderReport, passed []SentTarget) map[job.EntryID]int {
 	held, reportedAt := map[job.EntryID]int{}, map[job.EntryID]time.Time{}
 	for _, r := range reported {
--- a/internal/policy/assign/held_test.go
+++ b/internal/policy/assign/held_test.go
@@ -89,3 +89,16 @@
 	qt.Assert(t, names(Active(thin)), qt.Equals, "abcd")
 	qt.Assert(t, names(Candidates(thin)), qt.Equals, "d")
 }
+
+// Guards against an old report that replaces a newer one, and against reports of entries that are
+// long gone.
+func TestMergeReportsKeepsTheLatest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	known := []HolderReport{{Entry: "a", Targets: 5, At: now.Add(-time.Second)}, {Entry: "b", Targets: 7, At: now.Add(-LearnedFor)}}
+	further := []HolderReport{{Entry: "a", Targets: 20, At: now.Add(-2 * time.Second)}, {Entry: "c", Targets: 3, At: now}}
+	got := map[job.EntryID]int{}
+	for _, r := range MergeReports(now, known, further) {
+		got[r.Entry] = r.Targets
+	}
+	qt.Assert(t, got, qt.DeepEquals, map[job.EntryID]int{"a": 5, "c": 3})
+}
