Leave the targets of a stopping holder to it until it has passed them on

In the logs: the holder says that it drains at 47.000; 1 ms later two entries hold its target, and the second one stops the "stray run" that the holder has there. Whoever had received a target's announcement passed the target on to another holder as soon as the holder called itself draining, though that one passes each target on itself, once it is idle. With many entries that announcements have come through, each restart is answered so from all sides.

Where one entry at a time controls a target, the entry that received its announcement leaves it with a draining holder, and forwards renewals to it, until that holder is gone.

Ruled out: the transfer by the holder itself (it waits until nothing runs); the caller (nobody had cancelled).

--- a/internal/entry/assign.go
+++ b/internal/entry/assign.go
@@ -47,7 +47,7 @@
 }
 
 // lastHolder returns the entry to which this one last forwarded a target's announcement,
-// while that entry serves: a target stays with its holder.
+// while that entry keeps its targets: a target stays with its holder.
 func (t *targets) lastHolder(id job.TargetID) job.EntryID {
 	t.mu.Lock()
 	last := t.announcements[id].holder
@@ -55,8 +55,7 @@
 	if last == "" || last == t.self.Entry {
 		return ""
 	}
-	view := t.members.View()
-	if m, known := view.Get(last); !known || !m.Serving() {
+	if view := t.members.View(); !t.keepsTargets(&view, last) {
 		return ""
 	}
 	return last
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -373,8 +373,7 @@
 	now := time.Now()
 	t.rebalance()
 	for _, p := range t.liveAnnouncements(now) {
-		last, _ := view.Get(p.holder)
-		if p.holder == "" || last.Serving() {
+		if p.holder == "" || t.keepsTargets(&view, p.holder) {
 			continue
 		}
 		to := t.holderOf(&p.target)
@@ -386,6 +385,14 @@
 	}
 }
 
+// keepsTargets reports whether an entry still holds the targets that it held. Where one entry at a
+// time controls each target, an entry that stops passes each one on itself, once it is idle: a new
+// holder would stop what runs there.
+func (t *targets) keepsTargets(view *membership.Members, holder job.EntryID) bool {
+	m, known := view.Get(holder)
+	return known && (m.Serving() || t.exclusive && m.Live())
+}
+
 // liveAnnouncements returns the announcements received here that have not expired.
 func (t *targets) liveAnnouncements(now time.Time) []announcement {
 	t.mu.Lock()
