Take the answer of another process of a target for no loss

Cause, by reading the change once more: a poll that another process of the target answered failed like one whose connection broke, so the target counted as lossy for a second and got copies of its calls. The next poll follows at once as it is.

--- a/internal/entry/announced.go
+++ b/internal/entry/announced.go
@@ -88,8 +88,8 @@
 }
 
 // resolveConflict decides on an announcement that contradicts the registry: a held name
-// with another address or a later start, or a held address with another name. The announcement is accepted
-// if the announced incarnation answers at the address.
+// with another address or a later start, or a held address with another name. The
+// announcement is accepted if the announced incarnation answers at the address.
 func (t *targets) resolveConflict(announced *job.Target) error {
 	held, ok := t.registry.Get(announced.ID)
 	if ok && held.Pool != announced.Pool {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -17,19 +17,17 @@
 	salt := uint16(xxhash.Sum64String(string(e.self.Entry)))
 	return func(t job.Target) holder.Connection {
 		return runs.NewSession(runs.Options{
-			Client: e.opts.NewTargetClient(t),
-			Target: t.ID,
-
+			Client:    e.opts.NewTargetClient(t),
+			Target:    t.ID,
 			StartedAt: t.StartedAt,
-
-			Salt:    salt,
-			Lease:   e.opts.Lease,
-			Gone:    func() { e.targets.removeEnded(t.ID) },
-			Yielded: func() { e.targets.yield(t.ID) },
-			Ended:   func() { e.holder.TargetEnded(t.ID) },
-			Events:  e.events,
-			Log:     e.log,
-			Calls:   &e.calls,
+			Salt:      salt,
+			Lease:     e.opts.Lease,
+			Gone:      func() { e.targets.removeEnded(t.ID) },
+			Yielded:   func() { e.targets.yield(t.ID) },
+			Ended:     func() { e.holder.TargetEnded(t.ID) },
+			Events:    e.events,
+			Log:       e.log,
+			Calls:     &e.calls,
 		})
 	}
 }
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -347,8 +347,8 @@
 }
 
 // remove stops new work on a target; removeFromHolder removes it from the holder. Where one
-// entry at a time controls each target, later announcements of the target at this address are
-// refused. An empty address stands for any address.
+// entry at a time controls each target, later announcements of this process of the target are
+// refused. An empty address stands for any address, a start of zero for any process so far.
 func (t *targets) remove(leaving *job.Target, removeFromHolder func(job.TargetID)) {
 	t.changeMu.Lock()
 	defer t.changeMu.Unlock()
--- a/internal/runs/poll.go
+++ b/internal/runs/poll.go
@@ -160,7 +160,7 @@
 // handlePollFailure handles a poll that got no answer and returns the delay before the next one.
 // The caller holds the lock.
 func (s *Session) handlePollFailure(err error) (delay time.Duration) {
-	if s.pollCancelled || s.ctx.Err() != nil {
+	if s.pollCancelled || s.ctx.Err() != nil || errors.Is(err, errOtherProcess) {
 		return 0
 	}
 	s.missedPolls++
--- a/internal/runs/repeat.go
+++ b/internal/runs/repeat.go
@@ -109,11 +109,11 @@
 }
 
 // firstAnswer makes a call and returns the first answer to a copy of it. A copy that fails is
-// followed by the next one at once, unless nobody listens at the address. While this entry's own timers fire late, no copy is sent, and
-// the timeout of the call is extended by as much as they are late. Copies still in flight when
-// firstAnswer returns end by their own timeouts: an answered call leaves its connection reusable,
-// while a cancelled one would cost a new connection. A policy of one copy calls send directly, and
-// that call ends with ctx.
+// followed by the next one at once, unless nobody listens at the address. While this entry's own
+// timers fire late, no copy is sent, and the timeout of the call is extended by as much as they are
+// late. Copies still in flight when firstAnswer returns end by their own timeouts: an answered call
+// leaves its connection reusable, while a cancelled one would cost a new connection. A policy of one
+// copy calls send directly, and that call ends with ctx.
 func firstAnswer[T any](ctx context.Context, policy callPolicy, send func(context.Context) (T, error)) (got callResult[T], err error) {
 	if policy.maxCopies == 1 {
 		got.sent = 1
