Check when a holder asks for a newer proof

Cause: the decision (policy/ownership, RequestDue) was tested only through the entry. The test asks at each 10 ms of a lease: five requests between 550 ms and the end of the term, none after it. No behaviour changes.

--- a/internal/policy/ownership/ownership_test.go
+++ b/internal/policy/ownership/ownership_test.go
@@ -106,3 +106,20 @@
 	qt.Assert(t, Term+stopTime <= MaxWorkAfterProof, qt.IsTrue)
 	qt.Assert(t, time.Duration(float64(MaxWorkAfterProof)*1.02) < resubmitDelay, qt.IsTrue)
 }
+
+// Guards against a lease that expires between two heartbeats of a pair that seldom shares work,
+// and against requests at each check.
+func TestNewerProofIsRequestedInTime(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	l := NewLease(begin, false)
+	requests := 0
+	for age := time.Duration(0); age <= Term+200*time.Millisecond; age += 10 * time.Millisecond {
+		if l.RequestDue(begin.Add(age)) {
+			requests++
+			qt.Check(t, age >= RefreshAge && age <= Term, qt.IsTrue, qt.Commentf("at %v", age))
+		}
+		l.Valid(begin.Add(age))
+	}
+	qt.Check(t, requests, qt.Equals, 5)
+	qt.Check(t, l.Renew(begin.Add(time.Hour), begin.Add(time.Hour)), qt.IsFalse)
+}
