Read the priority of services, and plan the work on shared pools

Cause: the configuration could not state which of the services that share a pool goes first within an urgency class; routes of the platform carry a priority that was not decoded.

Ruled out: mapping priorities to the three urgency classes, whose order is strict (docs/design/41-admission.md).

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -156,6 +156,7 @@
 			"name":         func(n ast.Node) { s.Name = d.ident(n, what+".name") },
 			"pool":         func(n ast.Node) { s.Pool = d.ident(n, what+".pool") },
 			"urgency":      func(n ast.Node) { s.Urgency = choice(d, n, what+".urgency", job.ParseUrgency) },
+			"priority":     func(n ast.Node) { s.Priority = int(d.integer(n, what+".priority", 0, MaxPriority)) },
 			"repeatable":   func(n ast.Node) { s.Repeatable = d.boolean(n, what+".repeatable") },
 			"keep":         func(n ast.Node) { s.Keep = choice(d, n, what+".keep", job.ParseKeep) },
 			"deadline":     func(n ast.Node) { s.Deadline = d.duration(n, what+".deadline", minDeadline, maxDeadline) },
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -76,7 +76,7 @@
 // fileKeyByField maps the fields of Team and Service to their keys in the file.
 var fileKeyByField = map[string]string{
 	"Weight": "weight", "MaxQueuedTasks": "max_queued_tasks", "TasksPerSecond": "tasks_per_second",
-	"Pool": "pool", "Urgency": "urgency", "Repeatable": "repeatable", "Keep": "keep",
+	"Pool": "pool", "Urgency": "urgency", "Priority": "priority", "Repeatable": "repeatable", "Keep": "keep",
 	"Deadline": "deadline", "FlagLate": "late_answers",
 }
 
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -52,8 +53,11 @@
 	// Pool is the group of targets that run the service; targets announce it as
 	// their service. It defaults to the service's name. Several services share
 	// targets by naming the same pool.
-	Pool       string
-	Urgency    job.Urgency
+	Pool    string
+	Urgency job.Urgency
+	// Priority orders the services of one urgency class that share a pool, from 0, the
+	// most urgent, to MaxPriority.
+	Priority   int
 	Repeatable bool
 	Keep       job.Keep
 	// Deadline is the default deadline for the answer; zero means none.
@@ -97,6 +101,9 @@
 	DefaultConnections    = 64
 )
 
+// MaxPriority is the priority of the least urgent services.
+const MaxPriority = 9
+
 // Service returns the named service.
 func (f *File) Service(name string) (Service, bool) {
 	if f == nil {
@@ -110,6 +117,23 @@
 	return Service{}, false
 }
 
+// Priorities returns the distinct priorities of the services of one urgency class that
+// share a pool, the most urgent first.
+func (f *File) Priorities(pool string, u job.Urgency) []int {
+	if f == nil {
+		return nil
+	}
+	var out []int
+	for i := range f.Services {
+		s := &f.Services[i]
+		if s.Pool == pool && s.Urgency == u && !slices.Contains(out, s.Priority) {
+			out = append(out, s.Priority)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Route returns the route for a request: among the routes of its host, the one with
 // the longest matching path prefix.
 func (f *File) Route(host, path string) (Route, bool) {
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -24,6 +24,7 @@
     late_answers: refuse
   - name: alerts
     urgency: urgent
+    priority: 2
     pool: thumbnails
     repeatable: false
     keep: synced
@@ -40,7 +41,7 @@
 		Teams:  []Team{{Name: "studio7", Weight: 3, MaxQueuedTasks: 4000, TasksPerSecond: 900}},
 		Services: []Service{
 			{Name: "thumbnails", Pool: "thumbnails", Urgency: job.UrgencyInteractive, Repeatable: true, Deadline: 800 * time.Millisecond},
-			{Name: "alerts", Pool: "thumbnails", Urgency: job.UrgencyUrgent, Keep: job.KeepSynced, FlagLate: true},
+			{Name: "alerts", Pool: "thumbnails", Urgency: job.UrgencyUrgent, Priority: 2, Keep: job.KeepSynced, FlagLate: true},
 		},
 		Limits:  Limits{MaxJobTasks: 1900, MaxJobBytes: 16 << 20, MaxQueuedTasks: 20000, MaxQueuedBytes: 1 << 30},
 		Targets: TargetDefaults{Lease: 4 * time.Second, Slots: 8, Connections: 64},
@@ -74,6 +75,7 @@
 		"huge size":        {head + "limits: {max_job_bytes: 9999999GiB}", "above the largest size"},
 		"long lease":       {head + "targets: {lease: 2h}", "2h is not between"},
 		"bad urgency":      {"number: 1\nservices: [{name: a, urgency: fast}]", `urgency "fast" (urgent, interactive or batch)`},
+		"bad priority":     {"number: 1\nservices: [{name: a, priority: 10}]", "10 is not between 0 and 9"},
 		"bad keep":         {"number: 1\nservices: [{name: a, keep: disk}]", `keep "disk"`},
 		"bad late":         {"number: 1\nservices: [{name: a, late_answers: yes}]", "late_answers"},
 		"bad bool":         {"number: 1\nservices: [{name: a, repeatable: maybe}]", "must be true or false"},
@@ -130,6 +132,7 @@
 		"service alarms: added",
 		"service alarms: pool  -> thumbnails",
 		"service alarms: urgency batch -> urgent",
+		"service alarms: priority 0 -> 2",
 		"service alarms: keep memory -> synced",
 		"service alarms: late_answers refuse -> flag",
 		"service alerts: removed",
@@ -166,3 +169,18 @@
 		}
 	})
 }
+
+// If the services of other pools or classes counted, a pool whose own services all have one
+// priority would be scheduled by levels that it does not have.
+func TestPrioritiesAreThoseOfOnePoolAndClass(t *testing.T) {
+	f := &File{Services: []Service{
+		{Name: "a", Pool: "p", Priority: 2, Urgency: job.UrgencyInteractive},
+		{Name: "b", Pool: "p", Priority: 0, Urgency: job.UrgencyInteractive},
+		{Name: "c", Pool: "p", Priority: 2, Urgency: job.UrgencyInteractive},
+		{Name: "d", Pool: "p", Priority: 1, Urgency: job.UrgencyBatch},
+		{Name: "e", Pool: "q", Priority: 3, Urgency: job.UrgencyInteractive},
+	}}
+	qt.Check(t, f.Priorities("p", job.UrgencyInteractive), qt.DeepEquals, []int{0, 2})
+	qt.Check(t, f.Priorities("q", job.UrgencyUrgent), qt.HasLen, 0)
+	qt.Check(t, (*File)(nil).Priorities("p", job.UrgencyBatch), qt.HasLen, 0)
+}
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -22,6 +22,16 @@
 	// Cordoned is set while the holder's zone is cordoned. It then starts nothing, has no slots
 	// and returns what it is offered.
 	Cordoned bool `cbor:"10,keyasint,omitempty" json:",omitempty"`
+	// Priorities has the expected wait of each priority of the interactive class, if the
+	// services of the pool have several. Entries of earlier releases do not send it.
+	Priorities []PriorityLoad `cbor:"11,keyasint,omitempty" json:",omitempty"`
+}
+
+// PriorityLoad is the load of a holder as seen by a service of one priority.
+type PriorityLoad struct {
+	Priority int `cbor:"1,keyasint"`
+	// Wait is the expected wait of a task that arrives now.
+	Wait time.Duration `cbor:"2,keyasint"`
 }
 
 // Size is the resource demand of a task or the capacity of a target.
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -52,6 +52,9 @@
 	NotKept         Reason = "not_kept"
 	SiblingFailed   Reason = "sibling_failed"
 	Internal        Reason = "internal_error"
+	// Preempted is the reason of a run that was stopped for more urgent work. The task is
+	// queued again, so no caller receives it.
+	Preempted Reason = "preempted"
 )
 
 // Run states whether any task of a submission may have run.
