Count room on targets by the distribution of task sizes

Cause: the capacity of a pool was the whole part of a target's size divided by the mean task size. Where a task takes half of a target, the noise of the mean doubled and halved the capacity, the expected waits, what owners are told and the cost of a gap. Whether the tasks of one batch fit now was estimated from the same mean.

internal/policy/sizing gives the expected number of tasks that fit into a room (a sum of probabilities, exact for equal sizes) and the part of a gap that is expected to stay unused. A batch is checked against the free room by its own sizes.

--- a/internal/replay/fleet_test.go
+++ b/internal/replay/fleet_test.go
@@ -51,6 +51,8 @@
 	processors []int
 	// speeds are factors on the run time of a task, by the number of the target.
 	speeds []float64
+	// millis is the mean size of a task in thousandths of a processor; zero means usualMillis.
+	millis float64
 	opts   scheduler.Options
 	costs  split.Costs
 	// noCrashReports stops holders from being notified that a target ended during a task.
--- a/internal/replay/load_test.go
+++ b/internal/replay/load_test.go
@@ -191,11 +191,19 @@
 	return sum
 }
 
+// meanMillis returns the mean size of a task in thousandths of a processor.
+func (f *fleet) meanMillis() float64 {
+	if f.site.millis > 0 {
+		return f.site.millis
+	}
+	return usualMillis
+}
+
 // utilisation returns the fraction of the capacity that was used until the last arrival.
 func (f *fleet) utilisation() float64 {
 	capacity, last := 0, time.Duration(0)
 	for n := range f.site.zones * f.site.targets {
-		capacity += 1000 * f.processors[n%len(f.processors)] / usualMillis
+		capacity += 1000 * f.processors[n%len(f.processors)] / int(f.meanMillis())
 	}
 	for _, a := range f.answers {
 		last = max(last, a.arrival.at)
@@ -223,7 +231,7 @@
 	}
 	out.large = f.large()
 	out.utilisation = f.utilisation()
-	capacity := f.capacity(usualMillis)
+	capacity := f.capacity(f.meanMillis())
 	out.fluid = bound.FractionalBound(jobs, capacity)
 	_, out.plan = bound.GreedyPlan(jobs, int(capacity))
 	out.even = bound.FairShares(jobs, int(capacity))
--- a/internal/replay/shared_test.go
+++ b/internal/replay/shared_test.go
@@ -23,6 +23,7 @@
 	s := defaultSite()
 	s.zones, s.holders, s.owners, s.targets = 2, 2, 2, 40
 	s.processors, s.speeds = []int{32, 32, 48}, []float64{1}
+	s.millis = hiveMillis
 	return s
 }
 
--- a/internal/scheduler/earlieststart.go
+++ b/internal/scheduler/earlieststart.go
@@ -22,7 +22,7 @@
 	if p.running > maxRunningExamined {
 		return 0
 	}
-	p.freeTimes.reset(p.freeCapacity)
+	p.freeTimes.reset(int(p.freeCapacity))
 	for _, other := range p.batches {
 		if other.running == 0 {
 			continue
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -157,7 +157,7 @@
 // ahead of it plus its own, divided by the slots. For a job with more slack than the
 // average, all queued work counts as ahead, since other jobs would overtake it.
 func (p *Pool) expectedWait(b *batch, slack time.Duration) time.Duration {
-	if p.freeCapacity >= len(b.tasks) && p.queued == 0 {
+	if p.queued == 0 && p.roomFor(b) {
 		return 0
 	}
 	longSlack := slack.Seconds() > p.meanSlack
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -179,7 +179,7 @@
 // batch uses the slots that long tasks leave.
 func (p *Pool) backlog(now time.Time, b *batch) admission.Backlog {
 	c := &p.classes[b.class]
-	out := admission.Backlog{Slots: int(p.slots), Free: p.freeCapacity, Team: c.team(b.team).ahead(b.sizeClass()), Share: c.lanes[b.lane()].Share(b.team)}
+	out := admission.Backlog{Slots: int(p.slots), Free: int(p.freeCapacity), Team: c.team(b.team).ahead(b.sizeClass()), Share: c.lanes[b.lane()].Share(b.team)}
 	if float64(c.team(b.team).queued+len(b.tasks)) > teamQueueAllowance*out.Share*p.slots {
 		out.QueuedFor = c.standing(now)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -25,7 +25,7 @@
 	if p.unplaceable[t.size] {
 		return nil
 	}
-	if p.meanSize.seen > 0 && p.ranked.Len() > 0 && p.meanSize.boundBySize(p.ranked.Min()) {
+	if p.ranked.Len() > 0 && p.boundBySize(p.ranked.Min()) {
 		best := p.placeSized(b, t, worst)
 		p.noteUnplaceable(t, best, worst)
 		return best
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -13,6 +13,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/policy/health"
 	"github.com/vanillagrade/vanillagrade/internal/policy/pq"
 	"github.com/vanillagrade/vanillagrade/internal/policy/reserve"
+	"github.com/vanillagrade/vanillagrade/internal/policy/sizing"
 	"github.com/vanillagrade/vanillagrade/internal/policy/waitlimit"
 )
 
@@ -106,14 +107,14 @@
 	unplaceable   map[job.Size]bool // sizes that fit no target since the last change
 	walkBuffer    []int             // reused by placeRanked
 	lastTarget    job.TargetID
-	// slots is the number of tasks of the mean size that the pool can run at once;
-	// slow targets count in proportion to their speed. freeCapacity is the number
-	// of additional tasks of the mean size that fit now. freeSlots counts the
+	// slots is the expected number of tasks that the pool can run at once; slow
+	// targets count in proportion to their speed. freeCapacity is the expected number
+	// of additional tasks that fit now. freeSlots counts the
 	// announced slots in which no task runs.
 	slots        float64
-	freeCapacity int
+	freeCapacity float64
 	freeSlots    int
-	meanSize     sizeMean
+	sizes        sizing.Distribution
 	waitLimit    waitlimit.Tracker
 	freeTimes    slotHeap
 	meanSlack    float64 // of jobs with an objective, in seconds
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -4,77 +4,88 @@
 	"math"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/sizing"
 )
 
 // Load pattern: each task needs a large part of a target, so that two or three fit on
 // one, and the sizes differ by tens of percent. Counted in slots alone, the capacity
 // of such a pool seems three times as large as it is: the pool would admit work that
 // it can't serve, report free slots that no task can use, and leave capacity on
-// targets into which no task fits. Therefore capacity is counted in tasks of the mean
-// size, and placement considers the capacity that remains on each target.
+// targets into which no task fits. Therefore capacity is counted in tasks of the usual
+// sizes, and placement considers the capacity that remains on each target.
 
-// sizeWeight is the weight of one task in the mean size: the mean follows a change
-// of the workload within about a hundred tasks.
-const sizeWeight = 0.02
-
-// sizeMean is the moving average of the sizes of offered tasks, in thousandths of a
-// processor and in megabytes.
-type sizeMean struct {
-	millis, memory float64
-	seen           int
-}
-
-func (m *sizeMean) add(s job.Size) {
-	m.seen++
-	step := math.Max(sizeWeight, 1/float64(m.seen))
-	m.millis += step * (float64(s.TotalMilliProcessors()) - m.millis)
-	m.memory += step * (float64(s.MemoryMB) - m.memory)
-}
-
-// fitCount returns how many tasks of the mean size fit into room, up to limit.
-func (m *sizeMean) fitCount(room job.Size, limit int) int {
-	n := float64(limit)
-	if m.millis > 0 {
-		n = math.Min(n, float64(room.TotalMilliProcessors())/m.millis)
-	}
-	if m.memory > 0 {
-		n = math.Min(n, float64(room.MemoryMB)/m.memory)
-	}
-	return max(0, int(n))
+// demandOf returns the resources of a size that limit how many tasks fit on a target.
+func demandOf(s job.Size) sizing.Demand {
+	return sizing.Demand{MilliProcessors: float64(s.TotalMilliProcessors()), MemoryMB: float64(s.MemoryMB)}
 }
 
 // boundBySize reports whether task sizes rather than slots limit the number of tasks
 // on the target.
-func (m *sizeMean) boundBySize(t *target) bool {
-	return m.seen > 0 && m.fitCount(t.Capacity(), t.limit()) < t.limit()
+func (p *Pool) boundBySize(t *target) bool {
+	return p.sizes.Seen() > 0 && p.sizes.Fit(demandOf(t.Capacity()), t.limit()) < float64(t.limit())
 }
 
-// capacityOf returns how many tasks of the mean size can run on the target at once. It
-// limits no start, since more small tasks may fit.
-func (p *Pool) capacityOf(t *target) int {
+// capacityOf returns how many tasks of the usual sizes are expected to run on the target at
+// once. It limits no start, since more small tasks may fit.
+func (p *Pool) capacityOf(t *target) float64 {
 	limit := t.limit()
 	if limit == 0 {
 		return 0
 	}
-	return max(1, p.meanSize.fitCount(t.Capacity(), limit))
+	return max(1, p.sizes.Fit(demandOf(t.Capacity()), limit))
 }
 
-// freeCapacityOf returns how many more tasks of the mean size fit on the target now.
-func (p *Pool) freeCapacityOf(t *target) int {
-	return p.meanSize.fitCount(t.Capacity().Minus(t.used), max(0, t.limit()-t.running))
+// freeCapacityOf returns how many more tasks of the usual sizes are expected to fit on the
+// target now.
+func (p *Pool) freeCapacityOf(t *target) float64 {
+	return p.sizes.Fit(demandOf(t.Capacity().Minus(t.used)), max(0, t.limit()-t.running))
+}
+
+// roomFor reports whether all tasks of a batch can start now, by their own sizes.
+func (p *Pool) roomFor(b *batch) bool {
+	needed := len(b.tasks)
+	size := b.tasks[0].size
+	for i := range b.tasks {
+		size = size.Max(b.tasks[i].size)
+	}
+	for i := range p.ranked.Len() {
+		t := p.ranked.At(i)
+		if t.tier >= slow || t.exclusive || t.reservedFor != nil {
+			continue
+		}
+		needed -= fitCount(t.Capacity().Minus(t.used), size, t.limit()-t.running)
+		if needed <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fitCount returns how many tasks of one size fit into room, at most limit.
+func fitCount(room, size job.Size, limit int) int {
+	if size.TotalMilliProcessors() > 0 {
+		limit = min(limit, room.TotalMilliProcessors()/size.TotalMilliProcessors())
+	}
+	if size.MemoryMB > 0 {
+		limit = min(limit, room.MemoryMB/size.MemoryMB)
+	}
+	if size.Accelerators > 0 {
+		limit = min(limit, room.Accelerators/size.Accelerators)
+	}
+	return max(0, limit)
 }
 
 // recomputeEvery is the number of offered tasks after which the capacity sums are
-// recomputed with the current mean size.
+// recomputed with the current distribution of sizes.
 const recomputeEvery = 64
 
-// learnSize adds the size of an offered task to the mean size.
+// learnSize adds the size of an offered task to the distribution of sizes.
 func (p *Pool) learnSize(s job.Size) {
 	if s == (job.Size{}) || p.opts.NoSizes {
 		return
 	}
-	p.meanSize.add(s)
-	if p.meanSize.seen%recomputeEvery != 1 {
+	p.sizes.Add(demandOf(s))
+	if p.sizes.Seen()%recomputeEvery != 1 {
 		return
 	}
 	for _, t := range p.targets {
@@ -108,7 +119,7 @@
 	if p.slots <= 0 {
 		return 1
 	}
-	return min(1, max(0, 1-float64(p.freeCapacity)/p.slots))
+	return min(1, max(0, 1-p.freeCapacity/p.slots))
 }
 
 const (
@@ -128,10 +139,7 @@
 	if tg.tier > ready {
 		cost++
 	}
-	freeMillis := float64(tg.Capacity().Minus(tg.used).TotalMilliProcessors() - t.size.TotalMilliProcessors())
-	if p.meanSize.millis > 0 {
-		gap := math.Mod(freeMillis, p.meanSize.millis) / p.meanSize.millis
-		cost += gapCost * load * gap
-	}
+	gap := demandOf(tg.Capacity().Minus(tg.used).Minus(t.size))
+	cost += gapCost * load * p.sizes.Waste(gap, max(0, tg.limit()-tg.running-1))
 	return cost + rackCost*float64(b.racks[tg.Rack])
 }
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,15 +14,17 @@
 func (p *Pool) Load(now time.Time) job.HolderLoad {
 	// The headroom that most work has to leave free is not reported as free:
 	// owners would send tasks that then wait although slots are free.
-	free := max(0, p.freeCapacity-p.headroom(job.UrgencyInteractive))
+	free := max(0, int(p.freeCapacity)-p.headroom(job.UrgencyInteractive))
 	l := job.HolderLoad{Pool: p.name, Targets: p.ranked.Len(), Free: free}
+	capacity := 0.0
 	for i := range p.ranked.Len() {
 		t := p.ranked.At(i)
 		l.Largest = l.Largest.Max(t.largestAnnounced)
 		if t.tier < slow {
-			l.Slots += p.capacityOf(t)
+			capacity += p.capacityOf(t)
 		}
 	}
+	l.Slots = int(math.Round(capacity))
 	slots := max(1, p.slots)
 	ahead := 0.0
 	if free == 0 {
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -51,7 +51,7 @@
 	skipUntil time.Time
 	// slots, freeCapacity and freeSlots are the target's part of the pool's sums.
 	slots        float64
-	freeCapacity int
+	freeCapacity float64
 	freeSlots    int
 }
 
@@ -217,7 +217,7 @@
 // maxSlowness returns the slowness above which a target gets work only if no
 // other target has free capacity.
 func (p *Pool) maxSlowness() float64 {
-	if p.meanSize.seen > 0 {
+	if p.sizes.Seen() > 0 {
 		return maxSlownessSized
 	}
 	return 1
@@ -227,9 +227,9 @@
 // proportion to its speed, and not at all while it is quarantined. Free capacity
 // and free slots count only while the target is neither slow nor limited to probes.
 func (p *Pool) updateSums(t *target) {
-	slots, freeCapacity, freeSlots := 0.0, 0, 0
+	slots, freeCapacity, freeSlots := 0.0, 0.0, 0
 	if !t.removed && !t.health.Quarantined() {
-		slots = float64(p.capacityOf(t)) / p.fleet.Slowness(&t.health)
+		slots = p.capacityOf(t) / p.fleet.Slowness(&t.health)
 	}
 	if !t.removed && t.tier < slow && !t.exclusive {
 		freeSlots = max(0, t.limit()-t.running)
