Use slow targets for the tasks that meet their objective there

Cause: in a pool whose tasks declare sizes, a target that counts as slow gets work only while all faster ones have no free slot. Sizes fill targets long before their slots, so a slow target got probes only.

Jobs without an objective keep the bound of 1.4.

Ruled out: raising the bound alone (long tasks are late there).

--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -81,7 +81,7 @@
 			suspectWaiters = append(suspectWaiters, b)
 			continue
 		}
-		tg := p.place(b, t, suspect)
+		tg := p.place(now, b, t, suspect)
 		if tg == nil {
 			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
 			unplaced = append(unplaced, b)
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -32,7 +32,9 @@
 	// latestStart is the latest start that meets the objective, latestUsefulStart
 	// the latest one for which the answer is still useful.
 	latestStart, latestUsefulStart time.Time
-	late                           bool
+	// end is the time until which an answer meets the objective.
+	end  time.Time
+	late bool
 }
 
 func (o *latencyObjective) set() bool { return !o.latestStart.IsZero() }
@@ -47,6 +49,7 @@
 	return latencyObjective{
 		latestStart:       b.arrived.Add(within - need),
 		latestUsefulStart: b.arrived.Add(job.UsefulFactor*within - longest),
+		end:               b.arrived.Add(within),
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
@@ -18,7 +19,7 @@
 
 // place returns the target for a task among those of the given tier or
 // better, or nil if the task fits none.
-func (p *Pool) place(b *batch, t *task, worst tier) *target {
+func (p *Pool) place(now time.Time, b *batch, t *task, worst tier) *target {
 	if p.opts.Placement != PlaceExpectedFinish {
 		return p.placeBaseline(t)
 	}
@@ -26,8 +27,10 @@
 		return nil
 	}
 	if p.ranked.Len() > 0 && p.boundBySize(p.ranked.Min()) {
-		best := p.placeSized(b, t, worst)
-		p.noteUnplaceable(t, best, worst)
+		best, tooSlow := p.placeSized(now, b, t, worst)
+		if !tooSlow {
+			p.noteUnplaceable(t, best, worst)
+		}
 		return best
 	}
 	best, visited := p.placeRanked(b, t, worst)
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/policy/sizing"
@@ -97,8 +98,9 @@
 // chooses the lowest placementCost: fast targets are preferred, and those on which the
 // task leaves no gap that is too small for another task. Later tasks lose such a gap
 // as a part of a slot, so its cost grows with the utilisation of the pool.
-func (p *Pool) placeSized(b *batch, t *task, worst tier) *target {
-	var best *target
+//
+// tooSlow is set if a target has room on which the task would miss its objective.
+func (p *Pool) placeSized(now time.Time, b *batch, t *task, worst tier) (best *target, tooSlow bool) {
 	bestCost := math.Inf(1)
 	load := p.utilisation()
 	for i := range p.ranked.Len() {
@@ -106,12 +108,16 @@
 		if tg.running >= tg.limit() || !p.canPlace(b, t, tg, worst) {
 			continue
 		}
+		if !p.fastEnough(now, b, t, tg) {
+			tooSlow = true
+			continue
+		}
 		cost := p.placementCost(b, t, tg, load)
 		if cost < bestCost {
 			best, bestCost = tg, cost
 		}
 	}
-	return best
+	return best, tooSlow
 }
 
 // utilisation returns the fraction of the pool's capacity that is in use, 0 to 1.
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -208,11 +208,13 @@
 }
 
 // maxSlownessSized is how many times slower than the median a target may be and
-// still be used like the others, in a pool whose tasks declare sizes. Placement
-// in such a pool accounts for the pace of each target, machines differ by 25% in
-// either direction, and a task that takes 1.4 times as long still meets an
-// objective of 1.6 times its run time.
-const maxSlownessSized = 1.4
+// still count as sound in a pool whose tasks declare sizes. Placement in such a pool
+// accounts for the pace of each target and for the objective of each job, and machines
+// of several generations differ by up to that factor.
+const maxSlownessSized = 2
+
+// maxSlownessUnbound is the same for tasks of jobs without an objective.
+const maxSlownessUnbound = 1.4
 
 // maxSlowness returns the slowness above which a target gets work only if no
 // other target has free capacity.
