Keep fast targets free for tasks that need them on a full pool

Cause: every task took the fastest target with room, so that on a full pool short tasks with much slack in relation to their run time held the fast targets, and long tasks found only those on which they are late.

Once targets differ in speed by more than chance explains, tasks that meet their objective on slower targets take those, the more the fuller the pool is.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -356,6 +356,15 @@
 	return math.Exp((t.logSlowdown - f.median) * t.samples / (t.samples + prior))
 }
 
+// Differs reports whether a target is slower or faster than the median target by more than
+// the factor and by more than chance explains.
+func (f *Fleet) Differs(t *Target, factor float64) bool {
+	if t.samples == 0 {
+		return false
+	}
+	return math.Abs(t.logSlowdown-f.median) > max(math.Log(factor), f.margin(t.samples))
+}
+
 // Slowness returns a lower bound of how many times slower than the median target this one
 // is; 1 while chance explains the difference.
 func (f *Fleet) Slowness(t *Target) float64 {
--- /dev/null
+++ b/internal/scheduler/pace.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import "time"
+
+// Load pattern: the targets of a pool are of several generations, and the slowest third
+// takes 1.7 times as long for a task. If such targets were set aside as slow, a third of
+// the pool would stand idle in a shortage; if they were used like the others, each job with
+// one long task there would be late. So a slow target takes the tasks that meet their
+// objective there: those whose slack is long in relation to their run time.
+
+// unevenPace is the run time on a target, as a multiple of that on the median target, up to
+// which targets count as equal: the resolution of the measurement.
+const unevenPace = 1.3
+
+// fastEnough reports whether a task of a job with an objective may run on a target that is
+// slower than the others: it must be expected to meet the objective there. For a job that is
+// late already, any answer that is still of use is better than none.
+func (p *Pool) fastEnough(now time.Time, b *batch, t *task, tg *target) bool {
+	pace := p.fleet.RelativeRunTime(&tg.health)
+	if pace <= unevenPace || p.opts.NoHealth {
+		return true
+	}
+	if !b.objective.set() {
+		return p.fleet.Slowness(&tg.health) <= maxSlownessUnbound
+	}
+	if b.objective.late {
+		return true
+	}
+	return !now.Add(time.Duration(pace * float64(t.expected))).After(b.objective.end)
+}
+
+// fullFrom is the utilisation from which fast targets are kept free for the tasks that need
+// them. Below it the next fast target is free soon enough.
+const fullFrom = 0.5
+
+// paceCost returns the cost of the run time on a target. On a full pool a task takes the
+// slowest target on which it meets its objective, so that the fast ones stay free for the
+// tasks that need them.
+func (p *Pool) paceCost(now time.Time, b *batch, t *task, tg *target, load float64) float64 {
+	pace := p.fleet.RelativeRunTime(&tg.health)
+	if !b.objective.set() || !p.unevenTargets {
+		return pace
+	}
+	left := b.objective.end.Sub(now).Seconds() / max(t.expected.Seconds(), 1e-3)
+	if left < unevenPace*pace {
+		return pace
+	}
+	preferSlow := max(0, load-fullFrom) / (1 - fullFrom)
+	return pace*(1-preferSlow) + (2-pace)*preferSlow
+}
+
+// findUnevenTargets determines whether the targets differ in speed by more than the
+// measurement explains.
+func (p *Pool) findUnevenTargets() {
+	p.unevenTargets = false
+	for i := range p.ranked.Len() {
+		if p.fleet.Differs(&p.ranked.At(i).health, unevenPace) {
+			p.unevenTargets = true
+			return
+		}
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -115,12 +115,14 @@
 	freeCapacity float64
 	freeSlots    int
 	sizes        sizing.Distribution
-	waitLimit    waitlimit.Tracker
-	freeTimes    slotHeap
-	meanSlack    float64 // of jobs with an objective, in seconds
-	running      int
-	longRunning  int
-	reservedFor  *batch // the batch that a target is reserved for
+	// unevenTargets is set while the targets differ in speed by more than unevenPace.
+	unevenTargets bool
+	waitLimit     waitlimit.Tracker
+	freeTimes     slotHeap
+	meanSlack     float64 // of jobs with an objective, in seconds
+	running       int
+	longRunning   int
+	reservedFor   *batch // the batch that a target is reserved for
 
 	batches   map[batchKey]*batch
 	classes   [classes]class
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -92,6 +92,7 @@
 	for _, t := range p.targets {
 		p.updateSums(t)
 	}
+	p.findUnevenTargets()
 }
 
 // placeSized returns the target for a task that needs a large part of a target. It
@@ -112,7 +113,7 @@
 			tooSlow = true
 			continue
 		}
-		cost := p.placementCost(b, t, tg, load)
+		cost := p.placementCost(now, b, t, tg, load)
 		if cost < bestCost {
 			best, bestCost = tg, cost
 		}
@@ -140,8 +141,8 @@
 // placementCost returns the cost of placing a task on a target: the expected run time
 // as a multiple of that on the median target, plus 1 if the target is suspect or worse,
 // the cost of the remaining gap, and that of the job's tasks in the same rack.
-func (p *Pool) placementCost(b *batch, t *task, tg *target, load float64) float64 {
-	cost := p.fleet.RelativeRunTime(&tg.health)
+func (p *Pool) placementCost(now time.Time, b *batch, t *task, tg *target, load float64) float64 {
+	cost := p.paceCost(now, b, t, tg, load)
 	if tg.tier > ready {
 		cost++
 	}
