Take a pool for uneven only if a fifth of its targets differ in speed

And a target that was set aside as slow kept its tier when the bound changed, since tiers change with results only.

A pool is uneven while more than a fifth of its targets differ by more than 1.3 times and by more than chance explains. Elsewhere the bounds are as before; the tiers of all targets are computed anew when this changes.

--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -68,7 +68,7 @@
 		t := &b.tasks[i]
 		t.BatchTask = m.Tasks[i]
 		t.size = t.Size()
-		p.learnSize(t.size)
+		p.learnSize(now, t.size)
 		t.expected = p.expect(now, b, t)
 	}
 	b.sortTasks()
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -17,11 +17,11 @@
 // late already, any answer that is still of use is better than none.
 func (p *Pool) fastEnough(now time.Time, b *batch, t *task, tg *target) bool {
 	pace := p.fleet.RelativeRunTime(&tg.health)
-	if pace <= unevenPace || p.opts.NoHealth {
+	if pace <= unevenPace || !p.unevenTargets {
 		return true
 	}
 	if !b.objective.set() {
-		return p.fleet.Slowness(&tg.health) <= maxSlownessUnbound
+		return p.fleet.Slowness(&tg.health) <= maxSlownessSized
 	}
 	if b.objective.late {
 		return true
@@ -49,14 +49,18 @@
 	return pace*(1-preferSlow) + (2-pace)*preferSlow
 }
 
-// findUnevenTargets determines whether the targets differ in speed by more than the
+// unevenShare is the share of the targets that must differ in speed for a pool to count as
+// uneven. A few slow targets among equal ones are faulty, not of another generation.
+const unevenShare = 0.2
+
+// hasUnevenTargets reports whether the pool has targets of several speeds, by more than the
 // measurement explains.
-func (p *Pool) findUnevenTargets() {
-	p.unevenTargets = false
+func (p *Pool) hasUnevenTargets() bool {
+	differing := 0
 	for i := range p.ranked.Len() {
 		if p.fleet.Differs(&p.ranked.At(i).health, unevenPace) {
-			p.unevenTargets = true
-			return
+			differing++
 		}
 	}
+	return float64(differing) > unevenShare*float64(p.ranked.Len())
 }
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -81,7 +81,7 @@
 const recomputeEvery = 64
 
 // learnSize adds the size of an offered task to the distribution of sizes.
-func (p *Pool) learnSize(s job.Size) {
+func (p *Pool) learnSize(now time.Time, s job.Size) {
 	if s == (job.Size{}) || p.opts.NoSizes {
 		return
 	}
@@ -92,7 +92,10 @@
 	for _, t := range p.targets {
 		p.updateSums(t)
 	}
-	p.findUnevenTargets()
+	if p.unevenTargets != p.hasUnevenTargets() {
+		p.unevenTargets = !p.unevenTargets
+		p.rerankAll(now)
+	}
 }
 
 // placeSized returns the target for a task that needs a large part of a target. It
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -193,6 +195,15 @@
 	}
 }
 
+// rerankAll updates the positions of all targets after the bound of their tiers changed: a
+// target that gets no work would otherwise keep its tier.
+func (p *Pool) rerankAll(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		p.rerank(now, p.targets[id])
+	}
+	clear(p.unplaceable)
+}
+
 func (p *Pool) tierOf(t *target) tier {
 	switch {
 	case p.opts.NoHealth:
@@ -208,18 +219,26 @@
 }
 
 // maxSlownessSized is how many times slower than the median a target may be and
-// still count as sound in a pool whose tasks declare sizes. Placement in such a pool
-// accounts for the pace of each target and for the objective of each job, and machines
-// of several generations differ by up to that factor.
-const maxSlownessSized = 2
-
-// maxSlownessUnbound is the same for tasks of jobs without an objective.
-const maxSlownessUnbound = 1.4
+// still be used like the others, in a pool whose tasks declare sizes. Placement
+// in such a pool accounts for the pace of each target, machines differ by 25% in
+// either direction, and a task that takes 1.4 times as long still meets an
+// objective of 1.6 times its run time.
+//
+// maxSlownessUneven is the same where targets are of several speeds: machines of
+// three generations differ by up to that factor, and each task is placed by its own
+// objective.
+const (
+	maxSlownessSized  = 1.4
+	maxSlownessUneven = 2
+)
 
 // maxSlowness returns the slowness above which a target gets work only if no
 // other target has free capacity.
 func (p *Pool) maxSlowness() float64 {
-	if p.sizes.Seen() > 0 {
+	switch {
+	case p.unevenTargets:
+		return maxSlownessUneven
+	case p.sizes.Seen() > 0:
 		return maxSlownessSized
 	}
 	return 1
