Assign targets by the capacity of their VMs

Cause: all entries of a zone held as many targets as the smallest VM of the zone can, also where some VMs have three times its share of a processor. A pool of 117 targets in a zone with 12 VMs of 0.144 of a processor and three of 0.48 had eight holders of 15.

Where VMs state different capacities, each may hold up to its own, at most 40 and at most a quarter of a large pool; large VMs are added first and replace small holders only if that saves two of them. The capacity has a field of its own in discovery: Carries stays limited to 20, and while an entry of the zone states no capacity all follow the former rule.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,7 +26,8 @@
 	Address string `cbor:"2,keyasint"`
 	// Disk is set if the entry has a data folder and may vote.
 	Disk bool `cbor:"3,keyasint,omitempty"`
-	// Carries is how many targets the entry can hold; zero if it reports no limit.
+	// Carries is how many targets the entry can hold, at most the number that all releases
+	// compare; zero if it reports no limit.
 	Carries int `cbor:"4,keyasint,omitempty"`
 	// Heard is set if the sender of the record currently hears this incarnation. Ended is set if
 	// the sender considers it ended, as of Revision. These three describe the sender's view and
@@ -36,6 +37,19 @@
 	Revision uint32 `cbor:"7,keyasint,omitempty"`
 	// Left is set for an ended incarnation whose stop was planned.
 	Left bool `cbor:"8,keyasint,omitempty"`
+	// Capacity is how many targets the entry can hold where VMs state different capacities;
+	// zero in records of entries of the previous release, and in records that such an entry
+	// has forwarded.
+	Capacity int `cbor:"9,keyasint,omitempty"`
+}
+
+// supersedes reports whether a record is of a later incarnation than a known one, or states
+// the capacity of the same incarnation that the known one lacks.
+func (r *Record) supersedes(known *Record) bool {
+	if r.Owner.Incarnation != known.Owner.Incarnation {
+		return r.Owner.Incarnation > known.Owner.Incarnation
+	}
+	return r.Capacity != 0 && known.Capacity == 0
 }
 
 // tombstoneTTL is how long records of a forgotten incarnation are rejected unless their sender
@@ -63,8 +77,8 @@
 	return &Directory{self: self, records: map[job.EntryID]Record{}, tombstones: map[job.EntryID]tombstone{}}
 }
 
-// Learn adds records and returns those that are new: of an unknown entry, or of a later
-// incarnation of a known one. Records of ended incarnations are ignored.
+// Learn adds records and returns those that are new: of an unknown entry, of a later
+// incarnation of a known one, or with a capacity that was not known. Records of ended incarnations are ignored.
 func (d *Directory) Learn(now time.Time, records ...Record) []Record {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -74,7 +88,7 @@
 			continue
 		}
 		known, ok := d.records[r.Owner.Entry]
-		if ok && known.Owner.Incarnation >= r.Owner.Incarnation {
+		if ok && !r.supersedes(&known) {
 			continue
 		}
 		if t, forgotten := d.tombstones[r.Owner.Entry]; forgotten && !r.Heard && r.Owner.Incarnation <= t.incarnation && now.Before(t.expires) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -41,6 +41,20 @@
 	qt.Assert(t, b.All(), qt.HasLen, 2)
 }
 
+// Guards against an entry that knows no capacity of another one for as long as that one runs: an
+// entry of the previous release has forwarded its record first, without the capacity.
+func TestCapacityIsLearnedLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewDirectory(record("a", 1, "10.0.0.1:1"))
+	stated := record("b", 5, "10.0.0.2:1")
+	stated.Capacity = 40
+	qt.Check(t, b.Learn(now, record("b", 5, "10.0.0.2:1")), qt.HasLen, 1)
+	qt.Check(t, b.Learn(now, stated), qt.HasLen, 1)
+	qt.Check(t, b.Learn(now, stated, record("b", 5, "10.0.0.2:1")), qt.HasLen, 0)
+	r, _ := b.Get("b")
+	qt.Assert(t, r.Capacity, qt.Equals, 40)
+}
+
 // Guards against entries that refuse each other for minutes after a partition so long that
 // they forgot each other.
 func TestForgottenEntryIsAddedAgainOnceHeard(t *testing.T) {
--- a/internal/entry/assign.go
+++ b/internal/entry/assign.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
@@ -88,18 +87,26 @@
 	return ""
 }
 
-// zoneHolders returns the entries of a zone with their numbers of targets of a pool.
+// zoneHolders returns the entries of a zone with their numbers of targets of a pool. Entries
+// that are down come last: what they state decides by which rule targets are assigned, and that
+// must not change while entries of the previous release are restarted.
 func (t *targets) zoneHolders(zone job.Zone, pool string) []assign.Holder {
 	view := t.members.View()
 	held := t.targetCounts(pool)
 	ranked := view.Ranked(zone, pool)
 	holders := make([]assign.Holder, 0, len(ranked))
-	for _, name := range ranked {
+	for rank, name := range ranked {
 		m, _ := view.Get(name)
 		holders = append(holders, assign.Holder{
-			Entry: name, Serving: m.Serving() && t.mayHold(&view, m), Reserve: m.Reserve, Carries: m.Carries, Targets: held[name],
+			Entry: name, Serving: m.Serving() && t.mayHold(&view, m), Reserve: m.Reserve,
+			Carries: m.Carries, Capacity: m.Capacity, Rank: rank, Targets: held[name],
 		})
 	}
+	for _, m := range view.List {
+		if m.Zone == zone && !m.Live() {
+			holders = append(holders, assign.Holder{Entry: m.Entry, Reserve: m.Reserve, Carries: m.Carries, Capacity: m.Capacity, Rank: len(ranked)})
+		}
+	}
 	return holders
 }
 
@@ -154,8 +161,8 @@
 		byPool[held.Pool] = append(byPool[held.Pool], held)
 	}
 	for pool, held := range byPool {
-		active := assign.Active(t.zoneHolders(t.self.Zone, pool))
-		t.selectTransfers(held, assign.Surplus(active, t.self.Entry, len(held)), !isActive(active, t.self.Entry))
+		moves, active := assign.Transfers(t.zoneHolders(t.self.Zone, pool), t.self.Entry, len(held), t.sinceTransfers(pool))
+		t.selectTransfers(pool, held, moves, !active)
 	}
 	t.transferIdle(func(released job.Target, to job.EntryID) { go t.transfer(released, to) })
 }
@@ -171,16 +178,13 @@
 	return view.Self.Serving()
 }
 
-func isActive(active []assign.Holder, self job.EntryID) bool {
-	return slices.ContainsFunc(active, func(h assign.Holder) bool { return h.Entry == self })
-}
-
 // selectTransfers chooses targets to transfer and their new holders. A holder that
 // continues to serve transfers idle targets only. One that stops transfers all targets and
 // starts no more tasks on them.
-func (t *targets) selectTransfers(held []job.Target, moves []assign.Move, all bool) {
+func (t *targets) selectTransfers(pool string, held []job.Target, moves []assign.Move, all bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	selected := false
 	for _, move := range moves {
 		n := move.Targets
 		for i := range held {
@@ -195,12 +199,26 @@
 				continue
 			}
 			t.transfers[id] = move.To
+			selected = true
 			if t.exclusive {
 				t.holder.RemoveTarget(id)
 			}
 			n--
 		}
 	}
+	if selected {
+		if t.transfersAt == nil {
+			t.transfersAt = map[string]time.Time{}
+		}
+		t.transfersAt[pool] = time.Now()
+	}
+}
+
+// sinceTransfers returns how long ago targets of a pool were last selected for a transfer.
+func (t *targets) sinceTransfers(pool string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.transfersAt[pool])
 }
 
 // transferIdle transfers those of the selected targets on which no task runs any more.
--- a/internal/entry/discover.go
+++ b/internal/entry/discover.go
@@ -37,7 +37,10 @@
 // configureDiscovery sets the link options of an entry that discovers the others by itself.
 func (e *Entry) configureDiscovery(links *peer.Options) {
 	s := &e.opts.Settings
-	e.discovered = discovery.NewDirectory(discovery.Record{Owner: e.self, Address: s.PeerAddr, Disk: s.DataDir != "", Carries: assign.TargetCapacity(s.Processors, s.LinkMbps)})
+	e.discovered = discovery.NewDirectory(discovery.Record{
+		Owner: e.self, Address: s.PeerAddr, Disk: s.DataDir != "",
+		Carries: assign.TargetCapacity(s.Processors, s.LinkMbps), Capacity: assign.FullCapacity(s.Processors, s.LinkMbps),
+	})
 	links.Dynamic, links.Address, links.Silence = true, s.PeerAddr, linkSilenceTimeout
 	links.Join = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.joiner.ServeHTTP(w, r) })
 	links.Expects = func(of job.EntryID) (time.Time, time.Duration) { return e.members.Expects(of) }
@@ -71,7 +74,7 @@
 func (e *Entry) addDiscovered(records []discovery.Record) {
 	peers := make([]membership.Peer, len(records))
 	for i, r := range records {
-		peers[i] = membership.Peer{Entry: r.Owner.Entry, Zone: r.Owner.Zone, Reserve: r.Disk, Carries: r.Carries, Incarnation: r.Owner.Incarnation}
+		peers[i] = membership.Peer{Entry: r.Owner.Entry, Zone: r.Owner.Zone, Reserve: r.Disk, Carries: r.Carries, Capacity: r.Capacity, Incarnation: r.Owner.Incarnation}
 	}
 	e.members.Add(peers...)
 	for _, r := range records {
--- a/internal/entry/forming_test.go
+++ b/internal/entry/forming_test.go
@@ -80,3 +80,46 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a zone with VMs of different sizes whose targets find no holder, or too many of
+// them one holder, by the capacities that discovery reports.
+func TestTargetsFollowTheCapacitiesOfTheirZone(t *testing.T) {
+	const entries, pool = 15, 117
+	synctest.Test(t, func(t *testing.T) {
+		net := &peertest.Network{Delay: time.Millisecond}
+		var fleet []job.Owner
+		var peers []membership.Peer
+		for i := range entries {
+			capacity := 15 + i/12*25
+			fleet = append(fleet, job.Owner{Entry: job.EntryID(fmt.Sprintf("edge-%d", i)), Incarnation: 1, Zone: "z"})
+			peers = append(peers, membership.Peer{Entry: fleet[i].Entry, Zone: "z", Carries: min(20, capacity), Capacity: capacity})
+		}
+		all := make([]*targets, entries)
+		for i, self := range fleet {
+			all[i] = newZoneEntry(net, self, fleet)
+			all[i].members.Add(peers...)
+		}
+		time.Sleep(2 * holderDiscoveryTime)
+		for i := range pool {
+			announced := job.Target{ID: job.TargetID(fmt.Sprintf("t%d", i)), Pool: "p", Address: fmt.Sprintf("10.0.0.1:%d", 1000+i), Zone: "z", Slots: 8}
+			_, _, err := all[i%entries].announce(t.Context(), announced)
+			qt.Check(t, err, qt.IsNil)
+			time.Sleep(20 * time.Millisecond)
+		}
+		total, onLarge := 0, 0
+		for i, ts := range all {
+			held := len(ts.registry.Held())
+			qt.Check(t, held <= peers[i].Capacity && held <= 30, qt.IsTrue, qt.Commentf("%s holds %d", fleet[i].Entry, held))
+			total += held
+			if i >= 12 {
+				onLarge += held
+			}
+		}
+		qt.Check(t, total, qt.Equals, pool)
+		qt.Check(t, onLarge >= 60, qt.IsTrue, qt.Commentf("%d on large VMs", onLarge))
+		for _, self := range fleet {
+			net.Crash(self.Entry)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -26,7 +26,11 @@
 	}
 	defer func() {
 		if e.opts.Settings.Discover {
-			e.members.Add(membership.Peer{Entry: e.self.Entry, Zone: e.self.Zone, Reserve: e.opts.Settings.DataDir != "", Carries: assign.TargetCapacity(e.opts.Settings.Processors, e.opts.Settings.LinkMbps)})
+			s := &e.opts.Settings
+			e.members.Add(membership.Peer{
+				Entry: e.self.Entry, Zone: e.self.Zone, Reserve: s.DataDir != "",
+				Carries: assign.TargetCapacity(s.Processors, s.LinkMbps), Capacity: assign.FullCapacity(s.Processors, s.LinkMbps),
+			})
 		}
 	}()
 	var recordProof func(job.Owner, time.Time)
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -60,6 +60,8 @@
 	// transfers are the held targets to transfer, with their new holders. Targets that
 	// are controlled by one entry at a time are transferred once they are idle.
 	transfers map[job.TargetID]job.EntryID
+	// transfersAt is when targets were last selected for a transfer, by pool.
+	transfersAt map[string]time.Time
 
 	// exclusive says that each target is controlled by one entry at a time.
 	exclusive bool
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -160,7 +160,7 @@
 		timings = InZone
 	}
 	added := &peerState{
-		Member:  Member{Entry: p.Entry, Zone: p.Zone, State: Suspect, Since: now, Reserve: p.Reserve, Carries: p.Carries},
+		Member:  Member{Entry: p.Entry, Zone: p.Zone, State: Suspect, Since: now, Reserve: p.Reserve, Carries: p.Carries, Capacity: p.Capacity},
 		timings: timings, watchedSince: now, silenceStart: now, discovered: p.Incarnation,
 	}
 	d.peers = append(d.peers, added)
@@ -177,10 +177,10 @@
 
 // updateAttributes applies the attributes that a known entry announces.
 func (d *Detector) updateAttributes(m *Member, p Peer) {
-	if m.Reserve == p.Reserve && m.Carries == p.Carries {
+	if m.Reserve == p.Reserve && m.Carries == p.Carries && m.Capacity == p.Capacity {
 		return
 	}
-	m.Reserve, m.Carries = p.Reserve, p.Carries
+	m.Reserve, m.Carries, m.Capacity = p.Reserve, p.Carries, p.Capacity
 	d.version++
 }
 
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -51,6 +51,8 @@
 	Reserve bool
 	// Carries is how many targets the member can hold; zero if it reports no limit.
 	Carries int
+	// Capacity is the same where VMs state different capacities; zero if it is not stated.
+	Capacity int
 }
 
 // Owner identifies the member's incarnation.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,6 +38,8 @@
 	Reserve bool
 	// Carries is how many targets the entry can hold; zero if it reports no limit.
 	Carries int
+	// Capacity is the same where VMs state different capacities; zero if it is not stated.
+	Capacity int
 	// Incarnation is the incarnation that discovery reported; zero for an entry that is named in
 	// the settings.
 	Incarnation job.Incarnation
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -19,7 +19,7 @@
 
 const (
 	// MaxTargetsPerHolder is the maximum number of targets that one entry holds before another
-	// entry takes a part. With many more, the loss of one holder would affect a large
+	// entry takes a part, where all entries state the same capacity. With many more, the loss of one holder would affect a large
 	// part of its zone.
 	MaxTargetsPerHolder = 20
 	// processorsPerTarget and linkBytesPerTarget are the cost of a busy target for its
@@ -52,8 +52,18 @@
 	Reserve bool
 	// Targets is the number of targets of the pool that the entry holds.
 	Targets int
-	// Carries is the number of targets that the entry can hold, zero if unknown.
+	// Carries is the number of targets that the entry can hold, at most
+	// MaxTargetsPerHolder; zero if unknown. All releases compare this number.
 	Carries int
+	// Capacity is the number of targets that the entry can hold, at most
+	// maxTargetsOfLargeVM. It is zero if unknown, as for entries of the previous release.
+	Capacity int
+	// Rank is the position of the entry in the order of the pool. The order of a list
+	// decides only where all entries state the same capacity.
+	Rank int
+	// weight is the entry's part of the targets relative to the other active holders. Zero
+	// stands for equal parts.
+	weight int
 }
 
 // TargetCapacity returns how many targets an entry can hold with the given number of processors
@@ -63,7 +73,11 @@
 // than the link can serve: start requests queue before the link, are considered lost and
 // are sent again, until hardly any request arrives in time.
 func TargetCapacity(processors, linkMbps float64) int {
-	n := float64(MaxTargetsPerHolder)
+	return capacityUpTo(MaxTargetsPerHolder, processors, linkMbps)
+}
+
+func capacityUpTo(limit int, processors, linkMbps float64) int {
+	n := float64(limit)
 	if processors > 0 {
 		n = min(n, holdingProcessorShare*processors/processorsPerTarget)
 	}
@@ -96,6 +110,9 @@
 // free capacity.
 func Candidates(holders []Holder) []Holder {
 	all := activeFor(holders, 1)
+	if isWeighted(all) {
+		return withRoom(all)
+	}
 	capacity := lowestCapacity(all)
 	var notFull []Holder
 	for _, h := range all {
@@ -123,6 +140,9 @@
 			incumbents = append(incumbents, h)
 		}
 	}
+	if capacitiesDiffer(holders, usable) {
+		return activeByCapacity(usable, incumbents, total+extra)
+	}
 	capacity := lowestCapacity(usable)
 	want := min(len(usable), max(1, ceilDiv(total+extra, capacity)))
 	if len(incumbents) > want && float64(total) <= shrinkThreshold*float64(capacity*(len(incumbents)-1)) {
@@ -193,7 +213,7 @@
 
 // Surplus returns the moves by which the entry self passes on targets: all of them if it
 // is not among the active holders, otherwise those beyond its fair share. mine is the
-// number of targets that self holds.
+// number of targets that self holds. The shares of all active holders are equal.
 func Surplus(active []Holder, self job.EntryID, mine int) []Move {
 	total, isActive := 0, false
 	var others []Holder
--- a/internal/replay/fleet_test.go
+++ b/internal/replay/fleet_test.go
@@ -57,6 +57,8 @@
 	costs  split.Costs
 	// noCrashReports stops holders from being notified that a target ended during a task.
 	noCrashReports bool
+	// lost is the number of targets of the first zone that are missing.
+	lost int
 	// resends is how often a caller resends a job that may have run.
 	resends int
 }
@@ -131,7 +133,9 @@
 			f.owners = append(f.owners, o)
 		}
 		for i := range s.targets {
-			f.addTarget(held[i%len(held)], z, i, n)
+			if z > 0 || i >= s.lost {
+				f.addTarget(held[i%len(held)], z, i, n)
+			}
 			n++
 		}
 	}
