--- a/internal/policy/assign/capacity.go
+++ b/internal/policy/assign/capacity.go
@@ -18,9 +18,9 @@
 	// maxTargetsOfLargeVM is the maximum number of targets that one entry holds where the
 	// entries state different capacities.
 	maxTargetsOfLargeVM = 40
-	// maxZoneParts is into how many parts a large pool of a zone is divided at least. At the
-	// usual load a zone uses 0.64 of its capacity, and no more than 0.86 is ever used, so it can
-	// lose a quarter. Pools for which a quarter is less than MaxTargetsPerHolder have fewer
+	// maxZoneParts is into how many parts a large pool of a zone is divided at least. A zone uses
+	// 0.64 of its capacity at the usual load, and 0.86 at most at 1.5 times the load, where it
+	// refuses callers. So it can lose a quarter. Pools for which a quarter is less than MaxTargetsPerHolder have fewer
 	// holders.
 	maxZoneParts = 4
 	// replacedHolders is by how many the number of holders must shrink before entries without
