Test that an entry waits between two transfers

Guards against an entry that passes targets on four times a second by counts that others have not reported yet. Run: go test ./internal/entry -run FollowTheCap.

--- a/internal/entry/forming_test.go
+++ b/internal/entry/forming_test.go
@@ -117,9 +117,31 @@
 		}
 		qt.Check(t, total, qt.Equals, pool)
 		qt.Check(t, onLarge >= 60, qt.IsTrue, qt.Commentf("%d on large VMs", onLarge))
+		checkPaceOfTransfers(t, all[0])
 		for _, self := range fleet {
 			net.Crash(self.Entry)
 		}
 		time.Sleep(time.Second)
 	})
 }
+
+// checkPaceOfTransfers guards against targets that move back and forth while the entries don't
+// know yet what an entry has passed on: one that goes on serving waits before it does so again.
+func checkPaceOfTransfers(t *testing.T, ts *targets) {
+	overload := func(name string) {
+		for i := range 30 {
+			announced := job.Target{ID: job.TargetID(fmt.Sprint(name, i)), Pool: "p", Address: fmt.Sprintf("10.0.0.%s:%d", name, i+1), Zone: "z", Slots: 8}
+			_, err := localTargets{ts}.Announce(announced)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		ts.rebalance()
+	}
+	overload("2")
+	qt.Check(t, len(ts.registry.Held()) <= 15, qt.IsTrue)
+	time.Sleep(time.Second)
+	overload("3")
+	qt.Check(t, len(ts.registry.Held()) >= 30, qt.IsTrue)
+	time.Sleep(2 * time.Second)
+	ts.rebalance()
+	qt.Check(t, len(ts.registry.Held()) <= 15, qt.IsTrue)
+}
