Tell entries that stop from those no longer needed among entries with disks

Cause: in a zone where only entries with a disk are left, one that was no longer needed counted as stopping and passed on all its targets at once. Found by reading. Tests of internal/policy/assign and internal/entry pass.

--- a/internal/policy/assign/capacity.go
+++ b/internal/policy/assign/capacity.go
@@ -204,7 +204,7 @@
 		if from.Entry != self {
 			continue
 		}
-		if isStopping(&from) || sinceLast >= transferInterval {
+		if p.isStopping(&from) || sinceLast >= transferInterval {
 			return moves
 		}
 	}
@@ -217,7 +217,7 @@
 	var stopping, surplus []Holder
 	for _, h := range p.holders {
 		switch {
-		case h.Targets > 0 && isStopping(&h):
+		case h.Targets > 0 && p.isStopping(&h):
 			stopping = append(stopping, h)
 		case h.weight == 0 && h.Targets > 0, p.holdsTooMany(&h):
 			surplus = append(surplus, h)
@@ -238,8 +238,11 @@
 	return h.weight > 0 && (float64(h.Targets) > surplusFactor*share+surplusSlack || h.Targets > h.Capacity && float64(h.Targets) > math.Ceil(share))
 }
 
-// isStopping reports whether an entry may hold no targets at all.
-func isStopping(h *Holder) bool { return h.weight == 0 && (!h.Serving || h.Reserve) }
+// isStopping reports whether an entry may hold no targets at all. The first of the plan's holders
+// is an active one.
+func (p *plan) isStopping(h *Holder) bool {
+	return h.weight == 0 && (!h.Serving || h.Reserve != p.holders[0].Reserve)
+}
 
 // pass takes the targets that an entry has beyond its share to those that have less.
 func (p *plan) pass(from Holder) []Move {
