Start targets from speed records, and measure speeds against the median target

Cause: a holder learns the speed of each target from nothing. And the median that speeds refer to followed each task: the fast targets run more tasks, so that after 6 s of internal/replay, channel, targets of the usual speed counted as 1.0 to 1.5 times slow, depending on the holder (mean error of the logarithm -0.07 to +0.41; the error between the targets of one holder is 0.05).

internal/policy/speed holds records by machine and by kind of target. A record counts as a number of samples that decreases with its age and with each task, and is dropped once the tasks contradict it. Where targets differ by more than 1.3, the median is that of the targets, and of their differences from their records where most have one. The finish on a slow target is expected by its run time relative to the expected one instead of the median target.

In the first second records help little: a target runs seven tasks a second there, and its speed is known after a few.

--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -102,6 +102,7 @@
 // recordHealth records that a target enters or leaves quarantine. These events explain
 // why tasks wait or are refused in the meantime.
 func (p *pool) recordHealth(l *launch, res target.Result, before bool) {
+	p.recordSpeedCorrection(l.start.Target)
 	after := p.sched.Quarantined(l.start.Target)
 	switch {
 	case after && !before:
--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -58,6 +58,7 @@
 	// logSlowdown is the mean logarithm of run time over expected run time.
 	logSlowdown float64
 	samples     float64
+	record      record
 
 	failureSum float64
 	held       bool
@@ -86,6 +87,9 @@
 	median float64
 	// spread is the mean squared distance of a task from its target's logSlowdown.
 	spread float64
+	// centered is set while Uneven determines the median; levels is its buffer.
+	centered bool
+	levels   []float64
 
 	ready    int // targets that are not quarantined
 	reported int // ready targets with a last outcome
@@ -310,7 +314,10 @@
 		f.spread += spreadStep * (d*d - f.spread)
 	}
 	t.logSlowdown += step * (x - t.logSlowdown)
-	f.median += medianStep * sign(t.logSlowdown-f.median)
+	if !f.centered {
+		f.median += medianStep * sign(t.logSlowdown-f.median)
+	}
+	f.weighRecord(t)
 	f.planProbe(now, t, x, probe)
 }
 
@@ -353,27 +360,29 @@
 // target, shrunk towards 1 while few tasks were measured.
 func (f *Fleet) RelativeRunTime(t *Target) float64 {
 	const prior = 4 // number of samples at which the estimate has half the weight
-	return math.Exp((t.logSlowdown - f.median) * t.samples / (t.samples + prior))
+	excess, samples := f.excess(t)
+	return math.Exp(excess * samples / (samples + prior))
+}
+
+// RunTime returns the run time on a target as a multiple of the expected one, which is an
+// average over the targets that ran the tasks so far and not that of the median target.
+func (f *Fleet) RunTime(t *Target) float64 {
+	return f.RelativeRunTime(t) * math.Exp(f.median)
 }
 
-// Differs reports whether a target is slower or faster than the median target by more than
+// differs reports whether a target is slower or faster than the median target by more than
 // the factor and by more than chance explains.
-func (f *Fleet) Differs(t *Target, factor float64) bool {
-	if t.samples == 0 {
-		return false
-	}
-	return math.Abs(t.logSlowdown-f.median) > max(math.Log(factor), f.margin(t.samples))
+func (f *Fleet) differs(t *Target, factor float64) bool {
+	excess, samples := f.excess(t)
+	return samples > 0 && math.Abs(excess) > max(math.Log(factor), f.margin(samples))
 }
 
 // Slowness returns a lower bound of how many times slower than the median target this one
 // is; 1 while chance explains the difference.
 func (f *Fleet) Slowness(t *Target) float64 {
-	if t.samples == 0 {
-		return 1
-	}
-	excess := t.logSlowdown - f.median
-	if excess < minExcess {
+	excess, samples := f.excess(t)
+	if samples == 0 || excess < minExcess {
 		return 1
 	}
-	return max(1, math.Exp(excess-f.margin(t.samples)))
+	return max(1, math.Exp(excess-f.margin(samples)))
 }
--- a/internal/replay/fleet_test.go
+++ b/internal/replay/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
 	"github.com/vanillagrade/vanillagrade/internal/policy/crash"
+	"github.com/vanillagrade/vanillagrade/internal/policy/speed"
 	"github.com/vanillagrade/vanillagrade/internal/policy/split"
 	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/target"
@@ -51,6 +52,8 @@
 	processors []int
 	// speeds are factors on the run time of a task, by the number of the target.
 	speeds []float64
+	// record, when set, returns the speed record of a target with a factor on its run times.
+	record func(factor float64) speed.Estimate
 	// millis is the mean size of a task in thousandths of a processor; zero means usualMillis.
 	millis float64
 	opts   scheduler.Options
@@ -147,6 +150,9 @@
 		Slots: 8, Connections: 64, Processors: processors, MemoryMB: 32768,
 	}
 	h.SetTarget(f.targets[id].spec)
+	if f.record != nil {
+		h.UseSpeed(id, f.record(f.targets[id].speed))
+	}
 }
 
 func (f *fleet) connect(t job.Target) holder.Connection {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -80,6 +80,7 @@
 		p.fleet.Refused(now, &tg.health, t.probe)
 	case r.Status == job.TaskDone:
 		expected := p.expect(now, b, t)
+		tg.lastMeasured = now
 		p.fleet.Done(now, &tg.health, tg.ID, kind, r.Ran, expected, t.probe)
 		// The run times on a slow target don't describe the kind of task.
 		if p.fleet.Slowness(&tg.health) <= 1 || p.opts.NoHealth {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -15,6 +15,8 @@
 	NoAdmission bool
 	// NoHealth uses slow and failing targets like all others.
 	NoHealth bool
+	// NoSpeedRecords makes the speed of each target start from nothing.
+	NoSpeedRecords bool
 	// NoReserve lets long tasks use every slot.
 	NoReserve bool
 	// NoEstimates uses declared run times instead of measured ones.
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -16,8 +16,7 @@
 // slower than the others: it must be expected to meet the objective there. For a job that is
 // late already, any answer that is still of use is better than none.
 func (p *Pool) fastEnough(now time.Time, b *batch, t *task, tg *target) bool {
-	pace := p.fleet.RelativeRunTime(&tg.health)
-	if pace <= unevenPace || p.opts.NoHealth {
+	if p.fleet.RelativeRunTime(&tg.health) <= unevenPace || p.opts.NoHealth {
 		return true
 	}
 	if !b.objective.set() {
@@ -26,7 +25,7 @@
 	if b.objective.late {
 		return true
 	}
-	return !now.Add(time.Duration(pace * float64(t.expected))).After(b.objective.end)
+	return !now.Add(time.Duration(p.fleet.RunTime(&tg.health) * float64(t.expected))).After(b.objective.end)
 }
 
 // fullFrom is the utilisation from which fast targets are kept free for the tasks that need
@@ -42,7 +41,7 @@
 		return pace
 	}
 	left := b.objective.end.Sub(now).Seconds() / max(t.expected.Seconds(), 1e-3)
-	if left < unevenPace*pace {
+	if left < unevenPace*p.fleet.RunTime(&tg.health) {
 		return pace
 	}
 	preferSlow := max(0, load-fullFrom) / (1 - fullFrom)
@@ -52,11 +51,9 @@
 // findUnevenTargets determines whether the targets differ in speed by more than the
 // measurement explains.
 func (p *Pool) findUnevenTargets() {
-	p.unevenTargets = false
+	p.paceBuffer = p.paceBuffer[:0]
 	for i := range p.ranked.Len() {
-		if p.fleet.Differs(&p.ranked.At(i).health, unevenPace) {
-			p.unevenTargets = true
-			return
-		}
+		p.paceBuffer = append(p.paceBuffer, &p.ranked.At(i).health)
 	}
+	p.unevenTargets = p.fleet.Uneven(p.paceBuffer, unevenPace)
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -117,6 +117,7 @@
 	sizes        sizing.Distribution
 	// unevenTargets is set while the targets differ in speed by more than unevenPace.
 	unevenTargets bool
+	paceBuffer    []*health.Target // reused by findUnevenTargets
 	waitLimit     waitlimit.Tracker
 	freeTimes     slotHeap
 	meanSlack     float64 // of jobs with an objective, in seconds
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -47,6 +47,7 @@
 	for _, t := range p.targets {
 		ts := TargetStats{Target: t.Target, Running: t.running, Used: t.used, State: stateNames[t.tier]}
 		ts.Slowness = p.fleet.Slowness(&t.health)
+		ts.Speed = p.fleet.Speed(&t.health)
 		if t.removed {
 			ts.State = "leaving"
 		} else {
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -25,7 +25,9 @@
 	job.Target
 	announced job.Target // as received, before defaults
 	health    health.Target
-	running   int
+	// lastMeasured is when a run time was last measured here.
+	lastMeasured time.Time
+	running      int
 	// inherited is the number of running tasks that an earlier holder started,
 	// according to the target's announcements.
 	inherited int
@@ -107,9 +109,11 @@
 		p.ranked.Push(t)
 	}
 	if announced.RestartedSince(&t.announced) {
+		former := p.fleet.Speed(&t.health)
 		p.fleet.Drop(&t.health)
 		t.health = health.Target{}
 		p.fleet.Add(&t.health)
+		p.keepSpeed(t, former, &announced)
 	}
 	t.announced = announced
 	t.Target = p.withDefaults(announced)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/speed"
 )
 
 // Key identifies one task of one owner's submission.
@@ -105,6 +106,8 @@
 	Running  int
 	Used     job.Size
 	Slowness float64
+	// Speed is the estimated run time relative to the median target.
+	Speed speed.Estimate
 	// State is "ready", "slow", "quarantined" or "leaving".
 	State string
 }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -40,6 +40,8 @@
 	TargetExpired         Kind = "target_lapsed"
 	TargetSuspect         Kind = "target_suspect"
 	TargetHealthy         Kind = "target_healthy"
+	TargetSpeedUsed       Kind = "target_speed_used"
+	TargetSpeedCorrected  Kind = "target_speed_corrected"
 	TargetTaken           Kind = "target_taken"
 	TargetYielded         Kind = "target_yielded"
 	LeaseExpired          Kind = "lease_run_out"
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -137,6 +137,8 @@
 	TargetExpired:         "the lease of target %s expired",
 	TargetSuspect:         "target %s is suspected and gets only probes",
 	TargetHealthy:         "target %s is healthy again",
+	TargetSpeedUsed:       "the speed of target %s starts from a record",
+	TargetSpeedCorrected:  "the speed record of target %s is wrong and no longer used",
 	TargetTaken:           "this entry now controls target %s",
 	TargetYielded:         "this entry yields target %s to another one, and its runs there are over",
 	LeaseExpired:          "the lease of the runs on target %s has run out",
@@ -166,7 +168,7 @@
 	}
 	subject := string(ev.Peer)
 	switch ev.Kind {
-	case TargetAnnounced, TargetStopping, TargetExpired, TargetSuspect, TargetHealthy, TargetTaken, TargetYielded, LeaseExpired:
+	case TargetAnnounced, TargetStopping, TargetExpired, TargetSuspect, TargetHealthy, TargetSpeedUsed, TargetSpeedCorrected, TargetTaken, TargetYielded, LeaseExpired:
 		subject = string(ev.Target)
 	case EntryStarted, EntryDraining, EntryStopped, EntryPaused:
 		subject = string(ev.Entry)
