Keep the speeds of targets on the entries with a disk

Cause: a holder loses the speeds of its targets when it stops, and a holder that takes targets over does not get them.

The report of the held targets carries their measured speeds, at most three times a minute and only where speeds differ by more than 1.3. The answer carries the records of the targets that the holder has not measured, and so does the answer to a recall. Entries with a disk save the records every 30 s at most, in a record of their own. Entries of the previous release ignore the new keys, and their answer without records is accepted.

Ruled out: a message kind of its own. It would need its own numbers, retries and a way to learn who does not understand it, all of which the report has.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -75,6 +75,9 @@
 	m.Gauge("vanillagrade_body_bytes", func() float64 { return float64(e.memory.Used()) })
 	m.Gauge("vanillagrade_targets_held", func() float64 { return float64(len(e.targets.registry.Held())) })
 	m.Gauge("vanillagrade_targets_remembered", func() float64 { return float64(e.inventory.count()) })
+	if e.inventory != nil {
+		m.Gauge("vanillagrade_speed_records", func() float64 { return float64(e.inventory.speeds.count()) })
+	}
 	for _, kind := range malformed.Kinds {
 		m.Gauge(fmt.Sprintf("vanillagrade_malformed_total{kind=%q}", kind), func() float64 { return float64(e.opts.Malformed.Total(kind)) })
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -337,6 +337,7 @@
 	if e.inventory != nil {
 		e.addActor(&g, e.inventory.run)
 		e.addActor(&g, e.inventory.save)
+		e.addActor(&g, e.inventory.speeds.save)
 	}
 	e.addActor(&g, func(ctx context.Context) error {
 		return e.serve(ctx, api.Server(e.operator().Handler(), e.log), listen.Operator)
--- a/internal/entry/inventory.go
+++ b/internal/entry/inventory.go
@@ -16,6 +16,8 @@
 	"github.com/vanillagrade/vanillagrade/internal/membership"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/policy/inventory"
+	"github.com/vanillagrade/vanillagrade/internal/policy/speed"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 	"github.com/vanillagrade/vanillagrade/internal/storage"
 )
 
@@ -44,6 +46,8 @@
 	Known bool `cbor:"2,keyasint,omitempty"`
 	// Later asks the entry to query again later, because the record may be outdated.
 	Later bool `cbor:"3,keyasint,omitempty"`
+	// Speeds are the records of these targets.
+	Speeds []speed.Reported `cbor:"4,keyasint,omitempty"`
 }
 
 // targetInventory records on this entry's disk which targets the entries of this zone hold,
@@ -68,6 +72,11 @@
 	// each entry has received last. Only one goroutine uses them.
 	lastReport inventory.Report
 	delivered  map[job.EntryID]reportID
+	lastSpeeds speedReport
+	// speeds are the speed records of the zone; they are empty without a disk.
+	speeds *speedRecords
+	// measured returns the speeds that this entry has measured on its targets.
+	measured func() []scheduler.MeasuredSpeed
 	// pending are the targets being reclaimed: each is asked whether it is still the same
 	// incarnation. reclaimed is set once reclaiming has begun.
 	pending   atomic.Pointer[map[job.TargetID]bool]
@@ -84,6 +93,7 @@
 	v := &targetInventory{
 		self: t.self, targets: t, members: t.members, mesh: t.mesh, store: store, log: t.log,
 		delivered: map[job.EntryID]reportID{}, table: &inventory.Table{}, heardFrom: map[job.EntryID]bool{},
+		speeds: newSpeedRecords(store, t.log), measured: t.holder.Speeds,
 	}
 	v.load()
 	v.mesh.Handle(peer.TargetsHeld, v.handleHeld)
@@ -189,20 +199,29 @@
 }
 
 func (v *targetInventory) handleHeld(_ context.Context, from job.Owner, body cbor.RawMessage) (any, error) {
-	var h inventory.Report
+	var h heldReport
 	if err := cbor.Unmarshal(body, &h); err != nil {
 		return nil, errors.Annotate(err, "decoding the targets that an entry holds")
 	}
 	h.Life = from.Incarnation
 	v.update(func(b *inventory.Table) bool {
 		v.heardFrom[from.Entry] = true
-		return b.Apply(from.Entry, h)
+		return b.Apply(from.Entry, h.Report)
 	})
-	return true, nil
+	v.speeds.apply(h.Targets, h.Speeds)
+	return heldReply{v.speeds.recordsFor(h.Targets, h.Speeds)}, nil
 }
 
 func (v *targetInventory) handleRecall(_ context.Context, from job.Owner, _ cbor.RawMessage) (any, error) {
-	return v.lastHeldBy(from.Entry), nil
+	return v.answerRecall(from.Entry), nil
+}
+
+// answerRecall returns the targets that the previous incarnation of an entry held, with their
+// speed records.
+func (v *targetInventory) answerRecall(entry job.EntryID) recallReply {
+	r := v.lastHeldBy(entry)
+	r.Speeds = v.speeds.recordsFor(r.Held.Targets, nil)
+	return r
 }
 
 // lastHeldBy returns the targets that the previous incarnation of an entry held. It asks for
@@ -232,34 +251,43 @@
 	})
 }
 
-// report reports this entry's targets to the keepers that have not received the latest report.
+// report reports this entry's targets and their speeds to the keepers that have not received
+// the latest report.
 func (v *targetInventory) report(ctx context.Context) {
 	held := v.targets.registry.Held()
 	for i := range held {
 		held[i].Running = 0
 	}
-	if !slices.Equal(held, v.lastReport.Targets) || v.lastReport.Number == 0 {
+	now := time.Now()
+	speeds := v.measured()
+	if !slices.Equal(held, v.lastReport.Targets) || v.lastReport.Number == 0 || v.lastSpeeds.due(now, speeds) {
 		v.lastReport = inventory.Report{Life: v.self.Incarnation, Number: v.lastReport.Number + 1, Targets: held}
+		v.lastSpeeds.sent(now, speeds)
 		v.update(func(b *inventory.Table) bool { return b.Apply(v.self.Entry, v.lastReport) })
+		reported := reportedSpeeds(speeds)
+		v.speeds.apply(held, reported)
+		v.targets.useSpeeds(v.speeds.recordsFor(held, reported))
 	}
-	v.reportToKeepers(ctx)
+	v.reportToKeepers(ctx, heldReport{v.lastReport, reportedSpeeds(speeds)})
 }
 
-func (v *targetInventory) reportToKeepers(ctx context.Context) {
+func (v *targetInventory) reportToKeepers(ctx context.Context, report heldReport) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	confirmed := map[job.EntryID]reportID{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range v.keepers() {
-		current := reportID{m.Incarnation, v.lastReport.Number}
+		current := reportID{m.Incarnation, report.Number}
 		if v.delivered[m.Entry] == current {
 			continue
 		}
 		wg.Go(func() {
-			if v.mesh.Call(ctx, m.Entry, peer.TargetsHeld, v.lastReport, nil) != nil {
+			var reply cbor.RawMessage
+			if v.mesh.Call(ctx, m.Entry, peer.TargetsHeld, report, &reply) != nil {
 				return // the next round retries
 			}
+			v.targets.useReply(reply)
 			mu.Lock()
 			defer mu.Unlock()
 			confirmed[m.Entry] = current
--- a/internal/entry/recall.go
+++ b/internal/entry/recall.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
-	"github.com/vanillagrade/vanillagrade/internal/policy/inventory"
+	"github.com/vanillagrade/vanillagrade/internal/policy/speed"
 )
 
 const (
@@ -24,11 +25,12 @@
 // all entries of these targets at once.
 func (v *targetInventory) recall(ctx context.Context) {
 	begun := time.Now()
-	held, answers := v.queryLastHeld(ctx)
+	last, answers := v.queryLastHeld(ctx)
+	held := last.Held
 	if len(held.Targets) == 0 {
 		return
 	}
-	taken := v.reclaim(held.Targets)
+	taken := v.reclaim(held.Targets, last.Speeds)
 	v.log.Info("targets of the previous incarnation reclaimed",
 		"targets", taken, "remembered", len(held.Targets), "life", held.Life, "word", held.Number,
 		"answers", answers, "after_ms", time.Since(begun).Milliseconds())
@@ -38,11 +40,11 @@
 }
 
 // queryLastHeld queries each entry of this zone that has a disk, once it is discovered, and
-// returns the most recent report.
-func (v *targetInventory) queryLastHeld(ctx context.Context) (last inventory.Report, answers int) {
+// returns the answer with the most recent report.
+func (v *targetInventory) queryLastHeld(ctx context.Context) (last recallReply, answers int) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	replies := make(chan inventory.Report)
+	replies := make(chan recallReply)
 	queried := &querySet{entries: map[job.EntryID]bool{}}
 	tick := time.NewTicker(recallInterval)
 	defer tick.Stop()
@@ -50,10 +52,10 @@
 	for {
 		v.queryKeepers(ctx, queried, replies)
 		select {
-		case h := <-replies:
+		case r := <-replies:
 			answers++
-			if answers == 1 || h.After(&last) {
-				last = h
+			if answers == 1 || r.Held.After(&last.Held) {
+				last = r
 			}
 			if gathered == nil {
 				gathered = time.After(gatherTime)
@@ -93,7 +95,7 @@
 
 // queryKeepers queries the keepers that were discovered since the last call, and again those
 // that could not answer.
-func (v *targetInventory) queryKeepers(ctx context.Context, queried *querySet, replies chan<- inventory.Report) {
+func (v *targetInventory) queryKeepers(ctx context.Context, queried *querySet, replies chan<- recallReply) {
 	view := v.members.View()
 	for _, m := range view.List {
 		if !m.Reserve || m.Zone != v.self.Zone || !queried.add(m.Entry) {
@@ -106,7 +108,7 @@
 				queried.remove(m.Entry)
 			case r.Known:
 				select {
-				case replies <- r.Held:
+				case replies <- r:
 				case <-ctx.Done():
 				}
 			}
@@ -116,7 +118,7 @@
 
 func (v *targetInventory) queryKeeper(ctx context.Context, keeper job.EntryID) (r recallReply, err error) {
 	if keeper == v.self.Entry {
-		return v.lastHeldBy(keeper), nil
+		return v.answerRecall(keeper), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -129,7 +131,9 @@
 // processor time just after its start, and each reclaimed target brings work. If all were
 // reclaimed at once, starts would go unanswered for lack of processor time, and resending them
 // would use even more of it.
-func (v *targetInventory) reclaim(list []job.Target) int {
+//
+// Each target starts from its speed record.
+func (v *targetInventory) reclaim(list []job.Target, speeds []speed.Reported) int {
 	pending := map[job.TargetID]bool{}
 	for i := range list {
 		pending[list[i].ID] = true
@@ -139,8 +143,12 @@
 	defer v.pending.Store(nil)
 	taken := 0
 	for i := range list {
-		if v.targets.reclaim(list[i]) {
-			taken++
+		if !v.targets.reclaim(list[i]) {
+			continue
+		}
+		taken++
+		if k := slices.IndexFunc(speeds, func(r speed.Reported) bool { return r.Target == list[i].ID }); k >= 0 {
+			v.targets.useSpeeds(speeds[k : k+1])
 		}
 	}
 	return taken
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -65,6 +65,10 @@
 	Running int          `json:"running"`
 	// Slowness is the ratio of the actual to the expected run time of its tasks.
 	Slowness float64 `json:"slowness"`
+	// RelativeRunTime is the run time relative to the typical target, and SpeedSamples the
+	// number of measured tasks that it is based on.
+	RelativeRunTime float64 `json:"relative_run_time"`
+	SpeedSamples    int     `json:"speed_samples"`
 }
 
 // Voter is an entry that votes on configurations.
@@ -162,6 +166,7 @@
 		st.Targets = append(st.Targets, Target{
 			ID: t.Target.ID, Pool: pool.Pool, Address: t.Target.Address, Rack: t.Target.Rack,
 			State: t.State, Slots: t.Target.Slots, Running: t.Running, Slowness: t.Slowness,
+			RelativeRunTime: t.Speed.Factor(), SpeedSamples: int(t.Speed.Samples),
 		})
 	}
 	slices.SortFunc(st.Targets, func(a, b Target) int {
--- a/internal/status/write.go
+++ b/internal/status/write.go
@@ -96,10 +96,10 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", h.Pool, h.Entry, h.Targets, h.Slots, h.Free, waiting)
 	}
 	if len(st.Targets) > 0 {
-		fmt.Fprintln(w, "target\tpool\tstate\trunning\tslots\tslowness")
+		fmt.Fprintln(w, "target\tpool\tstate\trunning\tslots\tslowness\trun time\tsamples")
 	}
 	for i := range st.Targets {
 		t := &st.Targets[i]
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\n", t.ID, t.Pool, t.State, t.Running, t.Slots, t.Slowness)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.2f\t%d\n", t.ID, t.Pool, t.State, t.Running, t.Slots, t.Slowness, t.RelativeRunTime, t.SpeedSamples)
 	}
 }
