Merge the speed records of targets

Conflict with the rule that a fifth of the targets must differ: health.Uneven takes the share. Tests that asked for any differing target pass a share of 0.

--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -92,10 +92,7 @@
 	for _, t := range p.targets {
 		p.updateSums(t)
 	}
-	if p.unevenTargets != p.hasUnevenTargets() {
-		p.unevenTargets = !p.unevenTargets
-		p.rerankAll(now)
-	}
+	p.updateUnevenTargets(now)
 }
 
 // placeSized returns the target for a task that needs a large part of a target. It
