Start tasks that wait for a fast target before their answer is of no use

Cause, found in review: a job for which only older targets have room was admitted without wait, never started there, and no event led to another decision, so it was given up beside idle targets. A job of which some tasks had run never counted as late and could not use older targets either. One of them could be reserved for a task that may not run on it. Eight waiting jobs ended the search for others. The bound of 2 also applied where slots bind and placement asks no objective.

A job waits for a faster target only until its latest start, for which there is a wake-up; jobs that wait this way are skipped like those that wait for a suspected task; the expected room counts only targets that are fast enough; a target counts as slower only beyond chance.

--- a/internal/policy/health/health.go
+++ b/internal/policy/health/health.go
@@ -370,6 +370,13 @@
 	return f.RelativeRunTime(t) * math.Exp(f.median)
 }
 
+// IsSlower reports whether a target is slower than the median target by more than the factor
+// and by more than chance explains.
+func (f *Fleet) IsSlower(t *Target, factor float64) bool {
+	excess, _ := f.excess(t)
+	return excess > 0 && f.differs(t, factor)
+}
+
 // differs reports whether a target is slower or faster than the median target by more than
 // the factor and by more than chance explains.
 func (f *Fleet) differs(t *Target, factor float64) bool {
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -24,9 +24,9 @@
 	// maxUnplaced bounds how many jobs whose next task fits no target are skipped
 	// in one call.
 	maxUnplaced = 8
-	// maxSuspectWaiters bounds how many jobs that wait for one of their suspected tasks
-	// are skipped in one call.
-	maxSuspectWaiters = 64
+	// maxWaiters bounds how many jobs are skipped in one call because they wait for one
+	// of their suspected tasks, or for a target on which they meet their objective.
+	maxWaiters = 64
 	// reserveAfter is how long a job whose next task fits no target waits until a
 	// target is reserved for it. Smaller tasks would otherwise fill each gap before it
 	// is large enough.
@@ -67,8 +67,9 @@
 // startAll starts tasks while a target that is neither slow nor limited to probes
 // has a free slot. It reports whether long tasks were held back.
 func (p *Pool) startAll(now time.Time, d *Decisions) (heldLong bool) {
-	var unplaced, suspectWaiters []*batch
+	var unplaced, waiters []*batch
 	maxLong := p.maxLong(now)
+	p.fastNeededUntil = time.Time{}
 	for p.freeSlots > 0 && p.queued > 0 && len(unplaced) < maxUnplaced {
 		b, blocked := p.pick(now, maxLong)
 		heldLong = heldLong || blocked
@@ -76,12 +77,18 @@
 			break
 		}
 		t := b.peek()
-		if b.waitsForSuspect(t) && len(suspectWaiters) < maxSuspectWaiters {
+		if b.waitsForSuspect(t) && len(waiters) < maxWaiters {
 			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
-			suspectWaiters = append(suspectWaiters, b)
+			waiters = append(waiters, b)
+			continue
+		}
+		tg, tooSlow := p.place(now, b, t, suspect)
+		if tooSlow && len(waiters) < maxWaiters {
+			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
+			waiters = append(waiters, b)
+			p.waitForFast(b)
 			continue
 		}
-		tg := p.place(now, b, t, suspect)
 		if tg == nil {
 			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
 			unplaced = append(unplaced, b)
@@ -90,7 +97,7 @@
 		}
 		p.start(now, b, t, tg, false, d)
 	}
-	for _, b := range slices.Concat(unplaced, suspectWaiters) {
+	for _, b := range slices.Concat(unplaced, waiters) {
 		p.classes[b.class].lanes[b.lane()].Push(b.team, &b.item)
 	}
 	return heldLong
@@ -226,7 +233,7 @@
 	var best *target
 	for i := range p.ranked.Len() {
 		tg := p.ranked.At(i)
-		if tg.tier < slow && t.size.Fits(tg.Capacity()) && !slices.Contains(t.avoid, tg) && (best == nil || tg.running < best.running) {
+		if tg.tier < slow && p.fastEnough(now, b, t, tg) && t.size.Fits(tg.Capacity()) && !slices.Contains(t.avoid, tg) && (best == nil || tg.running < best.running) {
 			best = tg
 		}
 	}
@@ -261,6 +268,9 @@
 	if heldLong {
 		sooner(now.Add(longRecheck))
 	}
+	if !p.fastNeededUntil.IsZero() {
+		sooner(p.fastNeededUntil)
+	}
 	if p.probes.Len() > 0 {
 		sooner(p.probes.Min().probeTime())
 	}
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -116,7 +116,7 @@
 func (p *Pool) admitObjective(now time.Time, b *batch) Admission {
 	slack := b.objective.latestStart.Sub(b.arrived)
 	p.meanSlack += slackWeight * (slack.Seconds() - p.meanSlack)
-	wait := p.expectedWait(b, slack)
+	wait := p.expectedWait(now, b, slack)
 	fraction := p.waitLimit.Part(b.meta.Service)
 	if p.opts.NoWaitLimit {
 		fraction = 1
@@ -159,8 +159,8 @@
 // expectedWait returns the expected time until the whole batch has started: the work
 // ahead of it plus its own, divided by the slots. For a job with more slack than the
 // average, all queued work counts as ahead, since other jobs would overtake it.
-func (p *Pool) expectedWait(b *batch, slack time.Duration) time.Duration {
-	if p.queued == 0 && p.roomFor(b) {
+func (p *Pool) expectedWait(now time.Time, b *batch, slack time.Duration) time.Duration {
+	if p.queued == 0 && p.roomFor(now, b) {
 		return 0
 	}
 	longSlack := slack.Seconds() > p.meanSlack
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -13,16 +13,10 @@
 const unevenPace = 1.3
 
 // fastEnough reports whether a task of a job with an objective may run on a target that is
-// slower than the others: it must be expected to meet the objective there. For a job that is
-// late already, any answer that is still of use is better than none.
+// slower than the others: it must be expected to meet the objective there. For a job that can
+// no longer meet it, any answer that is still of use is better than none.
 func (p *Pool) fastEnough(now time.Time, b *batch, t *task, tg *target) bool {
-	if !p.unevenTargets || p.fleet.RelativeRunTime(&tg.health) <= unevenPace {
-		return true
-	}
-	if !b.objective.set() {
-		return p.fleet.Slowness(&tg.health) <= maxSlownessSized
-	}
-	if b.objective.late {
+	if !p.unevenTargets || !b.objective.set() || now.After(b.objective.latestStart) || !p.fleet.IsSlower(&tg.health, unevenPace) {
 		return true
 	}
 	return !now.Add(time.Duration(p.fleet.RunTime(&tg.health) * float64(t.expected))).After(b.objective.end)
@@ -59,9 +53,18 @@
 	for i := range p.ranked.Len() {
 		p.paceBuffer = append(p.paceBuffer, &p.ranked.At(i).health)
 	}
-	uneven := p.fleet.Uneven(p.paceBuffer, unevenPace, unevenShare)
-	if uneven != p.unevenTargets {
-		p.unevenTargets = uneven
+	p.unevenTargets = p.fleet.Uneven(p.paceBuffer, unevenPace, unevenShare)
+	if bound := p.maxSlowness(); bound != p.rankedWith {
+		p.rankedWith = bound
 		p.rerankAll(now)
 	}
 }
+
+// waitForFast records that a job waits for a target on which it meets its objective. Once no
+// target can, it may run on any: no other event might lead to that decision.
+func (p *Pool) waitForFast(b *batch) {
+	until := b.objective.latestStart.Add(time.Nanosecond)
+	if p.fastNeededUntil.IsZero() || until.Before(p.fastNeededUntil) {
+		p.fastNeededUntil = until
+	}
+}
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -52,11 +52,11 @@
 	qt.Check(t, s.pool.unevenTargets, qt.IsFalse)
 }
 
-// A task whose run time leaves too little slack on a slow target would be late there.
-func TestLongTasksStayOffOlderTargets(t *testing.T) {
+// unevenPool returns a pool in which the target "old" needs 1.9 times the usual run time.
+func unevenPool(t *testing.T) *Pool {
 	p := New("render", 1)
 	p.Configure(epoch, testFile())
-	ran := map[job.TargetID]time.Duration{"a": time.Second, "b": time.Second, "c": time.Second, "old": 1700 * time.Millisecond}
+	ran := map[job.TargetID]time.Duration{"a": time.Second, "b": time.Second, "c": time.Second, "old": 1900 * time.Millisecond}
 	for range 40 {
 		for id := range ran {
 			if p.targets[id] == nil {
@@ -65,7 +65,14 @@
 			p.fleet.Done(epoch, &p.targets[id].health, id, estimate.Kind{}, ran[id], time.Second, false)
 		}
 	}
-	p.unevenTargets = true
+	p.updateUnevenTargets(epoch)
+	qt.Assert(t, p.unevenTargets, qt.IsTrue)
+	return p
+}
+
+// A task whose run time leaves too little slack on a slow target would be late there.
+func TestLongTasksStayOffOlderTargets(t *testing.T) {
+	p := unevenPool(t)
 	within := func(run, end time.Duration) bool {
 		b := &batch{objective: latencyObjective{latestStart: epoch, end: epoch.Add(end)}}
 		return p.fastEnough(epoch, b, &task{expected: run}, p.targets["old"])
@@ -73,3 +80,38 @@
 	qt.Check(t, within(60*time.Millisecond, 156*time.Millisecond), qt.IsTrue)
 	qt.Check(t, within(900*time.Millisecond, 1200*time.Millisecond), qt.IsFalse)
 }
+
+// Only an older target has room for a long task. Guards against a task that waits for a faster
+// target until its answer is of no use, since no event leads to another decision.
+func TestTaskThatWaitsForAFastTargetStartsInTime(t *testing.T) {
+	p := unevenPool(t)
+	large := func(id string, tasks int, run time.Duration) *job.Batch {
+		b := &job.Batch{Submission: job.ID(id), Service: "thumb", Stretch: mixStretch, Slack: mixSlack}
+		for i := range tasks {
+			b.Tasks = append(b.Tasks, job.BatchTask{Index: i, TaskSpec: job.TaskSpec{RunMillis: run.Milliseconds(), MilliProcessors: 20000, MemoryMB: 64}})
+		}
+		return b
+	}
+	for _, id := range []job.TargetID{"a", "b", "c"} {
+		p.targets[id].used = job.Size{Processors: 32}
+		p.rerank(epoch, p.targets[id])
+	}
+	qt.Assert(t, p.Offer(epoch, large("long", 1, 900*time.Millisecond)).Accepted, qt.IsTrue)
+	d := p.Next(epoch)
+	qt.Assert(t, d.Starts, qt.HasLen, 0)
+	latest := p.batches[batchKey{id: "long"}].objective.latestStart
+	qt.Assert(t, d.Wake.After(latest) && d.Wake.Before(latest.Add(time.Millisecond)), qt.IsTrue, qt.Commentf("%v, latest %v", d.Wake, latest))
+	d = p.Next(d.Wake)
+	qt.Assert(t, d.Starts, qt.HasLen, 1)
+	qt.Check(t, d.Starts[0].Target, qt.Equals, job.TargetID("old"))
+	// While a job waits for a fast target, a short one behind it still gets the older target.
+	p.Finished(d.Wake, d.Starts[0].Key, Result{Ran: time.Second, Status: job.TaskDone})
+	now := epoch.Add(5 * time.Second)
+	qt.Assert(t, p.Offer(now, large("long-2", 1, 900*time.Millisecond)).Accepted, qt.IsTrue)
+	short := large("short", 1, 30*time.Millisecond)
+	short.Committed = true // not refused for the expected wait
+	qt.Assert(t, p.Offer(now, short).Accepted, qt.IsTrue)
+	d = p.Next(now)
+	qt.Assert(t, d.Starts, qt.HasLen, 1)
+	qt.Check(t, d.Starts[0].Submission, qt.Equals, job.ID("short"))
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -18,27 +18,28 @@
 )
 
 // place returns the target for a task among those of the given tier or
-// better, or nil if the task fits none.
-func (p *Pool) place(now time.Time, b *batch, t *task, worst tier) *target {
+// better, or nil if the task fits none. tooSlow is set if it fits only on targets on which it
+// would miss its objective.
+func (p *Pool) place(now time.Time, b *batch, t *task, worst tier) (best *target, tooSlow bool) {
 	if p.opts.Placement != PlaceExpectedFinish {
-		return p.placeBaseline(t)
+		return p.placeBaseline(t), false
 	}
 	if p.unplaceable[t.size] {
-		return nil
+		return nil, false
 	}
-	if p.ranked.Len() > 0 && p.boundBySize(p.ranked.Min()) {
-		best, tooSlow := p.placeSized(now, b, t, worst)
+	if p.sizesBind() {
+		best, tooSlow = p.placeSized(now, b, t, worst)
 		if !tooSlow {
 			p.noteUnplaceable(t, best, worst)
 		}
-		return best
+		return best, best == nil && tooSlow
 	}
 	best, visited := p.placeRanked(b, t, worst)
 	if best == nil && visited >= maxVisits {
 		best = p.placeExhaustive(b, t, worst)
 	}
 	p.noteUnplaceable(t, best, worst)
-	return best
+	return best, false
 }
 
 // noteUnplaceable records that a task of this size fits no target, until a target
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -117,13 +117,18 @@
 	sizes        sizing.Distribution
 	// unevenTargets is set while the targets differ in speed by more than unevenPace.
 	unevenTargets bool
-	paceBuffer    []*health.Target // reused by updateUnevenTargets
-	waitLimit     waitlimit.Tracker
-	freeTimes     slotHeap
-	meanSlack     float64 // of jobs with an objective, in seconds
-	running       int
-	longRunning   int
-	reservedFor   *batch // the batch that a target is reserved for
+	// rankedWith is the slowness bound with which all targets were last ranked.
+	rankedWith float64
+	// fastNeededUntil is the first time at which a job that waits for a faster target may
+	// start on any; zero if none waits.
+	fastNeededUntil time.Time
+	paceBuffer      []*health.Target // reused by updateUnevenTargets
+	waitLimit       waitlimit.Tracker
+	freeTimes       slotHeap
+	meanSlack       float64 // of jobs with an objective, in seconds
+	running         int
+	longRunning     int
+	reservedFor     *batch // the batch that a target is reserved for
 
 	batches   map[batchKey]*batch
 	classes   [classes]class
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -26,6 +26,9 @@
 	return p.sizes.Seen() > 0 && p.sizes.Fit(demandOf(t.Capacity()), t.limit()) < float64(t.limit())
 }
 
+// sizesBind reports whether task sizes rather than slots limit the pool.
+func (p *Pool) sizesBind() bool { return p.ranked.Len() > 0 && p.boundBySize(p.ranked.Min()) }
+
 // capacityOf returns how many tasks of the usual sizes are expected to run on the target at
 // once. It limits no start, since more small tasks may fit.
 func (p *Pool) capacityOf(t *target) float64 {
@@ -43,7 +46,7 @@
 }
 
 // roomFor reports whether all tasks of a batch can start now, by their own sizes.
-func (p *Pool) roomFor(b *batch) bool {
+func (p *Pool) roomFor(now time.Time, b *batch) bool {
 	needed := len(b.tasks)
 	size := b.tasks[0].size
 	for i := range b.tasks {
@@ -51,7 +54,7 @@
 	}
 	for i := range p.ranked.Len() {
 		t := p.ranked.At(i)
-		if t.tier >= slow || t.exclusive || t.reservedFor != nil {
+		if t.tier >= slow || t.exclusive || t.reservedFor != nil || !p.fastEnough(now, b, &b.tasks[b.order[0]], t) {
 			continue
 		}
 		needed -= fitCount(t.Capacity().Minus(t.used), size, t.limit()-t.running)
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -240,7 +240,7 @@
 // other target has free capacity.
 func (p *Pool) maxSlowness() float64 {
 	switch {
-	case p.unevenTargets:
+	case p.unevenTargets && p.sizesBind():
 		return maxSlownessUneven
 	case p.sizes.Seen() > 0:
 		return maxSlownessSized
