Serve the services of a shared pool by priority

Cause: nothing ordered the services of one urgency class.

Levels of priority get entitlements from their requested demand; the queue, the wait limit, the expected wait, the load report and the split follow them. Late jobs that can't start while of use are abandoned at once.

--- a/internal/holder/events.go
+++ b/internal/holder/events.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -35,13 +36,15 @@
 	if len(expired) == 0 {
 		return
 	}
-	counts := map[batchKey]int{}
+	counts, last := map[batchKey]int{}, map[batchKey]*scheduler.Dropped{}
 	for i := range expired {
-		counts[keyOf(expired[i].Key)]++
+		key := keyOf(expired[i].Key)
+		counts[key]++
+		last[key] = &expired[i]
 	}
 	for key, n := range counts {
 		if b := p.batches[key]; b != nil && !b.reported {
-			p.recordDropped(now, b, n, job.DeadlinePassed, "the deadline passed in the queue")
+			p.recordDropped(now, b, n, last[key].Reason, cmp.Or(last[key].Detail, "the deadline passed in the queue"))
 		}
 	}
 }
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -126,8 +127,8 @@
 		Index:  d.Index,
 		Status: job.TaskNotStarted,
 		Reason: d.Reason,
-		Detail: "the task left the queue unstarted",
-		Queued: now.Sub(b.arrived),
+		Detail: cmp.Or(d.Detail, "the task left the queue unstarted"),
+		Queued: now.Sub(b.arrived), RetryAfter: d.RetryAfter,
 	})
 }
 
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -205,6 +205,9 @@
 	// Stretch and Slack define the latency objective, as in config.Service.
 	Stretch float64       `cbor:"13,keyasint,omitempty"`
 	Slack   time.Duration `cbor:"14,keyasint,omitempty"`
+	// Reoffered is set if another holder has refused the tasks before. They count as
+	// requested only once, where they were offered first.
+	Reoffered bool `cbor:"15,keyasint,omitempty"`
 	// Right is the right of the entry that has the batch to act for the owner; nil
 	// for work that needs none.
 	Right Right `cbor:"-"`
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -205,7 +205,7 @@
 	}
 	fl.mu.Lock()
 	finished := fl.collector.Finished()
-	committed := fl.placement.committed(fl.collector.Done())
+	b := job.Batch{Committed: fl.placement.committed(fl.collector.Done()), Reoffered: fl.placement.refusals > 0}
 	if !finished {
 		fl.collector.Offered()
 		fl.placement.offered(now, parts)
@@ -218,7 +218,7 @@
 		if fl.decided() {
 			return
 		}
-		fl.sendBatch(now, p, committed)
+		fl.sendBatch(now, p, b)
 		if fl.decided() {
 			// The submission may have ended while this batch was being sent, so
 			// that its cancellation reached the holder before the batch.
@@ -309,7 +309,7 @@
 	}
 }
 
-func (fl *flight) sendBatch(now time.Time, p Part, committed bool) {
+func (fl *flight) sendBatch(now time.Time, p Part, of job.Batch) {
 	s := fl.flow.Submission
 	b := &job.Batch{
 		Owner:      fl.stage.Self,
@@ -319,7 +319,8 @@
 		Waited:     now.Sub(s.Received),
 		Tasks:      make([]job.BatchTask, len(p.Tasks)),
 		Single:     s.Single,
-		Committed:  committed,
+		Committed:  of.Committed,
+		Reoffered:  of.Reoffered,
 		Pool:       fl.flow.Service.Pool,
 		Attempts:   fl.flow.Service.Attempts,
 		Transient:  s.Transient,
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -154,10 +154,15 @@
 	assigned           []job.BatchTask
 }
 
-// Split distributes the tasks of a job over the holders of a pool, except the excluded
-// ones.
+// Split distributes the tasks of a job of the most urgent priority over the holders of a
+// pool, except the excluded ones.
 func (s *Splitter) Split(now time.Time, pool string, u job.Urgency, tasks []job.BatchTask, excluded ...job.EntryID) Plan {
-	open, cordoned := s.candidates(pool, u)
+	return s.SplitFor(now, pool, Precedence{Urgency: u}, tasks, excluded...)
+}
+
+// SplitFor is Split for a job of any priority.
+func (s *Splitter) SplitFor(now time.Time, pool string, by Precedence, tasks []job.BatchTask, excluded ...job.EntryID) Plan {
+	open, cordoned := s.candidates(pool, by)
 	all := slices.DeleteFunc(open, func(c *candidate) bool { return slices.Contains(excluded, c.load.Entry) })
 	switch {
 	case len(all) == 0 && len(open) == 0 && len(cordoned) > 0:
@@ -273,7 +278,7 @@
 
 // candidates returns the holders of a pool that accept work, in the order of their ranks, and
 // those in cordoned zones.
-func (s *Splitter) candidates(pool string, u job.Urgency) (open, cordoned []*candidate) {
+func (s *Splitter) candidates(pool string, by Precedence) (open, cordoned []*candidate) {
 	var out []*candidate
 	for k, h := range s.holders {
 		switch {
@@ -281,7 +286,7 @@
 		case h.load.Cordoned:
 			cordoned = append(cordoned, &candidate{holder: h})
 		default:
-			out = append(out, s.candidate(h, u))
+			out = append(out, s.candidate(h, by))
 		}
 	}
 	// Map iteration order is random. Sorting by name first makes the ranks depend only
@@ -294,13 +299,14 @@
 	return out, cordoned
 }
 
-func (s *Splitter) candidate(h *holder, u job.Urgency) *candidate {
+func (s *Splitter) candidate(h *holder, by Precedence) *candidate {
 	c := &candidate{holder: h, remote: h.load.Zone != s.zone}
 	c.perTask = s.meanRunTime(h.load.Pool) / time.Duration(max(1, h.load.Slots))
-	c.free = min(h.load.Slots, h.load.Free-h.outstanding)
+	wait, room := by.waitAt(&h.load)
+	c.free = min(h.load.Slots, room-h.outstanding)
 	// A holder that had free slots reported no wait. Once they are used, the next slot
 	// becomes free after perTask on average.
-	c.wait = max(h.load.Wait[u], c.perTask)
+	c.wait = max(wait, c.perTask)
 	if c.free < 0 {
 		c.wait += time.Duration(-c.free) * c.perTask
 		c.free = 0
--- a/internal/policy/waitlimit/waitlimit.go
+++ b/internal/policy/waitlimit/waitlimit.go
@@ -95,3 +95,28 @@
 		}
 	}
 }
+
+// Levels has one tracker for each priority level of a pool, the most urgent first.
+type Levels []Tracker
+
+// Part returns the part of its slack that a job of a kind may be expected to wait. Late
+// starts of a level reduce the part of that level and of the less urgent ones. shortfall is
+// the part of its entitlement that the level did not receive: a level that receives less
+// may wait longer, so that more of its jobs are admitted, and one that borrows may not.
+func (l Levels) Part(level int, kind string, shortfall float64) float64 {
+	late := 0.0
+	for i := range l[:level+1] {
+		late = max(late, l[i].lateShare)
+	}
+	t := &l[level]
+	part := max(minPart, 1-latePenalty*late)
+	part += fairnessGain * (shortfall + t.meanAdmittedShare() - t.admittedShare(kind))
+	return min(1, max(minPart, part))
+}
+
+// Forget drops the kinds that are no longer services.
+func (l Levels) Forget(gone func(kind string) bool) {
+	for i := range l {
+		l[i].Forget(gone)
+	}
+}
--- a/internal/replay/fleet_test.go
+++ b/internal/replay/fleet_test.go
@@ -189,7 +189,7 @@
 	for _, l := range own {
 		o.splitter.Report(now, l)
 	}
-	plan := o.splitter.Split(now, poolName, f.Service.Urgency, batch, without...)
+	plan := o.splitter.SplitFor(now, poolName, split.Precedence{Urgency: f.Service.Urgency, Priority: f.Service.Priority}, batch, without...)
 	parts := make([]pipeline.Part, len(plan.Parts))
 	for i, p := range plan.Parts {
 		parts[i].Holder = p.Entry
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -25,6 +25,7 @@
 	meta        *job.Batch
 	team        string
 	class       job.Urgency
+	level       int // priority level within the class, 0 for the most urgent
 	long        bool
 	arrived     time.Time
 	deadline    time.Time
--- a/internal/scheduler/earlieststart.go
+++ b/internal/scheduler/earlieststart.go
@@ -22,6 +22,18 @@
 	if p.running > maxRunningExamined {
 		return 0
 	}
+	return p.startAfter(now, nil, b, 0)
+}
+
+// startAfter returns the time until the last task of a batch can start if the queued tasks
+// of the batches before it start first and the next kept slots are not available.
+func (p *Pool) startAfter(now time.Time, before []*batch, b *batch, kept int) time.Duration {
+	p.assignBefore(now, before, kept)
+	return p.assignQueued(b)
+}
+
+// assignBefore determines when slots become free after the queued tasks of some batches.
+func (p *Pool) assignBefore(now time.Time, before []*batch, kept int) {
 	p.freeTimes.reset(int(p.freeCapacity))
 	for _, other := range p.batches {
 		if other.running == 0 {
@@ -34,7 +46,20 @@
 		}
 	}
 	p.freeTimes.init()
-	var last time.Duration
+	for range min(kept, len(p.freeTimes.freeAt)-1) {
+		p.freeTimes.assign(time.Hour)
+	}
+	for _, other := range before {
+		p.assignQueued(other)
+	}
+}
+
+// assignQueued gives the slots that are free first to the queued tasks of a batch and
+// returns when the last of them starts.
+func (p *Pool) assignQueued(b *batch) (last time.Duration) {
+	for _, i := range b.requeued {
+		last = p.freeTimes.assign(b.tasks[i].expected)
+	}
 	for _, i := range b.order {
 		last = p.freeTimes.assign(b.tasks[i].expected)
 	}
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -41,9 +41,11 @@
 	var d Decisions
 	p.expire(now, &d)
 	p.demoteLate(now)
+	p.abandonLate(now, &d)
 	p.startProbes(now, &d)
 	heldLong := p.startAll(now, &d)
 	p.startSlow(now, &d)
+	p.measureBusy()
 	d.Wake = p.nextWake(now, heldLong)
 	return d
 }
@@ -100,7 +102,7 @@
 // one of a less urgent class has waited too long.
 func (p *Pool) pick(now time.Time, maxLong int) (next *batch, heldLong bool) {
 	for u := classes - 1; u >= 0; u-- {
-		b, blocked := p.head(job.Urgency(u), maxLong)
+		b, blocked := p.head(now, job.Urgency(u), maxLong)
 		heldLong = heldLong || blocked
 		if b == nil || p.leavesHeadroom(b) {
 			continue
@@ -116,10 +118,10 @@
 	return next, heldLong
 }
 
-// head returns the job of a class to serve next, from its short or its long lane.
-func (p *Pool) head(u job.Urgency, maxLong int) (next *batch, heldLong bool) {
+// headOf returns the job of a level to serve next, from its short or its long lane.
+func (p *Pool) headOf(u job.Urgency, level, maxLong int) (next *batch, heldLong bool) {
 	c := &p.classes[u]
-	short, long := c.lanes[laneShort].Head(), c.lanes[laneLong].Head()
+	short, long := c.lanes[level*lanes+laneShort].Head(), c.lanes[level*lanes+laneLong].Head()
 	if long != nil && u != job.UrgencyUrgent && p.longRunning >= maxLong {
 		long, heldLong = nil, true
 	}
@@ -196,6 +198,7 @@
 	p.reorder(b)
 	t.started = now
 	p.estimates.Started(now, t.kind(b))
+	p.classes[b.class].precedence.Started(now, b.level, t.expected.Seconds())
 	tg.running++
 	tg.used = tg.used.Plus(t.size)
 	tg.exclusive, b.suspectRunning = t.suspect, b.suspectRunning || t.suspect
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -116,6 +116,9 @@
 func (p *Pool) admitObjective(now time.Time, b *batch) Admission {
 	slack := b.objective.latestStart.Sub(b.arrived)
 	p.meanSlack += slackWeight * (slack.Seconds() - p.meanSlack)
+	if p.leveled(b) {
+		return p.admitLevel(now, b, slack)
+	}
 	wait := p.expectedWait(b, slack)
 	fraction := p.waitLimit.Part(b.meta.Service)
 	if p.opts.NoWaitLimit {
@@ -176,7 +179,13 @@
 // recordStartLateness records whether the last queued task of a batch was late when
 // it started or expired.
 func (p *Pool) recordStartLateness(now time.Time, b *batch) {
-	if b.objective.set() {
-		p.waitLimit.Started(now.After(b.objective.latestStart))
+	if !b.objective.set() {
+		return
+	}
+	late := now.After(b.objective.latestStart)
+	if p.leveled(b) {
+		p.classes[b.class].limits[b.level].Started(late)
+		return
 	}
+	p.waitLimit.Started(late)
 }
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -36,6 +36,9 @@
 		}
 	}
 	b := p.newBatch(now, key, m)
+	if !m.Reoffered {
+		p.classes[b.class].precedence.Offered(now, b.level, len(b.tasks), b.queuedWork())
+	}
 	p.shortReserve.Offered(now, b.long, len(b.tasks), time.Duration(b.queuedWork()*float64(time.Second)))
 	if v := p.admit(now, b); !v.Accepted && !(m.Committed && v.Reason == job.Overloaded) {
 		return v
@@ -53,7 +56,7 @@
 	svc, _ := p.file.Service(m.Service)
 	b := &batch{
 		key: key, meta: m, team: m.Team, class: p.classOf(svc), arrived: now.Add(-m.Waited),
-		flagLate: svc.FlagLate, repeatable: svc.Repeatable,
+		level: p.levelOf(p.classOf(svc), m.Service), flagLate: svc.FlagLate, repeatable: svc.Repeatable,
 	}
 	// If no teams are configured, all callers count as one team. Otherwise each name
 	// that a caller invents would be a team without queued work, and never refused.
@@ -193,16 +196,16 @@
 	if b.long {
 		out.Slots = min(out.Slots, maxLong)
 		out.Free = min(out.Free, maxLong-p.longRunning)
-		out.Class = c.work[laneLong]
+		out.Class = c.workIn(laneLong, b.level)
 		for u := int(b.class) + 1; u < classes; u++ {
-			out.Higher += p.classes[u].work[laneLong]
+			out.Higher += p.classes[u].workIn(laneLong, p.classes[u].lastLevel())
 		}
 		return out
 	}
 	out.Slots -= p.longRunningUpTo(b.class)
-	out.Class = c.work[laneShort]
+	out.Class = c.workIn(laneShort, b.level)
 	for u := int(b.class) + 1; u < classes; u++ {
-		out.Higher += p.classes[u].work[laneShort]
+		out.Higher += p.classes[u].workIn(laneShort, p.classes[u].lastLevel())
 	}
 	return out
 }
@@ -226,9 +229,11 @@
 	shortTeams, longTeams := 0.0, 0.0
 	for u := range p.classes {
 		c := &p.classes[u]
-		short += c.waiting[laneShort]
-		shortTeams += c.lanes[laneShort].Weight()
-		longTeams += c.lanes[laneLong].Weight()
+		for l := 0; l < len(c.lanes); l += lanes {
+			short += c.waiting[l+laneShort]
+			shortTeams += c.lanes[l+laneShort].Weight()
+			longTeams += c.lanes[l+laneLong].Weight()
+		}
 	}
 	share := 0.5
 	if longTeams > 0 {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -35,6 +35,8 @@
 	NoProgressPriority bool
 	// NoSuspectIsolation runs suspected tasks together with others.
 	NoSuspectIsolation bool
+	// NoPrecedence treats the services of a class alike, whatever their priorities.
+	NoPrecedence bool
 	// Placement selects among the targets with free capacity.
 	Placement Placement
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -12,6 +12,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/policy/fairqueue"
 	"github.com/vanillagrade/vanillagrade/internal/policy/health"
 	"github.com/vanillagrade/vanillagrade/internal/policy/pq"
+	"github.com/vanillagrade/vanillagrade/internal/policy/precedence"
 	"github.com/vanillagrade/vanillagrade/internal/policy/reserve"
 	"github.com/vanillagrade/vanillagrade/internal/policy/sizing"
 	"github.com/vanillagrade/vanillagrade/internal/policy/waitlimit"
@@ -28,10 +29,17 @@
 
 // class is the queue of one urgency class.
 type class struct {
-	lanes [lanes]*fairqueue.Queue[*batch]
+	// lanes has the short and the long lane of each priority level, the most urgent level
+	// first.
+	lanes []*fairqueue.Queue[*batch]
 	// work is the expected run time of the queued tasks in seconds, by lane.
-	work        [lanes]float64
-	waiting     [lanes]int
+	work    []float64
+	waiting []int
+	// precedence and limits are used only if the class has several levels.
+	precedence  precedence.Tracker
+	limits      waitlimit.Levels
+	runningOf   []int // running tasks by level
+	counts      []LevelCounts
 	teams       map[string]*teamWork
 	queued      int
 	running     int
@@ -118,11 +126,15 @@
 	// unevenTargets is set while the targets differ in speed by more than unevenPace.
 	unevenTargets bool
 	waitLimit     waitlimit.Tracker
-	freeTimes     slotHeap
-	meanSlack     float64 // of jobs with an objective, in seconds
-	running       int
-	longRunning   int
-	reservedFor   *batch // the batch that a target is reserved for
+	// busySlots is the mean number of running tasks while others waited. It exceeds slots
+	// where small tasks are found for the gaps.
+	busySlots   float64
+	freeTimes   slotHeap
+	meanSlack   float64 // of jobs with an objective, in seconds
+	running     int
+	longRunning int
+	nextAbandon time.Time
+	reservedFor *batch // the batch that a target is reserved for
 
 	batches   map[batchKey]*batch
 	classes   [classes]class
@@ -154,9 +166,7 @@
 	for u := range p.classes {
 		c := &p.classes[u]
 		c.teams = map[string]*teamWork{}
-		for l := range c.lanes {
-			c.lanes[l] = fairqueue.New[*batch]()
-		}
+		c.resetLanes()
 	}
 	return p
 }
@@ -172,8 +182,13 @@
 // and the flagging of late answers also apply to queued work.
 func (p *Pool) Configure(now time.Time, f *config.File) {
 	p.file = f
+	p.setLevels(now, f)
 	p.setWeights(f)
-	p.waitLimit.Forget(func(service string) bool { _, known := f.Service(service); return !known })
+	gone := func(service string) bool { _, known := f.Service(service); return !known }
+	p.waitLimit.Forget(gone)
+	for u := range p.classes {
+		p.classes[u].limits.Forget(gone)
+	}
 	clear(p.unplaceable)
 	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
 		t := p.targets[id]
@@ -213,12 +228,13 @@
 		p.updateDeadline(b)
 	}
 	to := p.classOf(svc)
-	if to == b.class {
+	level := p.levelOf(to, b.meta.Service)
+	if to == b.class && level == b.level {
 		return
 	}
 	p.unqueue(b)
 	p.countRunning(b, -b.running)
-	b.class = to
+	b.class, b.level = to, level
 	p.countRunning(b, b.running)
 	p.enqueue(now, b)
 }
@@ -234,6 +250,7 @@
 func (p *Pool) countRunning(b *batch, slots int) {
 	c := &p.classes[b.class]
 	c.running += slots
+	c.runningOf[b.level] += slots
 	for _, q := range c.lanes {
 		q.AddHeldSlots(b.team, float64(slots))
 	}
@@ -245,9 +262,9 @@
 
 func (b *batch) lane() int {
 	if b.long {
-		return laneLong
+		return b.level*lanes + laneLong
 	}
-	return laneShort
+	return b.level*lanes + laneShort
 }
 
 // enqueue adds a batch's queued tasks to the queue of its class.
@@ -292,7 +309,7 @@
 	c.addTeamWork(b.team, b.sizeClass(), tasks, work)
 	if c.queued == 0 {
 		// An empty queue clears the rounding errors of the floating-point sums.
-		c.work = [lanes]float64{}
+		clear(c.work)
 		clear(c.teams)
 	}
 }
--- a/internal/scheduler/probe.go
+++ b/internal/scheduler/probe.go
@@ -42,7 +42,7 @@
 		if job.Urgency(u) == job.UrgencyUrgent && p.freeSlots > 0 && p.slots > 0 && !p.opts.NoClasses {
 			return nil
 		}
-		b, _ := p.head(job.Urgency(u), int(p.slots)+1)
+		b, _ := p.head(now, job.Urgency(u), int(p.slots)+1)
 		if b == nil || !p.canPlace(b, b.peek(), tg, probeOnly) {
 			continue
 		}
@@ -66,7 +66,7 @@
 		if tg == nil {
 			return
 		}
-		b := p.slowJob(maxLong)
+		b := p.slowJob(now, maxLong)
 		if b == nil {
 			return
 		}
@@ -92,9 +92,9 @@
 
 // slowJob returns the job to run on a slow target: one of the least urgent class,
 // for which a longer run time matters least.
-func (p *Pool) slowJob(maxLong int) *batch {
+func (p *Pool) slowJob(now time.Time, maxLong int) *batch {
 	for u := range p.classes {
-		if b, _ := p.head(job.Urgency(u), maxLong); b != nil {
+		if b, _ := p.head(now, job.Urgency(u), maxLong); b != nil {
 			return b
 		}
 	}
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -33,9 +33,11 @@
 	for u := classes - 1; u >= 0; u-- {
 		c := &p.classes[u]
 		l.Queued[u] = c.queued
-		ahead += c.work[laneShort] + c.work[laneLong]
+		all := c.lastLevel()
+		ahead += c.workIn(laneShort, all) + c.workIn(laneLong, all)
 		l.Wait[u] = time.Duration(ahead / slots * float64(time.Second))
 	}
+	l.Priorities = p.waits(now, job.UrgencyInteractive)
 	return l
 }
 
@@ -57,6 +59,7 @@
 	slices.SortFunc(s.Targets, func(a, b TargetStats) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
 	for u := range p.classes {
 		s.Queued[u] = p.classes[u].queued
+		s.Levels = append(s.Levels, p.levelStats(now, job.Urgency(u))...)
 	}
 	for _, b := range p.batches {
 		if n := b.queued(); n > 0 {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/precedence"
 )
 
 // Key identifies one task of one owner's submission.
@@ -53,6 +54,9 @@
 	Key
 	Reason job.Reason
 	Waited time.Duration
+	// Detail and RetryAfter are set if the task was abandoned before its deadline.
+	Detail     string
+	RetryAfter time.Duration
 }
 
 // Decisions is the result of one call of Next.
@@ -115,6 +119,26 @@
 	Slots   int
 	Running int
 	Queued  [job.UrgencyUrgent + 1]int
+	// Levels has the priorities of each urgency class that has several, the most urgent
+	// first.
+	Levels  []LevelStats
 	Teams   map[string]int
 	Targets []TargetStats
 }
+
+// LevelStats is the state of one priority level of an urgency class.
+type LevelStats struct {
+	Urgency  job.Urgency
+	Priority int
+	Queued   int
+	Running  int
+	// Wait is the expected wait of a task that arrives now.
+	Wait  time.Duration
+	Share precedence.Share
+	LevelCounts
+}
+
+// LevelCounts counts the jobs of a level since the last change of the priorities.
+type LevelCounts struct {
+	Admitted, Refused, Abandoned uint64
+}
