Show and count the work by priority, and test precedence

Cause: operators could not see which priority waits, what it is entitled to and what it received.

Status lists each priority; metrics and the holder's counters count admitted, refused and abandoned jobs. The capacity of the entitlements counts the further tasks that fit, so that slots kept for the first level are not lost from it.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -14,6 +14,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/malformed"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/register"
+	"github.com/vanillagrade/vanillagrade/internal/scheduler"
 )
 
 // Caller returns the handler of submissions, for servers that offer callers other
@@ -84,6 +85,15 @@
 	m.Gauge(`vanillagrade_target_calls{kind="start"}`, func() float64 { return float64(e.calls.Starts.Load()) })
 	m.Gauge(`vanillagrade_target_calls{kind="look"}`, func() float64 { return float64(e.calls.Polls.Load()) })
 	m.Gauge(`vanillagrade_target_calls{kind="stop"}`, func() float64 { return float64(e.calls.Stops.Load()) })
+	for priority := range config.MaxPriority + 1 {
+		count := func(result string, read func(scheduler.LevelCounts) uint64) {
+			name := fmt.Sprintf("vanillagrade_priority_jobs_total{priority=\"%d\",result=%q}", priority, result)
+			m.Gauge(name, func() float64 { return float64(read(e.holder.PriorityCounts(priority))) })
+		}
+		count("admitted", func(n scheduler.LevelCounts) uint64 { return n.Admitted })
+		count("refused", func(n scheduler.LevelCounts) uint64 { return n.Refused })
+		count("abandoned", func(n scheduler.LevelCounts) uint64 { return n.Abandoned })
+	}
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.totalSlots()) })
 	m.Gauge("vanillagrade_agreement_rounds", func() float64 { return float64(e.register.Round()) })
 	m.Gauge("vanillagrade_voters_heard", func() float64 { return float64(e.register.VoterMetrics().Reachable) })
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -326,6 +326,9 @@
 	Discarded     uint64 `json:"discarded"`
 	BytesSent     uint64 `json:"bytes_sent"`
 	BytesReceived uint64 `json:"bytes_received"`
+	// Priorities counts the jobs with an objective by priority, in the pools whose services
+	// have several.
+	Priorities map[int]scheduler.LevelCounts `json:"priorities,omitempty"`
 }
 
 type counters struct {
@@ -346,5 +349,6 @@
 		Discarded:     c.discarded.Load(),
 		BytesSent:     c.sent.Load(),
 		BytesReceived: c.received.Load(),
+		Priorities:    h.priorityCounts(),
 	}
 }
--- a/internal/policy/waitlimit/waitlimit_test.go
+++ b/internal/policy/waitlimit/waitlimit_test.go
@@ -45,3 +45,20 @@
 	qt.Assert(t, b.Part("narrow"), qt.Equals, minPart)
 	qt.Assert(t, b.meanAdmittedShare(), qt.Equals, b.admittedShare("narrow"))
 }
+
+// Late starts of a flood of the least urgent service must not cause refusals of the most
+// urgent one; the opposite direction is wanted.
+func TestLateStartsOfALevelDoNotLimitMoreUrgentOnes(t *testing.T) {
+	l := make(Levels, 2)
+	for range 40 {
+		l[1].Started(true)
+	}
+	qt.Check(t, l.Part(0, "a", 0), qt.Equals, 1.0)
+	qt.Check(t, l.Part(1, "b", 0), qt.Equals, minPart)
+	qt.Check(t, l.Part(1, "b", 0.5), qt.Equals, 1.0)
+	for range 40 {
+		l[0].Started(true)
+		l[1].Started(false)
+	}
+	qt.Check(t, l.Part(1, "b", 0), qt.Equals, minPart)
+}
--- a/internal/scheduler/abandon.go
+++ b/internal/scheduler/abandon.go
@@ -41,7 +41,7 @@
 // abandon removes the queued tasks of a job, and says when there will be room for it.
 func (p *Pool) abandon(now time.Time, b *batch, wait time.Duration, d *Decisions) {
 	c := &p.classes[b.class]
-	c.counts[b.level].Abandoned++
+	p.countsOf(b.class, b.level).Abandoned++
 	p.recordStartLateness(now, b)
 	p.unqueue(b)
 	left := b.objective.latestUsefulStart.Sub(now)
--- a/internal/scheduler/levelwait.go
+++ b/internal/scheduler/levelwait.go
@@ -106,9 +106,33 @@
 	out := make([]LevelStats, len(waits))
 	for l, s := range p.shares(now, u)[:len(waits)] {
 		out[l] = LevelStats{
-			Urgency: u, Priority: waits[l].Priority, Wait: waits[l].Wait, Share: s, LevelCounts: c.counts[l],
+			Urgency: u, Priority: waits[l].Priority, Wait: waits[l].Wait, Share: s, LevelCounts: *p.countsOf(u, l),
 			Queued: c.waiting[l*lanes+laneShort] + c.waiting[l*lanes+laneLong], Running: c.runningOf[l],
 		}
 	}
 	return out
 }
+
+// countsOf returns the counts of the priority of a level.
+func (p *Pool) countsOf(u job.Urgency, level int) *LevelCounts {
+	priority := p.classes[u].precedence.Priority(level)
+	if p.counts[priority] == nil {
+		p.counts[priority] = &LevelCounts{}
+	}
+	return p.counts[priority]
+}
+
+// CountsByPriority returns the counts of the jobs with an objective by priority, for a pool
+// whose services have several.
+func (p *Pool) CountsByPriority() map[int]LevelCounts {
+	out := make(map[int]LevelCounts, len(p.counts))
+	for priority, n := range p.counts {
+		out[priority] = *n
+	}
+	return out
+}
+
+// Plus returns the sum of two counts.
+func (n LevelCounts) Plus(o LevelCounts) LevelCounts {
+	return LevelCounts{Admitted: n.Admitted + o.Admitted, Refused: n.Refused + o.Refused, Abandoned: n.Abandoned + o.Abandoned}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -39,7 +39,6 @@
 	precedence  precedence.Tracker
 	limits      waitlimit.Levels
 	runningOf   []int // running tasks by level
-	counts      []LevelCounts
 	teams       map[string]*teamWork
 	queued      int
 	running     int
@@ -126,13 +125,14 @@
 	// unevenTargets is set while the targets differ in speed by more than unevenPace.
 	unevenTargets bool
 	waitLimit     waitlimit.Tracker
-	// busySlots is the mean number of running tasks while others waited. It exceeds slots
-	// where small tasks are found for the gaps.
+	// busySlots is the mean number of running tasks and of further ones that fit, while
+	// others waited. It exceeds slots where small tasks are found for the gaps.
 	busySlots   float64
 	freeTimes   slotHeap
 	meanSlack   float64 // of jobs with an objective, in seconds
 	running     int
 	longRunning int
+	counts      map[int]*LevelCounts // by priority
 	nextAbandon time.Time
 	reservedFor *batch // the batch that a target is reserved for
 
@@ -161,6 +161,7 @@
 		probes:       pq.New(probeLess, func(t *target) *pq.Node { return &t.probeNode }),
 		unplaceable:  map[job.Size]bool{},
 		batches:      map[batchKey]*batch{},
+		counts:       map[int]*LevelCounts{},
 		deadlines:    pq.New(deadlineLess, func(b *batch) *pq.Node { return &b.deadlineNode }),
 	}
 	for u := range p.classes {
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -62,7 +62,6 @@
 	}
 	c.work, c.waiting = make([]float64, n), make([]int, n)
 	c.runningOf = make([]int, c.precedence.Levels())
-	c.counts = make([]LevelCounts, c.precedence.Levels())
 	c.limits = make(waitlimit.Levels, c.precedence.Levels())
 }
 
@@ -89,10 +88,10 @@
 // of one holder's decisions under load.
 const busyWeight = 0.003
 
-// measureBusy records the number of running tasks while others wait.
+// measureBusy records the running tasks and the further ones that fit, while others wait.
 func (p *Pool) measureBusy() {
 	if p.queued > 0 {
-		p.busySlots += busyWeight * (float64(p.running) - p.busySlots)
+		p.busySlots += busyWeight * (float64(p.running) + p.freeCapacity - p.busySlots)
 	}
 }
 
@@ -177,10 +176,10 @@
 	admitted := wait == 0 || wait <= maxWait
 	c.limits[b.level].Decided(b.meta.Service, admitted)
 	if admitted {
-		c.counts[b.level].Admitted++
+		p.countsOf(b.class, b.level).Admitted++
 		return Admission{Accepted: true}
 	}
-	c.counts[b.level].Refused++
+	p.countsOf(b.class, b.level).Refused++
 	return Admission{
 		Reason: job.Overloaded,
 		Detail: fmt.Sprintf("priority %d: the expected wait of %v is more than %v, %.2f of the %v that the objective leaves; received %.1f of %.1f entitled slots",
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -138,7 +138,9 @@
 	LevelCounts
 }
 
-// LevelCounts counts the jobs of a level since the last change of the priorities.
+// LevelCounts counts the jobs of one priority that have an objective.
 type LevelCounts struct {
-	Admitted, Refused, Abandoned uint64
+	Admitted  uint64 `json:"admitted"`
+	Refused   uint64 `json:"refused"`
+	Abandoned uint64 `json:"abandoned"`
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -95,6 +95,28 @@
 	// Queued counts the waiting tasks by urgency class, Teams by team.
 	Queued map[string]int `json:"queued"`
 	Teams  map[string]int `json:"teams,omitempty"`
+	// Priorities has the services' priorities of each urgency class that has several.
+	Priorities []Priority `json:"priorities,omitempty"`
+}
+
+// Priority describes the work of one priority of an urgency class of a pool at this entry.
+// The numbers of slots are averages over about a second.
+type Priority struct {
+	Urgency  string `json:"urgency"`
+	Priority int    `json:"priority"`
+	Queued   int    `json:"queued"`
+	Running  int    `json:"running"`
+	// WaitMillis is the expected wait of a task that arrives now.
+	WaitMillis int64 `json:"wait_ms"`
+	// Demand is the number of slots that the requested work needs, Entitled the number to
+	// which the priority is entitled, Received the number that it got.
+	Demand   float64 `json:"demand"`
+	Entitled float64 `json:"entitled"`
+	Received float64 `json:"received"`
+	// Admitted, Refused and Abandoned count jobs.
+	Admitted  uint64 `json:"admitted"`
+	Refused   uint64 `json:"refused"`
+	Abandoned uint64 `json:"abandoned"`
 }
 
 // Sources are the functions that a status is read from. A nil function leaves its part
@@ -156,6 +178,9 @@
 	for urgency, n := range pool.Queued {
 		q.Queued[job.Urgency(urgency).String()] = n
 	}
+	for i := range pool.Levels {
+		q.Priorities = append(q.Priorities, priorityOf(&pool.Levels[i]))
+	}
 	st.Queues = append(st.Queues, q)
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
@@ -172,6 +197,14 @@
 	})
 }
 
+func priorityOf(l *scheduler.LevelStats) Priority {
+	return Priority{
+		Urgency: l.Urgency.String(), Priority: l.Priority, Queued: l.Queued, Running: l.Running, WaitMillis: l.Wait.Milliseconds(),
+		Demand: l.Share.Demand, Entitled: l.Share.Entitled, Received: l.Share.Received,
+		Admitted: l.Admitted, Refused: l.Refused, Abandoned: l.Abandoned,
+	}
+}
+
 func (st *Status) stateOf(id job.EntryID) MemberState {
 	if id == st.Entry {
 		return Alive
--- a/internal/status/write.go
+++ b/internal/status/write.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// writePriorities writes a line for each priority of the pools whose services have several.
+func (st *Status) writePriorities(w io.Writer) {
+	head := "pool\tpriority\twaiting tasks\trunning\texpected wait\tslots wanted\tentitled\treceived\tadmitted\trefused\tabandoned\n"
+	for i := range st.Queues {
+		for _, p := range st.Queues[i].Priorities {
+			fmt.Fprint(w, head)
+			head = ""
+			fmt.Fprintf(w, "%s\t%s %d\t%d\t%d\t%dms\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\n", st.Queues[i].Pool, p.Urgency, p.Priority,
+				p.Queued, p.Running, p.WaitMillis, p.Demand, p.Entitled, p.Received, p.Admitted, p.Refused, p.Abandoned)
+		}
+	}
+}
+
 func (st *Status) writePools(w io.Writer) {
 	if len(st.Holders) > 0 {
 		fmt.Fprintln(w, "pool\theld by\ttargets\tslots\tfree\twaiting tasks")
@@ -95,6 +108,7 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", h.Pool, h.Entry, h.Targets, h.Slots, h.Free, waiting)
 	}
+	st.writePriorities(w)
 	if len(st.Targets) > 0 {
 		fmt.Fprintln(w, "target\tpool\tstate\trunning\tslots\tslowness")
 	}
