--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -125,8 +125,8 @@
 	// unevenTargets is set while the targets differ in speed by more than unevenPace.
 	unevenTargets bool
 	waitLimit     waitlimit.Tracker
-	// busySlots is the mean number of running tasks and of further ones that fit, while
-	// others waited. It exceeds slots where small tasks are found for the gaps.
+	// busySlots is the mean number of running tasks while others waited. It exceeds slots
+	// where small tasks are found for the gaps.
 	busySlots   float64
 	freeTimes   slotHeap
 	meanSlack   float64 // of jobs with an objective, in seconds
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -88,10 +88,12 @@
 // of one holder's decisions under load.
 const busyWeight = 0.003
 
-// measureBusy records the running tasks and the further ones that fit, while others wait.
+// measureBusy records the number of running tasks while others wait. Counting further ones
+// that fit as well gave entitlements that could not be met, and half as many abandoned jobs
+// again.
 func (p *Pool) measureBusy() {
 	if p.queued > 0 {
-		p.busySlots += busyWeight * (float64(p.running) + p.freeCapacity - p.busySlots)
+		p.busySlots += busyWeight * (float64(p.running) - p.busySlots)
 	}
 }
 
