--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -55,6 +55,25 @@
 	qt.Assert(t, back.Healthy, qt.IsTrue)
 }
 
+// An operator must see which priority waits, or a shortage of one service looks like that of
+// the whole pool.
+func TestStatusShowsPriorities(t *testing.T) {
+	src := healthySources()
+	src.Pools = func() []scheduler.Stats {
+		return []scheduler.Stats{{Pool: "p", Levels: []scheduler.LevelStats{
+			{Urgency: job.UrgencyInteractive, Priority: 0, Queued: 3, Wait: 40 * time.Millisecond},
+			{Urgency: job.UrgencyInteractive, Priority: 2, Running: 7, LevelCounts: scheduler.LevelCounts{Refused: 12}},
+		}}}
+	}
+	st := src.Read()
+	qt.Assert(t, st.Queues[0].Priorities[0].WaitMillis, qt.Equals, int64(40))
+	var text bytes.Buffer
+	qt.Assert(t, WriteText(&text, &st), qt.IsNil)
+	for _, part := range []string{"interactive 0 ", "interactive 2 ", "40ms", "12 "} {
+		qt.Check(t, text.String(), qt.Contains, part)
+	}
+}
+
 // Each of these problems goes unnoticed until callers complain, unless the status
 // reports it in a sentence and as unhealthy.
 func TestStatusReportsProblems(t *testing.T) {
