Stop runs of less urgent services for jobs of the most urgent one

Cause: a wide job of short tasks that arrives while long tasks occupy all targets finds too little capacity within the wait that its objective leaves, whatever its position in the queue.

The holder asks the target and counts the capacity as used until the end of the run is known. Only connections that prove the end of a run are asked, by a request that does not shorten the lease of the target.

Ruled out: the plain Stop request, which ends the lease of the whole target 1.1 s later if it has no effect; runs of jobs without further attempts, which may not run twice.

--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -33,6 +33,8 @@
 	failures map[int]int
 	// ran contains the tasks that had a run which ended without a result.
 	ran map[int]bool
+	// stopped contains the running tasks whose runs were asked to stop for a more urgent job.
+	stopped map[int]bool
 	// next is the later batch of the same submission that waits for the last
 	// run of this batch to end.
 	next *waitingBatch
@@ -60,6 +62,7 @@
 		running:  make(map[int]*link),
 		failures: make(map[int]int),
 		ran:      make(map[int]bool),
+		stopped:  make(map[int]bool),
 	}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -322,6 +322,10 @@
 	Retried  uint64 `json:"retried"`
 	Dropped  uint64 `json:"dropped"`
 	Stops    uint64 `json:"stops"`
+	// Preempted counts the runs that were asked to stop for a more urgent job, and PreemptedMillis
+	// the run time that was thrown away with those of them that were stopped.
+	Preempted       uint64 `json:"preempted"`
+	PreemptedMillis uint64 `json:"preempted_ms"`
 	// Discarded counts results that arrived after their batch was reported.
 	Discarded     uint64 `json:"discarded"`
 	BytesSent     uint64 `json:"bytes_sent"`
@@ -329,22 +333,24 @@
 }
 
 type counters struct {
-	starts, done, failed, requeued, retried, dropped, stops, discarded, sent, received atomic.Uint64
+	starts, done, failed, requeued, retried, dropped, stops, preempted, preemptedMillis, discarded, sent, received atomic.Uint64
 }
 
 // Stats returns a snapshot of the counters.
 func (h *Holder) Stats() Stats {
 	c := &h.stats
 	return Stats{
-		Starts:        c.starts.Load(),
-		Done:          c.done.Load(),
-		Failed:        c.failed.Load(),
-		Requeued:      c.requeued.Load(),
-		Retried:       c.retried.Load(),
-		Dropped:       c.dropped.Load(),
-		Stops:         c.stops.Load(),
-		Discarded:     c.discarded.Load(),
-		BytesSent:     c.sent.Load(),
-		BytesReceived: c.received.Load(),
+		Starts:          c.starts.Load(),
+		Done:            c.done.Load(),
+		Failed:          c.failed.Load(),
+		Requeued:        c.requeued.Load(),
+		Retried:         c.retried.Load(),
+		Dropped:         c.dropped.Load(),
+		Stops:           c.stops.Load(),
+		Preempted:       c.preempted.Load(),
+		PreemptedMillis: c.preemptedMillis.Load(),
+		Discarded:       c.discarded.Load(),
+		BytesSent:       c.sent.Load(),
+		BytesReceived:   c.received.Load(),
 	}
 }
--- a/internal/holder/link.go
+++ b/internal/holder/link.go
@@ -30,6 +30,8 @@
 type stopRequest struct {
 	submission job.ID
 	index      int
+	// preempt is set for a run that may go on until the target has stopped it.
+	preempt bool
 }
 
 func (p *pool) setTarget(t job.Target) {
@@ -51,6 +53,9 @@
 		l.maxSize = l.maxSize.Max(t.Capacity())
 		l.removed, l.planned = false, false
 		p.sched.SetTarget(now, t)
+		if _, ok := l.conn.(Preempter); ok {
+			p.sched.SetStoppable(t.ID)
+		}
 	})
 }
 
@@ -157,7 +162,11 @@
 	if c, ok := l.conn.(stopNotifier); ok {
 		c.NotifyStop(submission, index)
 	}
-	l.stopQueue = append(l.stopQueue, stopRequest{submission, index})
+	l.queueStop(p, stopRequest{submission: submission, index: index}, e)
+}
+
+func (l *link) queueStop(p *pool, r stopRequest, e *effects) {
+	l.stopQueue = append(l.stopQueue, r)
 	if l.sendingStops {
 		return
 	}
@@ -177,7 +186,7 @@
 		l.stopQueue = l.stopQueue[1:]
 		p.mu.Unlock()
 		p.holder.stats.stops.Add(1)
-		if err := l.conn.Stop(context.WithoutCancel(p.holder.ctx), r.submission, r.index); err != nil {
+		if err := l.send(context.WithoutCancel(p.holder.ctx), r); err != nil {
 			p.holder.opts.Log.Debug("stop request failed", "target", l.target.ID, "error", err)
 		}
 	}
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -111,6 +111,9 @@
 	for i := range d.Starts {
 		p.start(now, d.Starts[i], e)
 	}
+	for i := range d.Stops {
+		p.preempt(&d.Stops[i], e)
+	}
 	p.setTimer(now, d.Wake)
 }
 
--- a/internal/holder/task.go
+++ b/internal/holder/task.go
@@ -29,6 +29,8 @@
 	// attemptsLeft is set when the task had attempts left but was not retried:
 	// the task itself then did not cause the failure.
 	attemptsLeft bool
+	// expired is set if the deadline passed before the run was stopped for a more urgent job.
+	expired bool
 }
 
 // run sends one task to its target, waits for the result and processes it. It is
@@ -45,21 +47,22 @@
 		Single:     l.start.Single,
 		Run:        l.start.Attempt,
 		Expected:   l.start.Expected,
-		Wanted:     func() bool { return p.wanted(l.batch) },
+		Wanted:     func() bool { return p.wanted(l.batch, l.start.Index) },
 		Left:       l.batch.runTimeLeft(),
 	})
 	stats.received.Add(uint64(len(res.Payload)))
+	res = p.preemptedResult(l, res)
 	p.record(timeline.Event{Kind: timeline.TaskEnded, Submission: l.start.Submission, Task: l.start.Index, Target: l.start.Target, Reason: res.Reason, Cause: res.Detail, Took: res.Ran})
 	p.update(func(now time.Time, e *effects) { p.finished(now, l, res, e) })
 }
 
-// wanted reports whether the owner still needs the outcome of a batch and this entry still
-// has the right to act for the owner.
-func (p *pool) wanted(b *batch) bool {
+// wanted reports whether a run is still to be started: the owner needs the outcome of the batch,
+// the run was not stopped, and this entry still has the right to act for the owner.
+func (p *pool) wanted(b *batch, index int) bool {
 	p.mu.Lock()
-	reported := b.reported
+	unwanted := b.reported || b.stopped[index]
 	p.mu.Unlock()
-	return !reported && job.RightValid(b.offered.Right)
+	return !unwanted && job.RightValid(b.offered.Right)
 }
 
 // startCause describes why the scheduler chose the target. The texts are constant
@@ -74,13 +77,14 @@
 func (p *pool) finished(now time.Time, l *launch, res target.Result, e *effects) {
 	b := l.batch
 	delete(b.running, l.start.Index)
+	delete(b.stopped, l.start.Index)
 	l.link.running--
 	p.release(l.link, e)
 	defer p.recordHealth(l, res, p.sched.Quarantined(l.start.Target))
 	// Assess the loss even if nobody waits for the job any more: its caller may
 	// send it again.
 	suspect := p.assessLoss(now, l, res)
-	if p.sendAgain(now, l, res, suspect) {
+	if p.requeuePreempted(now, l, &res) || res.Reason != job.Preempted && p.sendAgain(now, l, res, suspect) {
 		return
 	}
 	if res.Status == job.TaskDone && (len(l.start.Task.Crashed) > 0 || b.ran[l.start.Index]) {
@@ -259,6 +263,9 @@
 		o.Reason = job.TargetLost
 	}
 	o.Crashed = l.crashed
+	if res.Reason == job.Preempted {
+		o.Reason = l.endOfPreempted()
+	}
 	if l.crashLimitReached {
 		o.Reason, o.Detail = job.TaskCrashes, crashDetail(l.crashed)
 	}
--- a/internal/replay/deployments_test.go
+++ b/internal/replay/deployments_test.go
@@ -48,9 +48,9 @@
 		{"declared times off tenfold", defaultSite(), load(1.2, bookingKindsWith(func(k *kind) { k.declaredError = math.Log(10) }))},
 		{"speeds of 0.4 to 1.6", withSite(func(s *site) { s.speeds = []float64{0.4, 1, 1.6} }), load(1, bookingKinds())},
 		{"jobs of 1 and of 30 tasks", defaultSite(), load(1.3, []kind{
-			{"check", 130, 1, 100 * time.Millisecond, usualStretch, usualDeclaredError},
-			{"permit", 2, 30, 200 * time.Millisecond, usualStretch, usualDeclaredError},
-			{"hold", 60, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError},
+			{"check", 130, 1, 100 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+			{"permit", 2, 30, 200 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+			{"hold", 60, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError, 0},
 		})},
 		{"a kind of target of half the size", withSite(func(s *site) { s.processors = []int{16, 8, 24} }), load(1, bookingKinds())},
 		{"three holders a zone", withSite(func(s *site) { s.holders, s.targets = 3, 48 }), load(4, bookingKinds())},
--- a/internal/replay/fleet_test.go
+++ b/internal/replay/fleet_test.go
@@ -471,5 +471,10 @@
 	return nil
 }
 
+// Preempt implements holder.Preempter.
+func (t *fakeTarget) Preempt(ctx context.Context, id job.ID, index int) error {
+	return t.Stop(ctx, id, index)
+}
+
 // Close implements holder.Connection.
 func (t *fakeTarget) Close() {}
--- a/internal/replay/load_test.go
+++ b/internal/replay/load_test.go
@@ -25,6 +25,8 @@
 	// declaredError is the spread of the declared run time: the standard deviation of the
 	// logarithm of its ratio to the real one.
 	declaredError float64
+	// priority is the priority of the service.
+	priority int
 }
 
 const (
@@ -41,14 +43,14 @@
 // small target. The mix uses 70% of the capacity of defaultSite.
 func bookingKinds() []kind {
 	return []kind{
-		{"check", 34.4, 8, 60 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"permit", 6.25, 4, 900 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"hold", 100, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError},
+		{"check", 34.4, 8, 60 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+		{"permit", 6.25, 4, 900 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+		{"hold", 100, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError, 0},
 	}
 }
 
 func (k *kind) service() config.Service {
-	return config.Service{Name: k.name, Pool: poolName, Urgency: job.UrgencyInteractive, Stretch: k.stretch, Slack: usualSlack, Attempts: 3}
+	return config.Service{Name: k.name, Pool: poolName, Urgency: job.UrgencyInteractive, Stretch: k.stretch, Slack: usualSlack, Attempts: 3, Priority: k.priority}
 }
 
 // arrival is one job with the actual run times of its tasks.
--- a/internal/replay/shared_test.go
+++ b/internal/replay/shared_test.go
@@ -9,9 +9,9 @@
 // half of a usual target. With hiveSite the mix uses about 60% of the capacity.
 func hiveKinds() []kind {
 	return []kind{
-		{"check", 47, 8, 60 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"permit", 8.6, 4, 900 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"hold", 137, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError},
+		{"check", 47, 8, 60 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+		{"permit", 8.6, 4, 900 * time.Millisecond, usualStretch, usualDeclaredError, 2},
+		{"hold", 137, 2, 200 * time.Millisecond, usualStretch, usualDeclaredError, 1},
 	}
 }
 
@@ -34,9 +34,9 @@
 // channelKinds is a similar mix for targets that run at 0.6, 1 or 1.6 of the usual speed.
 func channelKinds() []kind {
 	return []kind{
-		{"check", 41, 8, 51 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"permit", 7.5, 4, 760 * time.Millisecond, usualStretch, usualDeclaredError},
-		{"hold", 120, 2, 170 * time.Millisecond, usualStretch, usualDeclaredError},
+		{"check", 41, 8, 51 * time.Millisecond, usualStretch, usualDeclaredError, 0},
+		{"permit", 7.5, 4, 760 * time.Millisecond, usualStretch, usualDeclaredError, 2},
+		{"hold", 120, 2, 170 * time.Millisecond, usualStretch, usualDeclaredError, 1},
 	}
 }
 
--- a/internal/runs/start.go
+++ b/internal/runs/start.go
@@ -238,6 +238,23 @@
 	return nil
 }
 
+// Preempt implements holder.Preempter. It asks the target to stop a task whose capacity another
+// task needs. Unlike Stop, it sets no time by which the run has to be over: the run may go on if
+// the target does not stop it, and the lease of the target's other runs must not end for it.
+func (s *Session) Preempt(_ context.Context, submission job.ID, index int) error {
+	ref := Ref{submission, index}
+	s.mu.Lock()
+	r := s.runs[ref]
+	if r == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	r.stopping = true
+	s.mu.Unlock()
+	s.sendStop(ref, r)
+	return nil
+}
+
 // NotifyStop notes that a task has to end. The stop request follows.
 func (s *Session) NotifyStop(submission job.ID, index int) {
 	s.mu.Lock()
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -52,6 +52,9 @@
 	suspects       int
 	suspectRunning bool
 	racks          map[string]int // running tasks by rack
+	// priority is the priority of the service. stops counts the stopped runs of the batch.
+	priority int
+	stops    int
 }
 
 // taskState is the state of a task in the pool.
@@ -76,6 +79,7 @@
 	avoid    []*target
 	// suspect is set if the task may have crashed a target.
 	suspect bool
+	stop    stopState
 }
 
 func (t *task) kind(b *batch) estimate.Kind {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -36,6 +36,7 @@
 	tg.running--
 	tg.used = tg.used.Minus(t.size)
 	clear(p.unplaceable)
+	p.preemption.released(now, t)
 	return b, t
 }
 
@@ -49,6 +50,7 @@
 	}
 	if r.Status == job.TaskDone {
 		b.done++
+		p.preemption.kept(now, t)
 	}
 	b.clearSuspect(t)
 	p.recordResult(now, b, t, r)
@@ -96,7 +98,7 @@
 // needed, which is not a failure of its target.
 func endedByRequester(r job.Reason) bool {
 	switch r {
-	case job.DeadlinePassed, job.CallerGone, job.CancelledByCall, job.SiblingFailed, job.OwnerLost, job.Draining:
+	case job.DeadlinePassed, job.CallerGone, job.CancelledByCall, job.SiblingFailed, job.OwnerLost, job.Draining, job.Preempted:
 		return true
 	}
 	return false
@@ -127,7 +129,7 @@
 	if r.NoCapacity {
 		p.limitToUsed(now, tg)
 	}
-	if b.cancelled || expired || t.attempts >= maxAttempts {
+	if b.cancelled || expired || t.attempts-t.stop.count >= maxAttempts {
 		b.clearSuspect(t)
 		p.removeBatchIfIdle(b)
 		return false
@@ -163,6 +165,11 @@
 
 func (p *Pool) requeueTask(now time.Time, b *batch, t *task, refusedBy *target) {
 	t.avoid = append(t.avoid, refusedBy)
+	p.queueAgain(now, b, t)
+}
+
+// queueAgain queues a task of a batch again.
+func (p *Pool) queueAgain(now time.Time, b *batch, t *task) {
 	p.unqueue(b)
 	t.state = taskQueued
 	b.requeue(t)
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -44,6 +44,7 @@
 	p.startProbes(now, &d)
 	heldLong := p.startAll(now, &d)
 	p.startSlow(now, &d)
+	p.preempt(now, &d)
 	d.Wake = p.nextWake(now, heldLong)
 	return d
 }
@@ -70,7 +71,10 @@
 	var unplaced, suspectWaiters []*batch
 	maxLong := p.maxLong(now)
 	for p.freeSlots > 0 && p.queued > 0 && len(unplaced) < maxUnplaced {
-		b, blocked := p.pick(now, maxLong)
+		b, blocked := p.nextPreemptor(), false
+		if b == nil {
+			b, blocked = p.pick(now, maxLong)
+		}
 		heldLong = heldLong || blocked
 		if b == nil {
 			break
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -174,9 +174,9 @@
 }
 
 // recordStartLateness records whether the last queued task of a batch was late when
-// it started or expired.
+// it started or expired. A batch of which a run was stopped says nothing about the queue.
 func (p *Pool) recordStartLateness(now time.Time, b *batch) {
-	if b.objective.set() {
+	if b.objective.set() && b.stops == 0 {
 		p.waitLimit.Started(now.After(b.objective.latestStart))
 	}
 }
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -53,7 +53,7 @@
 	svc, _ := p.file.Service(m.Service)
 	b := &batch{
 		key: key, meta: m, team: m.Team, class: p.classOf(svc), arrived: now.Add(-m.Waited),
-		flagLate: svc.FlagLate, repeatable: svc.Repeatable,
+		flagLate: svc.FlagLate, repeatable: svc.Repeatable, priority: svc.Priority,
 	}
 	// If no teams are configured, all callers count as one team. Otherwise each name
 	// that a caller invents would be a team without queued work, and never refused.
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -35,6 +35,8 @@
 	NoProgressPriority bool
 	// NoSuspectIsolation runs suspected tasks together with others.
 	NoSuspectIsolation bool
+	// NoPreemption never stops a run for a more urgent job.
+	NoPreemption bool
 	// Placement selects among the targets with free capacity.
 	Placement Placement
 }
@@ -54,6 +56,6 @@
 func Baseline() Options {
 	return Options{
 		NoFairness: true, NoHeadroom: true, NoClasses: true, NoJobOrder: true, NoAdmission: true,
-		NoHealth: true, NoReserve: true, NoEstimates: true, NoObjectives: true, NoSizes: true, Placement: PlaceRandom,
+		NoHealth: true, NoReserve: true, NoEstimates: true, NoObjectives: true, NoSizes: true, NoPreemption: true, Placement: PlaceRandom,
 	}
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -129,6 +129,8 @@
 	deadlines *pq.Heap[*batch]
 	queued    int
 	seq       uint64
+
+	preemption preemption
 }
 
 // New returns a pool without targets. The seed makes the breaking of ties
@@ -183,6 +185,7 @@
 	for _, b := range p.batches {
 		p.reclassify(now, b)
 	}
+	p.configurePreemption()
 }
 
 func (p *Pool) setWeights(f *config.File) {
@@ -207,7 +210,7 @@
 	if !known {
 		return
 	}
-	b.repeatable = svc.Repeatable
+	b.repeatable, b.priority = svc.Repeatable, svc.Priority
 	if b.flagLate != svc.FlagLate {
 		b.flagLate = svc.FlagLate
 		p.updateDeadline(b)
@@ -288,6 +291,9 @@
 	c.queued += tasks
 	c.waiting[b.lane()] += tasks
 	p.queued += tasks
+	if p.mostUrgent(b) {
+		p.preemption.queued += tasks
+	}
 	c.work[b.lane()] = max(0, c.work[b.lane()]+work)
 	c.addTeamWork(b.team, b.sizeClass(), tasks, work)
 	if c.queued == 0 {
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -38,6 +38,8 @@
 	reservedFor *batch
 	// exclusive is set while a suspected task runs here; no other task may start.
 	exclusive bool
+	// stoppable is set if the target proves the end of a run that it was asked to stop.
+	stoppable bool
 	// reducedSize replaces the announced size after the target refused a task for lack
 	// of capacity; nil otherwise. The next announcement clears it.
 	reducedSize *job.Size
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -59,6 +59,7 @@
 type Decisions struct {
 	Starts  []Start
 	Expired []Dropped
+	Stops   []Stop
 	// Wake is when to call Next again if no event occurs earlier; zero means
 	// that only an event can lead to another decision.
 	Wake time.Time
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -33,6 +33,7 @@
 	TaskStarted           Kind = "task_started"
 	TaskEnded             Kind = "task_ended"
 	TaskRetried           Kind = "task_retried"
+	TaskPreempted         Kind = "task_preempted"
 	TaskDropped           Kind = "task_dropped"
 	TaskSuspect           Kind = "task_suspect"
 	TargetAnnounced       Kind = "target_announced"
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -110,7 +110,7 @@
 	switch ev.Kind {
 	case TaskQueued, TaskDropped:
 		return ev.Count == 0
-	case TaskStarted, TaskEnded, TaskRetried, TaskSuspect:
+	case TaskStarted, TaskEnded, TaskRetried, TaskPreempted, TaskSuspect:
 		return true
 	}
 	return false
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -38,6 +38,7 @@
 	job.NotKept:         "it could not be stored as its service requires",
 	job.SiblingFailed:   "another task of the job had already failed",
 	job.Internal:        "an internal error",
+	job.Preempted:       "its run was stopped for a more urgent job",
 }
 
 // ReasonText returns the reason in words, or the reason itself if it has no text.
@@ -123,6 +124,8 @@
 			return fmt.Sprintf("task %d is given up%s%s", ev.Task, fromTarget(ev), reasonAndCause(ev))
 		}
 		return fmt.Sprintf("task %d may have crashed its target and runs alone from now on%s%s", ev.Task, fromTarget(ev), reasonAndCause(ev))
+	case TaskPreempted:
+		return fmt.Sprintf("task %d is being stopped%s%s%s", ev.Task, fromTarget(ev), afterTook(ev), reasonAndCause(ev))
 	case TaskRetried:
 		return fmt.Sprintf("task %d goes back to the queue%s%s", ev.Task, fromTarget(ev), reasonAndCause(ev))
 	}
