Admit urgent jobs for which room can be made

Cause: the admission refused urgent jobs because of queued and running work of less urgent services, also where stops would have made room in time.

A job of the most urgent level is now admitted if it can start in time with the capacity that is expected to become free and with stops within the bound.

--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -84,6 +84,8 @@
 	m.Gauge(`vanillagrade_target_calls{kind="start"}`, func() float64 { return float64(e.calls.Starts.Load()) })
 	m.Gauge(`vanillagrade_target_calls{kind="look"}`, func() float64 { return float64(e.calls.Polls.Load()) })
 	m.Gauge(`vanillagrade_target_calls{kind="stop"}`, func() float64 { return float64(e.calls.Stops.Load()) })
+	m.Gauge("vanillagrade_runs_preempted", func() float64 { return float64(e.holder.Stats().Preempted) })
+	m.Gauge("vanillagrade_preempted_seconds", func() float64 { return float64(e.holder.Stats().PreemptedMillis) / 1000 })
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.totalSlots()) })
 	m.Gauge("vanillagrade_agreement_rounds", func() float64 { return float64(e.register.Round()) })
 	m.Gauge("vanillagrade_voters_heard", func() float64 { return float64(e.register.VoterMetrics().Reachable) })
--- a/internal/policy/preempt/preempt.go
+++ b/internal/policy/preempt/preempt.go
@@ -11,7 +11,6 @@
 package preempt
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -59,15 +58,15 @@
 // Decide.
 type Stop struct{ Job, Target, Run int }
 
-// Decide returns the runs to stop so that the tasks of the jobs start in time. The jobs are in
-// the order in which they are served. limit is the work that may be thrown away. The targets
-// are modified.
-func Decide(targets []Target, jobs []Job, limit time.Duration) []Stop {
+// Decide returns the runs to stop so that the tasks of the jobs start in time, and whether those
+// of the last job do. The jobs are in the order in which they are served. limit is the work that
+// may be thrown away. The targets are modified.
+func Decide(targets []Target, jobs []Job, limit time.Duration) (stops []Stop, lastServed bool) {
 	p := planner{targets: targets, limit: limit}
 	for i := range jobs {
-		p.serve(i, &jobs[i])
+		lastServed = p.serve(i, &jobs[i])
 	}
-	return p.stops
+	return p.stops, lastServed
 }
 
 // planner assigns the capacity of the targets to jobs.
@@ -79,15 +78,16 @@
 
 // serve assigns capacity to all tasks of a job, or to none if one of them could not start in
 // time even with stops.
-func (p *planner) serve(number int, j *Job) {
+func (p *planner) serve(number int, j *Job) bool {
 	before := planner{clone(p.targets), p.limit, p.stops}
 	for _, size := range j.Tasks {
 		if !p.useExpectedRoom(size, j) && !p.makeRoom(number, size, j) {
 			copy(p.targets, before.targets)
 			p.limit, p.stops = before.limit, before.stops
-			return
+			return false
 		}
 	}
+	return true
 }
 
 func clone(targets []Target) []Target {
@@ -146,24 +146,28 @@
 
 // freeAt returns when the target is expected to have room for a task, if that is within wait.
 func (t *Target) freeAt(size job.Size, wait time.Duration) (at time.Duration, found bool) {
-	if t.Slots > 0 && size.Fits(t.Room) {
-		return 0, true
-	}
-	ends := make([]*Run, 0, len(t.Runs))
-	for i := range t.Runs {
-		if t.Runs[i].Left <= wait {
-			ends = append(ends, &t.Runs[i])
-		}
-	}
-	slices.SortStableFunc(ends, func(a, b *Run) int { return cmp.Compare(a.Left, b.Left) })
 	room, slots := t.Room, t.Slots
-	for _, r := range ends {
-		room, slots = room.Plus(r.Size), slots+1
+	at = -1
+	for {
 		if slots > 0 && size.Fits(room) {
-			return r.Left, true
+			return max(at, 0), true
+		}
+		next := ended
+		for i := range t.Runs {
+			if left := t.Runs[i].Left; left > at && left < next {
+				next = left
+			}
+		}
+		if next > wait {
+			return 0, false
+		}
+		for i := range t.Runs {
+			if t.Runs[i].Left == next {
+				room, slots = room.Plus(t.Runs[i].Size), slots+1
+			}
 		}
+		at = next
 	}
-	return 0, false
 }
 
 // cheapest returns the run or the pair of runs to stop for a task, with the least
--- a/internal/scheduler/objective.go
+++ b/internal/scheduler/objective.go
@@ -127,7 +127,7 @@
 	}
 	maxWait := time.Duration(fraction * float64(slack))
 	// A batch that can start now could not finish earlier elsewhere.
-	admitted := wait == 0 || wait <= maxWait
+	admitted := wait == 0 || wait <= maxWait || p.canMakeRoom(now, b)
 	p.waitLimit.Decided(b.meta.Service, admitted)
 	if admitted {
 		return p.admitIfUseful(now, b, wait)
@@ -140,13 +140,13 @@
 }
 
 // admitIfUseful accepts a batch unless the running tasks are expected to occupy the
-// slots until its answer is no longer useful.
+// slots until its answer is no longer useful, and none of them can be stopped for it.
 func (p *Pool) admitIfUseful(now time.Time, b *batch, wait time.Duration) Admission {
 	if wait == 0 || p.opts.NoEndEstimates {
 		return Admission{Accepted: true}
 	}
 	earliestStart, useful := p.earliestStart(now, b), b.objective.latestUsefulStart.Sub(now)
-	if earliestStart <= useful {
+	if earliestStart <= useful || p.canMakeRoom(now, b) {
 		return Admission{Accepted: true}
 	}
 	return Admission{
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -57,8 +57,9 @@
 	// minRunBeforeStop is the least time that a run has lasted before it may be stopped: its start
 	// may still be on the way to the target. A round trip takes up to 3 ms.
 	minRunBeforeStop = 5 * time.Millisecond
-	// maxJobsExamined bounds the waiting jobs for which one decision looks for capacity.
-	maxJobsExamined = 16
+	// maxJobsExamined bounds the waiting jobs for which one decision looks for capacity: entries
+	// have a fifth of a processor, and decisions follow each start and end of a task.
+	maxJobsExamined = 4
 )
 
 // SetStoppable marks a target as one that proves the end of each run that it was asked to stop.
@@ -102,26 +103,33 @@
 		return
 	}
 	p.preemption.budget.Observe(now, p.running)
-	if p.preemption.queued == 0 || p.running > maxRunningExamined {
+	if p.preemption.queued == 0 {
 		return
 	}
-	limit := p.preemption.budget.Left(now)
-	if limit <= 0 {
-		return
+	waiting := p.urgentBatches(now)
+	stops, _ := p.decideStops(now, waiting)
+	for _, s := range stops {
+		p.stop(now, waiting[s.Job], p.preemption.runs[s.Target][s.Run], d)
 	}
-	waiting, jobs := p.urgentJobs(now)
-	if len(jobs) == 0 {
-		return
+}
+
+// canMakeRoom reports whether the tasks of a new batch of the most urgent level can start in
+// time if runs of less urgent ones are stopped.
+func (p *Pool) canMakeRoom(now time.Time, b *batch) bool {
+	if p.opts.NoPreemption || !p.mostUrgent(b) {
+		return false
 	}
-	targets := p.runsByTarget(now, waiting[0])
-	for _, s := range preempt.Decide(targets, jobs, limit) {
-		p.stop(now, waiting[s.Job], p.preemption.runs[s.Target][s.Run], d)
+	waiting := p.urgentBatches(now)
+	if len(waiting) == maxJobsExamined || len(waiting) > 0 && waiting[0].class != b.class {
+		return false
 	}
+	_, served := p.decideStops(now, append(waiting, b))
+	return served
 }
 
-// urgentJobs returns the queued jobs of the most urgent level that can still start in time, in
-// the order in which they are served. All are of the class of the first.
-func (p *Pool) urgentJobs(now time.Time) ([]*batch, []preempt.Job) {
+// urgentBatches returns the queued batches of the most urgent level that can still start in
+// time, in the order in which they are served, and at most maxJobsExamined. All are of one class.
+func (p *Pool) urgentBatches(now time.Time) []*batch {
 	var waiting []*batch
 	for _, b := range p.batches {
 		if p.mostUrgent(b) && b.queued() > 0 && b.objective.set() && !b.cancelled && now.Before(b.objective.latestStart) {
@@ -131,19 +139,29 @@
 	slices.SortFunc(waiting, func(a, b *batch) int {
 		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(a.item.Order, b.item.Order), cmp.Compare(a.item.Seq, b.item.Seq))
 	})
-	waiting = waiting[:min(len(waiting), maxJobsExamined)]
-	var jobs []preempt.Job
-	for _, b := range waiting {
-		if b.class != waiting[0].class {
-			break
+	for i, b := range waiting {
+		if b.class != waiting[0].class || i == maxJobsExamined {
+			return waiting[:i]
 		}
-		j := preempt.Job{Wait: b.objective.latestStart.Sub(now), Run: b.isolatedRun}
-		for _, i := range slices.Concat(b.requeued, b.order) {
-			j.Tasks = append(j.Tasks, b.tasks[i].size)
+	}
+	return waiting
+}
+
+// decideStops returns the runs to stop for batches of the most urgent level, and whether the
+// last of them can start in time.
+func (p *Pool) decideStops(now time.Time, waiting []*batch) (stops []preempt.Stop, lastServed bool) {
+	limit := p.preemption.budget.Left(now)
+	if len(waiting) == 0 || limit <= 0 || p.running > maxRunningExamined {
+		return nil, false
+	}
+	jobs := make([]preempt.Job, len(waiting))
+	for i, b := range waiting {
+		jobs[i] = preempt.Job{Wait: b.objective.latestStart.Sub(now), Run: b.isolatedRun}
+		for _, t := range slices.Concat(b.requeued, b.order) {
+			jobs[i].Tasks = append(jobs[i].Tasks, b.tasks[t].size)
 		}
-		jobs = append(jobs, j)
 	}
-	return waiting, jobs
+	return preempt.Decide(p.runsByTarget(now, waiting[0]), jobs, limit)
 }
 
 // runsByTarget returns the targets with their runs, as seen by a batch of the most urgent level.
