--- a/internal/eventlog/leftout.go
+++ b/internal/eventlog/leftout.go
@@ -50,7 +50,7 @@
 func (l *leftOut) add(ev *timeline.Event) (first bool) {
 	l.total++
 	l.byKind[ev.Kind]++
-	if ev.Reason != "" && ev.Submission != "" && l.listed < maxListedIDs {
+	if failed(ev) && ev.Submission != "" && l.listed < maxListedIDs {
 		f := failureGroup{ev.Kind, ev.Reason}
 		l.failed[f] = append(l.failed[f], ev.Submission)
 		l.listed++
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -97,7 +97,7 @@
 	}
 	if !s.withinBudget(ev) {
 		s.leaveOut(ev)
-		if ev.Reason == "" {
+		if !failed(ev) {
 			s.recent.add(now, ev)
 		}
 		return false, nil
@@ -125,7 +125,7 @@
 func (s *Sink) withinBudget(ev *timeline.Event) bool {
 	n := s.written[ev.Kind]
 	switch {
-	case ev.Reason != "":
+	case failed(ev):
 		return n < failureLines
 	case ev.Submission == "":
 		return n < fleetLines
@@ -135,12 +135,16 @@
 	return n < successLines && inSample(ev.Submission)
 }
 
+// failed reports whether the event is a failure. A run that was stopped for a more urgent job is
+// none: its task is queued again.
+func failed(ev *timeline.Event) bool { return ev.Reason != "" && ev.Reason != job.Preempted }
+
 // selfExplanatory reports whether the earlier steps of the request add nothing to an
 // event with this reason: it is no failure, or it is a refusal. A refusal has its cause
 // in its own line, and refusals may come by the hundred.
 func selfExplanatory(reason job.Reason) bool {
 	switch reason {
-	case "", job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NoTarget, job.ZoneCordoned, job.Infeasible:
+	case "", job.Preempted, job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NoTarget, job.ZoneCordoned, job.Infeasible:
 		return true
 	}
 	return false
@@ -159,7 +163,7 @@
 // is marked as earlier, since it comes after lines of later events.
 func (s *Sink) write(at time.Time, ev *timeline.Event, earlier bool) {
 	level := slog.LevelInfo
-	if ev.Reason != "" {
+	if failed(ev) {
 		level = slog.LevelWarn
 	}
 	handler := s.log.Handler()
--- a/internal/holder/preempt.go
+++ b/internal/holder/preempt.go
@@ -38,7 +38,7 @@
 	b.stopped[s.Index] = true
 	p.holder.stats.preempted.Add(1)
 	p.record(timeline.Event{
-		Kind: timeline.TaskPreempted, Submission: s.Submission, Task: s.Index, Target: s.Target, Reason: job.Preempted, Took: s.Ran,
+		Kind: timeline.TaskPreempted, Submission: s.Submission, Task: s.Index, Target: s.Target, Took: s.Ran,
 		Cause: fmt.Sprintf("its capacity is needed for %s, which has to start within %s", s.For, s.Wait.Round(time.Millisecond)),
 	})
 	b.running[s.Index].queueStop(p, stopRequest{submission: s.Submission, index: s.Index, preempt: true}, e)
