Let owners place stopped tasks of a cordoned zone elsewhere

Cause: a task of which a run was stopped is no longer "not started", so a holder that returned it, as when its zone is cordoned, failed its job. It would have been placed elsewhere if its run had not been stopped.

Such a task is returned as lost with the proof that its run is over. Tasks that were lost otherwise are returned as before.

--- a/internal/holder/batch.go
+++ b/internal/holder/batch.go
@@ -33,8 +33,9 @@
 	failures map[int]int
 	// ran contains the tasks that had a run which ended without a result.
 	ran map[int]bool
-	// stopped contains the running tasks whose runs were asked to stop for a more urgent job.
-	stopped map[int]bool
+	// stopped contains the running tasks whose runs were asked to stop for a more urgent job, and
+	// preempted the tasks of which a run was stopped.
+	stopped, preempted map[int]bool
 	// next is the later batch of the same submission that waits for the last
 	// run of this batch to end.
 	next *waitingBatch
@@ -51,18 +52,19 @@
 
 func newBatch(now time.Time, b *job.Batch, service config.Service, report func([]job.TaskOutcome)) *batch {
 	return &batch{
-		key:      batchKey{b.Owner, b.Submission},
-		offered:  b,
-		service:  service,
-		arrived:  now,
-		report:   report,
-		sizes:    sizesOf(b.Tasks),
-		outcomes: make([]job.TaskOutcome, 0, len(b.Tasks)),
-		open:     len(b.Tasks),
-		running:  make(map[int]*link),
-		failures: make(map[int]int),
-		ran:      make(map[int]bool),
-		stopped:  make(map[int]bool),
+		key:       batchKey{b.Owner, b.Submission},
+		offered:   b,
+		service:   service,
+		arrived:   now,
+		report:    report,
+		sizes:     sizesOf(b.Tasks),
+		outcomes:  make([]job.TaskOutcome, 0, len(b.Tasks)),
+		open:      len(b.Tasks),
+		running:   make(map[int]*link),
+		failures:  make(map[int]int),
+		ran:       make(map[int]bool),
+		stopped:   make(map[int]bool),
+		preempted: make(map[int]bool),
 	}
 }
 
@@ -82,12 +84,15 @@
 // started would tell its caller "not run".
 func (b *batch) addOutcome(o job.TaskOutcome) {
 	if (b.retries > 0 || b.ran[o.Index]) && o.Status == job.TaskNotStarted {
+		if b.preempted[o.Index] && mayGoElsewhere(o) {
+			o.Reason = job.TargetLost // the owner may offer the task to another holder
+		}
 		o.Status = job.TaskErred
 		o.Over = b.ran[o.Index]
 	}
 	b.outcomes = append(b.outcomes, o)
 	b.open--
-	if b.endReason != "" || o.Status == job.TaskDone || mayGoElsewhere(o) {
+	if b.endReason != "" || o.Status == job.TaskDone || mayGoElsewhere(o) || b.mayRestartElsewhere(o) {
 		return
 	}
 	b.endReason = job.SiblingFailed
@@ -96,6 +101,12 @@
 	}
 }
 
+// mayRestartElsewhere reports whether the owner can still complete the job by offering a task
+// to another holder whose run was stopped for a more urgent job.
+func (b *batch) mayRestartElsewhere(o job.TaskOutcome) bool {
+	return b.preempted[o.Index] && b.offered.Transient && o.Over && o.Reason == job.TargetLost
+}
+
 // runTimeLeft returns a function that gives the time for which a run of the batch may
 // continue; nil means no bound.
 func (b *batch) runTimeLeft() func() time.Duration {
--- a/internal/holder/preempt.go
+++ b/internal/holder/preempt.go
@@ -67,7 +67,7 @@
 	}
 	if res.Status == job.TaskErred {
 		// The task did run, so it may no longer be reported as not started.
-		b.ran[l.start.Index] = true
+		b.ran[l.start.Index], b.preempted[l.start.Index] = true, true
 		p.holder.stats.preemptedMillis.Add(uint64(res.Ran.Milliseconds()))
 	}
 	if b.reported || p.holder.ctx.Err() != nil || !job.RightValid(b.offered.Right) {
