--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -97,6 +97,8 @@
 		count("refused", func(n scheduler.LevelCounts) uint64 { return n.Refused })
 		count("abandoned", func(n scheduler.LevelCounts) uint64 { return n.Abandoned })
 	}
+	m.Gauge("vanillagrade_runs_preempted", func() float64 { return float64(e.holder.Stats().Preempted) })
+	m.Gauge("vanillagrade_preempted_seconds", func() float64 { return float64(e.holder.Stats().PreemptedMillis) / 1000 })
 	m.Gauge("vanillagrade_slots_known", func() float64 { return float64(e.totalSlots()) })
 	m.Gauge("vanillagrade_agreement_rounds", func() float64 { return float64(e.register.Round()) })
 	m.Gauge("vanillagrade_voters_heard", func() float64 { return float64(e.register.VoterMetrics().Reachable) })
--- a/internal/replay/load_test.go
+++ b/internal/replay/load_test.go
@@ -25,7 +25,8 @@
 	// declaredError is the spread of the declared run time: the standard deviation of the
 	// logarithm of its ratio to the real one.
 	declaredError float64
-	priority      int
+	// priority is the priority of the service.
+	priority int
 }
 
 const (
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -46,6 +46,7 @@
 	heldLong := p.startAll(now, &d)
 	p.startSlow(now, &d)
 	p.measureBusy()
+	p.preempt(now, &d)
 	d.Wake = p.nextWake(now, heldLong)
 	return d
 }
@@ -73,7 +74,10 @@
 	maxLong := p.maxLong(now)
 	p.fastNeededUntil = time.Time{}
 	for p.freeSlots > 0 && p.queued > 0 && len(unplaced) < maxUnplaced {
-		b, blocked := p.pick(now, maxLong)
+		b, blocked := p.nextPreemptor(), false
+		if b == nil {
+			b, blocked = p.pick(now, maxLong)
+		}
 		heldLong = heldLong || blocked
 		if b == nil {
 			break
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -39,6 +39,8 @@
 	NoSuspectIsolation bool
 	// NoPrecedence treats the services of a class alike, whatever their priorities.
 	NoPrecedence bool
+	// NoPreemption never stops a run for a more urgent job.
+	NoPreemption bool
 	// Placement selects among the targets with free capacity.
 	Placement Placement
 }
@@ -58,6 +60,6 @@
 func Baseline() Options {
 	return Options{
 		NoFairness: true, NoHeadroom: true, NoClasses: true, NoJobOrder: true, NoAdmission: true,
-		NoHealth: true, NoReserve: true, NoEstimates: true, NoObjectives: true, NoSizes: true, Placement: PlaceRandom,
+		NoHealth: true, NoReserve: true, NoEstimates: true, NoObjectives: true, NoSizes: true, NoPreemption: true, Placement: PlaceRandom,
 	}
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -147,6 +147,8 @@
 	deadlines *pq.Heap[*batch]
 	queued    int
 	seq       uint64
+
+	preemption preemption
 }
 
 // New returns a pool without targets. The seed makes the breaking of ties
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -175,7 +175,7 @@
 		part = c.limits.Part(b.level, b.meta.Service, share.Shortfall())
 	}
 	maxWait := time.Duration(part * float64(slack))
-	admitted := wait == 0 || wait <= maxWait
+	admitted := wait == 0 || wait <= maxWait || p.canMakeRoom(now, b)
 	c.limits[b.level].Decided(b.meta.Service, admitted)
 	if admitted {
 		p.countsOf(b.class, b.level).Admitted++
