Let less urgent tasks start wherever nothing is kept for others

Cause: a task of a lower level needed one whole task of expected free capacity, which is less than one where a single gap is left. Tasks that fit waited, and where all targets were slow or being probed a lower level could wait for ever.

The table of decisions now covers the sites with priorities.

--- a/internal/replay/deployments_test.go
+++ b/internal/replay/deployments_test.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// sharedDeployments returns the sites whose services have different priorities.
+func sharedDeployments() []deployment {
+	return []deployment{{"hive at 1.5 times", hiveSite(), hiveLoad(1.5)}, {"channel at 2.5 times", channelSite(), channelLoad(2.5)}}
+}
+
 // decision is a scheduling decision that can be switched off.
 type decision struct {
 	name string
@@ -134,7 +139,7 @@
 		head += " without " + x.name + " |"
 	}
 	t.Log(head)
-	for _, d := range deployments() {
+	for _, d := range append(deployments(), sharedDeployments()...) {
 		with, spread, inVain := meanCredit(t, d, seeds)
 		row := fmt.Sprintf("| %s | %.3f ± %.3f / %.0f |", d.name, with, spread, inVain)
 		for _, x := range decisions() {
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -150,7 +150,9 @@
 	if float64(held[level]+slots) <= shares[level].Kept {
 		return true
 	}
-	return p.freeCapacity-float64(slots) >= p.keptFrom(u, level, shares)
+	// The free capacity is an expectation: it may be less than one where one more task fits.
+	kept := p.keptFrom(u, level, shares)
+	return kept == 0 || p.freeCapacity-float64(slots-1) >= kept
 }
 
 // keptFrom returns the number of slots that are kept for more urgent levels and that these
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/policy/precedence"
 )
 
 // priorityFile has the services "alert", "check" and "report" with the given priorities.
@@ -159,4 +160,6 @@
 	qt.Check(t, p.aboveEntitlement(at(100), u, 2), qt.IsTrue)
 	qt.Check(t, p.belowEntitlement(at(100), u, 0), qt.IsTrue)
 	qt.Check(t, p.aboveEntitlement(at(100), u, 0), qt.IsFalse)
+	// Nothing is kept for levels without demand, or a task could wait for ever beside them.
+	qt.Check(t, p.mayTake(u, 2, 1, make([]precedence.Share, 3)), qt.IsTrue)
 }
