Limit the wait of lower levels to 0.4 of their slack

Cause: the expected wait of a level that holds less than what is kept for it still left out the slots kept for more urgent levels, so its wide jobs were refused; and admitted jobs were still abandoned at 4 times the load.

--- a/internal/policy/waitlimit/waitlimit.go
+++ b/internal/policy/waitlimit/waitlimit.go
@@ -30,9 +30,9 @@
 	// this.
 	minPart = 0.1
 	// lowerMaxPart is the largest part for a level below the first: more urgent work that
-	// arrives later goes first. With the whole slack, three times as many admitted jobs
-	// were abandoned at 2.5 times the load, and twice as many at four times.
-	lowerMaxPart = 0.5
+	// arrives later goes first. With the whole slack, five times as many admitted jobs were
+	// abandoned at 2.5 times the load, and four times as many at four times.
+	lowerMaxPart = 0.4
 )
 
 // Tracker tracks how many jobs were admitted and how many admitted jobs started too late.
--- a/internal/scheduler/levelwait.go
+++ b/internal/scheduler/levelwait.go
@@ -32,7 +32,11 @@
 		return p.withLater(time.Duration((work+b.queuedWork())/math.Max(1, p.slots)*float64(time.Second)), b.level, shares)
 	}
 	slices.SortFunc(before, func(x, y *batch) int { return cmp.Compare(x.item.Seq, y.item.Seq) })
-	return p.withLater(p.startAfter(now, before, b, int(p.keptFrom(b.class, b.level, shares))), b.level, shares)
+	kept := p.keptFrom(b.class, b.level, shares)
+	if float64(p.classes[b.class].runningOf[b.level]+len(b.tasks)) <= shares[b.level].Kept {
+		kept = 0 // the batch starts on the slots that are kept for its own level
+	}
+	return p.withLater(p.startAfter(now, before, b, int(kept)), b.level, shares)
 }
 
 // waits returns the expected wait of a task of each priority of a class that arrives now; nil
