Examine queued jobs for lateness without other events

Cause: jobs that could not start in time were found only when something else happened in the pool; with long tasks that is at the end of the useful time.

--- a/internal/scheduler/abandon.go
+++ b/internal/scheduler/abandon.go
@@ -17,7 +17,7 @@
 // abandonLate removes the jobs that are late, have not begun, and are not expected to start
 // while their answer is of use. It applies to classes with several levels.
 func (p *Pool) abandonLate(now time.Time, d *Decisions) {
-	if p.opts.NoEndEstimates || p.queued == 0 || now.Before(p.nextAbandon) {
+	if now.Before(p.nextAbandon) || !p.mayAbandon() {
 		return
 	}
 	p.nextAbandon = now.Add(abandonInterval)
@@ -38,6 +38,20 @@
 	}
 }
 
+// mayAbandon reports whether queued jobs have to be examined for lateness: without other
+// events, their callers would learn of it only at the end of the useful time.
+func (p *Pool) mayAbandon() bool {
+	if p.opts.NoEndEstimates {
+		return false
+	}
+	for u := range p.classes {
+		if p.classes[u].lastLevel() > 0 && p.classes[u].queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon removes the queued tasks of a job, and says when there will be room for it.
 func (p *Pool) abandon(now time.Time, b *batch, wait time.Duration, d *Decisions) {
 	c := &p.classes[b.class]
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -264,6 +264,9 @@
 	if heldLong {
 		sooner(now.Add(longRecheck))
 	}
+	if p.mayAbandon() {
+		sooner(now.Add(abandonInterval))
+	}
 	if p.probes.Len() > 0 {
 		sooner(p.probes.Min().probeTime())
 	}
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -179,7 +179,7 @@
 	maxWait := time.Duration(part * float64(slack))
 	admitted := wait == 0 || wait <= maxWait
 	c.limits[b.level].Decided(b.meta.Service, admitted)
-	if admitted {
+	if admitted || b.meta.Committed {
 		p.countsOf(b.class, b.level).Admitted++
 		return Admission{Accepted: true}
 	}
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -136,6 +136,7 @@
 	admitted.Committed = true
 	qt.Assert(t, p.Offer(at(1), admitted).Accepted, qt.IsTrue)
 	p.batches[batchKey{owner, "r"}].meta.Committed = false
+	first := p.Next(at(1))
 	for _, b := range p.batches {
 		for i := range b.tasks {
 			b.tasks[i].expected = 5 * time.Second
@@ -145,6 +146,7 @@
 	qt.Assert(t, d.Expired, qt.HasLen, 2)
 	qt.Check(t, d.Expired[0].Reason, qt.Equals, job.Overloaded)
 	qt.Check(t, d.Expired[0].RetryAfter > time.Second, qt.IsTrue)
+	qt.Check(t, first.Wake.Before(at(20)), qt.IsTrue, qt.Commentf("no event may come before the end of the useful time"))
 	qt.Check(t, p.CountsByPriority()[2].Abandoned, qt.Equals, uint64(1))
 }
 
