--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -278,6 +278,9 @@
 	if !p.fastNeededUntil.IsZero() {
 		sooner(p.fastNeededUntil)
 	}
+	if p.mayAbandon() {
+		sooner(now.Add(abandonInterval))
+	}
 	if p.probes.Len() > 0 {
 		sooner(p.probes.Min().probeTime())
 	}
