--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -63,7 +63,10 @@
 
 // keepSpeed makes a target that has restarted start from the speed of its former process,
 // unless its address or its size has changed.
-func (p *Pool) keepSpeed(t *target, former speed.Estimate, announced *job.Target) {
+func (p *Pool) keepSpeed(now time.Time, t *target, former speed.Estimate, announced *job.Target) {
+	if !t.lastMeasured.IsZero() {
+		former.Age = max(0, now.Sub(t.lastMeasured))
+	}
 	same := announced.Address == t.announced.Address && speed.KindOf(announced) == speed.KindOf(&t.announced)
 	if same && p.unevenTargets && !p.opts.NoSpeedRecords {
 		p.fleet.UseRecord(&t.health, &former)
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -113,7 +113,7 @@
 		p.fleet.Drop(&t.health)
 		t.health = health.Target{}
 		p.fleet.Add(&t.health)
-		p.keepSpeed(t, former, &announced)
+		p.keepSpeed(now, t, former, &announced)
 	}
 	t.announced = announced
 	t.Target = p.withDefaults(announced)
