--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -42,10 +42,6 @@
 	return pace*(1-preferSlow) + (2-pace)*preferSlow
 }
 
-// unevenShare is the share of the targets that must differ in speed for a pool to count as
-// uneven. A few slow targets among equal ones are faulty, not of another generation.
-const unevenShare = 0.2
-
 // updateUnevenTargets determines whether the pool has targets of several speeds, by more than
 // the measurement explains.
 func (p *Pool) updateUnevenTargets(now time.Time) {
@@ -53,7 +49,7 @@
 	for i := range p.ranked.Len() {
 		p.paceBuffer = append(p.paceBuffer, &p.ranked.At(i).health)
 	}
-	p.unevenTargets = p.fleet.Uneven(p.paceBuffer, unevenPace, unevenShare)
+	p.unevenTargets = p.fleet.Uneven(p.paceBuffer, unevenPace)
 	if bound := p.maxSlowness(); bound != p.rankedWith {
 		p.rankedWith = bound
 		p.rerankAll(now)
