Keep no slots idle for the most urgent level, and limit others only in a shortage

Since runs can be stopped for urgent jobs, kept slots gain them nothing more.

No slots are kept. What more urgent work will take, and the least part of the slack, count by the pressure: the requested work over the capacity, from 0.85 to 1.25 of it.

--- a/internal/policy/precedence/precedence.go
+++ b/internal/policy/precedence/precedence.go
@@ -30,12 +30,6 @@
 	// minSpan is the shortest time over which work is averaged, so that the first job
 	// after a start does not look like a flood.
 	minSpan = 250 * time.Millisecond
-	// lent is how many of the slots that the first level demands it does not keep free of
-	// others, as a multiple of the usual variation sqrt(d*w) of its busy slots, where d is
-	// its demand and w the width of its jobs. The slots that become free within the slack
-	// of its jobs replace them. Keeping all of the demand cost 0.02 to 0.04 of the mean
-	// credit at 1.5 times the load, keeping none 0.1 of that of the first level.
-	lent = 0.5
 	// tolerance is how far, as a fraction of its entitlement, a level must be off before
 	// the order of service changes: the noise of an average over a second.
 	tolerance = 0.05
@@ -44,12 +38,6 @@
 // Entitlements returns the part of the capacity to which each level is entitled. demand is
 // the work requested by each level, the most urgent first, in the unit of the capacity.
 func Entitlements(capacity float64, demand []float64) []float64 {
-	return entitlements(capacity, demand, demand)
-}
-
-// entitlements guarantees each level a part of its demand, and allocates the rest up to what
-// each level needs.
-func entitlements(capacity float64, demand, need []float64) []float64 {
 	sum := 0.0
 	for _, d := range demand {
 		sum += d
@@ -65,7 +53,7 @@
 		left -= out[l]
 	}
 	for l := range demand {
-		more := math.Max(0, math.Min(left, need[l]-out[l]))
+		more := math.Max(0, math.Min(left, demand[l]-out[l]))
 		out[l] += more
 		left -= more
 	}
@@ -106,9 +94,6 @@
 type Tracker struct {
 	priorities       []int
 	offered, started []rate
-	// wide is the work requested by the first level, weighted by the number of tasks in
-	// the job.
-	wide rate
 }
 
 // SetPriorities sets the distinct priorities, the most urgent first, and reports whether
@@ -145,15 +130,11 @@
 	return min(level, t.Levels()-1)
 }
 
-// Offered records a job that was requested, whether it is admitted or not: its tasks and its
-// work in slot-seconds.
-func (t *Tracker) Offered(now time.Time, level, tasks int, work float64) {
+// Offered records work that was requested, in slot-seconds, whether it is admitted or not.
+func (t *Tracker) Offered(now time.Time, level int, work float64) {
 	if t.Levels() > 1 {
 		t.offered[level].add(now, work)
 	}
-	if level == 0 {
-		t.wide.add(now, work*float64(tasks))
-	}
 }
 
 // Started records work that was started, in slot-seconds. Negative work takes back what a
@@ -166,12 +147,7 @@
 
 // Share is the work of a level in slot-seconds per second, which is the mean number of
 // slots.
-type Share struct {
-	Demand, Entitled, Received float64
-	// Kept is the number of slots that less urgent levels leave to this one, whether it
-	// uses them or not.
-	Kept float64
-}
+type Share struct{ Demand, Entitled, Received float64 }
 
 // Shares returns the shares of all levels, the most urgent first.
 func (t *Tracker) Shares(now time.Time, capacity float64) []Share {
@@ -180,11 +156,6 @@
 		demand[l] = t.offered[l].mean(now)
 	}
 	out := make([]Share, len(demand))
-	need := make([]float64, len(demand))
-	need[0] = math.Max(0, demand[0]-lent*math.Sqrt(t.wide.mean(now)))
-	for l, kept := range entitlements(capacity, demand, need) {
-		out[l].Kept = kept
-	}
 	for l, entitled := range Entitlements(capacity, demand) {
 		out[l].Demand, out[l].Entitled = demand[l], entitled
 		if l < len(t.started) {
@@ -194,6 +165,24 @@
 	return out
 }
 
+const (
+	// calmDemand and shortageDemand are the demands, as parts of the capacity, up to which
+	// the levels don't compete and from which they do for every slot. In between, bursts
+	// of a few jobs fill the pool for moments.
+	calmDemand     = 0.85
+	shortageDemand = 1.25
+)
+
+// Pressure returns how much the levels compete for the capacity, from 0 to 1.
+func Pressure(shares []Share, capacity float64) float64 {
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Demand
+	}
+	used := sum / math.Max(capacity, 1e-9)
+	return math.Min(1, math.Max(0, (used-calmDemand)/(shortageDemand-calmDemand)))
+}
+
 // Above reports whether the level received more than its entitlement.
 func (s *Share) Above() bool { return s.Received > (1+tolerance)*s.Entitled }
 
--- a/internal/policy/waitlimit/waitlimit.go
+++ b/internal/policy/waitlimit/waitlimit.go
@@ -29,9 +29,9 @@
 	// minPart is the part that is always granted: estimates are no more precise than
 	// this.
 	minPart = 0.1
-	// lowerMaxPart is the largest part for a level below the first: more urgent work that
-	// arrives later goes first. With the whole slack, five times as many admitted jobs were
-	// abandoned at 2.5 times the load, and four times as many at four times.
+	// lowerMaxPart is the largest part for a level below the first while the levels
+	// compete for every slot: more urgent work that arrives later goes first, and with the
+	// whole slack many admitted jobs would be abandoned.
 	lowerMaxPart = 0.4
 )
 
@@ -106,9 +106,10 @@
 // Part returns the part of its slack that a job of a kind may be expected to wait. Late
 // starts of a level reduce the part of that level and of the less urgent ones. shortfall is
 // the part of its entitlement that the level did not receive: a level that receives less
-// may wait longer, so that more of its jobs are admitted, and one that borrows may not. A
-// level below the first may wait at most for lowerMaxPart.
-func (l Levels) Part(level int, kind string, shortfall float64) float64 {
+// may wait longer, so that more of its jobs are admitted, and one that borrows may not.
+// pressure is how much the levels compete, from 0 to 1: the more they do, the less a level
+// below the first may wait.
+func (l Levels) Part(level int, kind string, shortfall, pressure float64) float64 {
 	late := 0.0
 	for i := range l[:level+1] {
 		late = max(late, l[i].lateShare)
@@ -118,7 +119,7 @@
 	part += fairnessGain * (shortfall + t.meanAdmittedShare() - t.admittedShare(kind))
 	most := 1.0
 	if level > 0 {
-		most = lowerMaxPart
+		most -= (1 - lowerMaxPart) * pressure
 	}
 	return min(most, max(minPart, part))
 }
--- a/internal/scheduler/earlieststart.go
+++ b/internal/scheduler/earlieststart.go
@@ -22,18 +22,18 @@
 	if p.running > maxRunningExamined {
 		return 0
 	}
-	return p.startAfter(now, nil, b, 0)
+	return p.startAfter(now, nil, b)
 }
 
 // startAfter returns the time until the last task of a batch can start if the queued tasks
 // of the batches before it start first and the next kept slots are not available.
-func (p *Pool) startAfter(now time.Time, before []*batch, b *batch, kept int) time.Duration {
-	p.assignBefore(now, before, kept)
+func (p *Pool) startAfter(now time.Time, before []*batch, b *batch) time.Duration {
+	p.assignBefore(now, before)
 	return p.assignQueued(b)
 }
 
 // assignBefore determines when slots become free after the queued tasks of some batches.
-func (p *Pool) assignBefore(now time.Time, before []*batch, kept int) {
+func (p *Pool) assignBefore(now time.Time, before []*batch) {
 	p.freeTimes.reset(int(p.freeCapacity))
 	for _, other := range p.batches {
 		if other.running == 0 {
@@ -46,9 +46,6 @@
 		}
 	}
 	p.freeTimes.init()
-	for range min(kept, len(p.freeTimes.freeAt)-1) {
-		p.freeTimes.assign(time.Hour)
-	}
 	for _, other := range before {
 		p.assignQueued(other)
 	}
--- a/internal/scheduler/levelwait.go
+++ b/internal/scheduler/levelwait.go
@@ -25,18 +25,14 @@
 		ahead += other.queued()
 		work += other.queuedWork()
 	}
-	if ahead == 0 && p.mayTake(b.class, b.level, len(b.tasks), shares) && p.roomFor(now, b) {
+	if ahead == 0 && p.roomFor(now, b) {
 		return 0
 	}
 	if p.running+ahead > maxRunningExamined {
-		return p.withLater(time.Duration((work+b.queuedWork())/math.Max(1, p.slots)*float64(time.Second)), b.level, shares)
+		return p.withLater(time.Duration((work+b.queuedWork())/math.Max(1, p.slots)*float64(time.Second)), b.class, b.level, shares)
 	}
 	slices.SortFunc(before, func(x, y *batch) int { return cmp.Compare(x.item.Seq, y.item.Seq) })
-	kept := p.keptFrom(b.class, b.level, shares)
-	if float64(p.classes[b.class].runningOf[b.level]+len(b.tasks)) <= shares[b.level].Kept {
-		kept = 0 // the batch starts on the slots that are kept for its own level
-	}
-	return p.withLater(p.startAfter(now, before, b, int(kept)), b.level, shares)
+	return p.withLater(p.startAfter(now, before, b), b.class, b.level, shares)
 }
 
 // waits returns the expected wait of a task of each priority of a class that arrives now; nil
@@ -65,15 +61,15 @@
 			work += b.queuedWork()
 		}
 	}
-	if ahead == 0 && p.freeCapacity >= 1 && p.mayTake(u, level, 1, shares) {
+	if ahead == 0 && p.freeCapacity >= 1 {
 		return 0
 	}
 	if p.running+ahead > maxRunningExamined {
-		return p.withLater(time.Duration(work/math.Max(1, p.slots)*float64(time.Second)), level, shares)
+		return p.withLater(time.Duration(work/math.Max(1, p.slots)*float64(time.Second)), u, level, shares)
 	}
 	slices.SortFunc(before, func(x, y *batch) int { return cmp.Compare(x.item.Seq, y.item.Seq) })
-	p.assignBefore(now, before, int(p.keptFrom(u, level, shares)))
-	return p.withLater(p.freeTimes.freeAt[0], level, shares)
+	p.assignBefore(now, before)
+	return p.withLater(p.freeTimes.freeAt[0], u, level, shares)
 }
 
 // minLeft is the least part of the slots that is left to a level in the estimate of its
@@ -81,13 +77,15 @@
 const minLeft = 0.1
 
 // withLater adds to the wait of a level what more urgent work that arrives in the meantime
-// takes: the wait is longer by the part of the slots that more urgent levels demand.
-func (p *Pool) withLater(wait time.Duration, level int, shares []precedence.Share) time.Duration {
+// takes: the wait is longer by the part of the slots that more urgent levels demand, as far as
+// the levels compete.
+func (p *Pool) withLater(wait time.Duration, u job.Urgency, level int, shares []precedence.Share) time.Duration {
 	urgent := 0.0
 	for _, s := range shares[:level] {
 		urgent += s.Demand
 	}
-	left := max(minLeft, 1-urgent/max(1, p.slots, p.busySlots))
+	capacity := max(1, p.capacityFor(u))
+	left := max(minLeft, 1-precedence.Pressure(shares, capacity)*urgent/capacity)
 	return max(1, time.Duration(float64(wait)/left))
 }
 
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -37,7 +37,7 @@
 	}
 	b := p.newBatch(now, key, m)
 	if !m.Reoffered {
-		p.classes[b.class].precedence.Offered(now, b.level, len(b.tasks), b.queuedWork())
+		p.classes[b.class].precedence.Offered(now, b.level, b.queuedWork())
 	}
 	p.shortReserve.Offered(now, b.long, len(b.tasks), time.Duration(b.queuedWork()*float64(time.Second)))
 	if v := p.admit(now, b); !v.Accepted && !(m.Committed && v.Reason == job.Overloaded) {
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -77,11 +77,16 @@
 // shares returns what each level of a class demands, is entitled to and received. The
 // capacity excludes the slots that more urgent classes hold.
 func (p *Pool) shares(now time.Time, u job.Urgency) []precedence.Share {
+	return p.classes[u].precedence.Shares(now, p.capacityFor(u))
+}
+
+// capacityFor returns the number of slots that a class can use.
+func (p *Pool) capacityFor(u job.Urgency) float64 {
 	capacity := max(p.slots, p.busySlots)
 	for more := int(u) + 1; more < classes; more++ {
 		capacity -= float64(p.classes[more].running)
 	}
-	return p.classes[u].precedence.Shares(now, capacity)
+	return capacity
 }
 
 // busyWeight is the weight of one decision in the mean number of busy slots: about a second
@@ -128,10 +133,6 @@
 	heads := make([]*batch, c.precedence.Levels())
 	shares := p.shares(now, u)
 	for l := range heads {
-		if p.running > 0 && !p.mayTake(u, l, 1, shares) {
-			heldLong = true
-			continue
-		}
 		var blocked bool
 		heads[l], blocked = p.headOf(u, l, maxLong)
 		heldLong = heldLong || blocked
@@ -143,28 +144,6 @@
 	return heads[level], heldLong
 }
 
-// mayTake reports whether a level may take more slots: those that are kept for it, and those
-// that are not kept for a more urgent level.
-func (p *Pool) mayTake(u job.Urgency, level, slots int, shares []precedence.Share) bool {
-	held := p.classes[u].runningOf
-	if float64(held[level]+slots) <= shares[level].Kept {
-		return true
-	}
-	// The free capacity is an expectation: it may be less than one where one more task fits.
-	kept := p.keptFrom(u, level, shares)
-	return kept == 0 || p.freeCapacity-float64(slots-1) >= kept
-}
-
-// keptFrom returns the number of slots that are kept for more urgent levels and that these
-// do not hold now.
-func (p *Pool) keptFrom(u job.Urgency, level int, shares []precedence.Share) float64 {
-	kept := 0.0
-	for l := range level {
-		kept += max(0, shares[l].Kept-float64(p.classes[u].runningOf[l]))
-	}
-	return kept
-}
-
 // admitLevel decides on the admission of a batch with an objective in a pool with several
 // levels.
 func (p *Pool) admitLevel(now time.Time, b *batch, slack time.Duration) Admission {
@@ -174,7 +153,7 @@
 	wait := p.expectedWaitOfLevel(now, b, slack, shares)
 	part := 1.0
 	if !p.opts.NoWaitLimit {
-		part = c.limits.Part(b.level, b.meta.Service, share.Shortfall())
+		part = c.limits.Part(b.level, b.meta.Service, share.Shortfall(), precedence.Pressure(shares, p.capacityFor(b.class)))
 	}
 	maxWait := time.Duration(part * float64(slack))
 	admitted := wait == 0 || wait <= maxWait || p.canMakeRoom(now, b)
