--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -162,3 +162,19 @@
 	qt.Check(t, p.belowEntitlement(at(100), u, 0), qt.IsTrue)
 	qt.Check(t, p.aboveEntitlement(at(100), u, 0), qt.IsFalse)
 }
+
+// A task that a target refused is the only queued one of its job when late jobs are examined.
+// Guards against an entry that ends because it looks for the task among those not yet started.
+func TestExaminesAJobWhoseTaskWasRefused(t *testing.T) {
+	p := priorityPool(Options{})
+	qt.Assert(t, p.Offer(at(0), jobOf("r", "report", 1, 100*time.Millisecond)).Accepted, qt.IsTrue)
+	started := p.Next(at(0)).Starts
+	qt.Assert(t, started, qt.HasLen, 1)
+	qt.Assert(t, p.Requeue(at(300), started[0].Key), qt.IsTrue)
+	b := p.batches[batchKey{owner, "r"}]
+	b.objective.late = true
+	qt.Check(t, p.roomFor(at(300), b), qt.IsTrue)
+	p.Next(at(300))
+	b.removeQueued()
+	qt.Check(t, p.roomFor(at(300), b), qt.IsTrue)
+}
--- a/internal/scheduler/size.go
+++ b/internal/scheduler/size.go
@@ -45,16 +45,19 @@
 	return p.sizes.Fit(demandOf(t.Capacity().Minus(t.used)), max(0, t.limit()-t.running))
 }
 
-// roomFor reports whether all tasks of a batch can start now, by their own sizes.
+// roomFor reports whether all queued tasks of a batch can start now, by their own sizes.
 func (p *Pool) roomFor(now time.Time, b *batch) bool {
-	needed := len(b.tasks)
-	size := b.tasks[0].size
+	needed := b.queued()
+	if needed == 0 {
+		return true
+	}
+	size, first := b.tasks[0].size, b.peek()
 	for i := range b.tasks {
 		size = size.Max(b.tasks[i].size)
 	}
 	for i := range p.ranked.Len() {
 		t := p.ranked.At(i)
-		if t.tier >= slow || t.exclusive || t.reservedFor != nil || !p.fastEnough(now, b, &b.tasks[b.order[0]], t) {
+		if t.tier >= slow || t.exclusive || t.reservedFor != nil || !p.fastEnough(now, b, first, t) {
 			continue
 		}
 		needed -= fitCount(t.Capacity().Minus(t.used), size, t.limit()-t.running)
