Stop only runs whose jobs have half of their run time to spare

Cause: a stopped run was taken to restart at once, but in a shortage its restart waits.

The job of a stopped run must have half of its run time to spare; these are runs that have just begun, which also lose the least work.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -51,6 +51,10 @@
 	// minRunBeforeStop is the least time that a run has lasted before it may be stopped: its start
 	// may still be on the way to the target. A round trip takes up to 3 ms.
 	minRunBeforeStop = 5 * time.Millisecond
+	// restartSpareDivisor is the part of its run time, as a divisor, that the job of a stopped
+	// run must have to spare: its restart waits in a full pool, and runs that have just begun
+	// lose the least work.
+	restartSpareDivisor = 2
 	// maxJobsExamined bounds the waiting jobs for which one decision looks for capacity: entries
 	// have a fifth of a processor, and decisions follow each start and end of a task.
 	maxJobsExamined = 4
@@ -217,7 +221,7 @@
 	if asked := now.Sub(t.stop.askedAt); !t.stop.askedAt.IsZero() && asked < preempt.StopTime {
 		r.Left = min(r.Left, preempt.StopTime-asked)
 	}
-	r.Stoppable = b.canRestart() && b.inTimeAt(now.Add(preempt.StopTime+t.expected)) && t.canStop(ran)
+	r.Stoppable = b.canRestart() && b.inTimeAt(now.Add(preempt.StopTime+t.expected+t.expected/restartSpareDivisor)) && t.canStop(ran)
 	return r
 }
 
