--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -93,9 +93,8 @@
 // of one holder's decisions under load.
 const busyWeight = 0.003
 
-// measureBusy records the number of running tasks while others wait. Counting further ones
-// that fit as well gave entitlements that could not be met, and half as many abandoned jobs
-// again.
+// measureBusy records the number of running tasks while others wait. Tasks that would fit as
+// well don't count: entitlements to capacity that only small tasks can use can't be met.
 func (p *Pool) measureBusy() {
 	if p.queued > 0 {
 		p.busySlots += busyWeight * (float64(p.running) - p.busySlots)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -233,8 +233,7 @@
 }
 
 // inTimeAt reports whether an answer of the batch at the given time is in time. A stop that makes
-// a job miss its answer time throws away the work of all its tasks and not only of one: stopping
-// such runs too left twice as many jobs without an answer, and the urgent ones gained nothing.
+// a job miss its answer time throws away the work of all its tasks and not only of one.
 func (b *batch) inTimeAt(at time.Time) bool {
 	if b.objective.set() {
 		return !at.After(b.objective.end)
