--- a/internal/policy/split/precedence.go
+++ b/internal/policy/split/precedence.go
@@ -13,9 +13,9 @@
 	Priority int
 }
 
-// waitAt returns the expected wait of a task at a holder and the free slots there. A holder
-// that keeps its free slots for more urgent work reports a wait, and its free slots do not
-// count. A holder of an earlier release, or one whose services of the pool all have one
+// waitAt returns the expected wait of a task at a holder and the free slots there. Where more
+// urgent queued work takes the free slots first, the holder reports a wait, and its free slots
+// do not count. A holder of an earlier release, or one whose services of the pool all have one
 // priority, reports one wait for the class. One with an older configuration may not know the
 // priority: the wait of the next less urgent one is then a bound.
 func (p Precedence) waitAt(l *job.HolderLoad) (wait time.Duration, free int) {
