--- a/internal/holder/preempt_test.go
+++ b/internal/holder/preempt_test.go
@@ -67,10 +67,8 @@
 	return h, long, urgent, runs
 }
 
-// Guards against a task that starts again before its run has ended, or although its job has ended
-// meanwhile; against a result that is lost, and capacity that is given away, when the run goes on;
-// against "not started" for a task that ran, which its caller would take for "not run"; and
-// against stops that count as failures.
+// Guards against a second run before the first has ended, lost results, a false "not run", and
+// stops that count as failures.
 func TestPreemptedTask(t *testing.T) {
 	isStopped := func() target.Result {
 		time.Sleep(40 * time.Millisecond)
