Check a job's number of tasks and its memory before its tasks are created

Callers saw: one client sends a job of one step with a count of 100,000 and a spec of 4,000 bytes, a body of 4.1 KB. The edge VM that reads it goes over its 284 MB and is killed, and with it every job that it has accepted; the client sends the job again, and the next VM ends.

The budget of memory reserved the bytes of the body, not of the tasks.

Ruled out: the bytes of the body (4.1 KB, within every limit) and the messages to holders (the job is refused before it is offered).

Changed: decoding yields the number of tasks and a function that creates them. A job that was sent before is created whole within the reserved memory, because an earlier attempt may have been accepted under another limit and only its whole content identifies it; if memory is short it is answered "may have run". A job that is larger than all of the memory is refused as too large, without a time to return. All refusals before the dispatcher are recorded, the product's own interface included.

--- a/internal/api/budget.go
+++ b/internal/api/budget.go
@@ -28,3 +28,29 @@
 
 // Used returns the number of reserved bytes.
 func (b *ByteBudget) Used() int64 { return b.used.Load() }
+
+// Fits reports whether n bytes could be reserved if nothing else were.
+func (b *ByteBudget) Fits(n int64) bool { return n <= b.limit }
+
+// reservation is the part of a budget that one request holds. Only the goroutine of the
+// request uses it.
+type reservation struct {
+	budget *ByteBudget
+	bytes  int64
+}
+
+// resize changes the reservation to n bytes. It reports false, and changes nothing, if it
+// would grow beyond the free bytes of the budget.
+func (r *reservation) resize(n int64) bool {
+	if n > r.bytes && !r.budget.Reserve(n-r.bytes) {
+		return false
+	}
+	if n < r.bytes {
+		r.budget.Release(r.bytes - n)
+	}
+	r.bytes = n
+	return true
+}
+
+// release releases the whole reservation.
+func (r *reservation) release() { r.resize(0) }
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -71,6 +71,9 @@
 	// Memory bounds the bytes of the bodies being read and of the submissions in
 	// progress.
 	Memory *ByteBudget
+	// Refused is called for each submission that is refused before the dispatcher
+	// receives it; nil is allowed.
+	Refused func(job.Answer)
 }
 
 // Handler returns the routes for callers and targets.
@@ -97,40 +100,41 @@
 }
 
 func (c *Caller) postJob(w http.ResponseWriter, r *http.Request) {
-	c.Serve(w, r, decodeJob, writeAnswer)
+	c.Serve(w, r, "", decodeJob, writeAnswer)
 }
 
 func (c *Caller) postService(w http.ResponseWriter, r *http.Request) {
-	c.Serve(w, r, decodeSingle, writeSingle)
+	c.Serve(w, r, "", decodeSingle, writeSingle)
 }
 
 // Serve reads a submission, dispatches it and writes its answer. decode and write
 // define the request and response formats, so other packages can serve formats
-// of their own.
+// of their own. id is the id of the submission if it is known before the body is read.
 func (c *Caller) Serve(
 	w http.ResponseWriter,
 	r *http.Request,
-	decode func(*http.Request, []byte, time.Time) (*job.Submission, error),
+	id job.ID,
+	decode func(*http.Request, []byte, time.Time) (*Request, error),
 	write func(http.ResponseWriter, *job.Answer),
 ) {
-	body, release, refusal := c.readBody(w, r)
-	defer release()
+	held := &reservation{budget: c.Memory}
+	defer held.release()
+	s, refusal := c.readSubmission(w, r, held, decode)
+	if refusal == nil && s.Transient && HungUp(r) {
+		// Nobody reads this answer; it is only recorded.
+		gone := job.Refuse("", job.CallerGone, "the caller hung up before its request was read", 0)
+		refusal = &gone
+	}
 	if refusal != nil {
+		if refusal.ID == "" {
+			refusal.ID = id
+		}
+		if c.Refused != nil {
+			c.Refused(*refusal)
+		}
 		write(w, refusal)
 		return
 	}
-	s, err := decode(r, body, time.Now())
-	if err != nil {
-		refused := job.Refuse("", job.Malformed, err.Error(), 0)
-		write(w, &refused)
-		return
-	}
-	if s.Transient && HungUp(r) {
-		// Nobody reads this answer; write may still record it.
-		gone := job.Refuse("", job.CallerGone, "the caller hung up before its request was read", 0)
-		write(w, &gone)
-		return
-	}
 	answer := c.Dispatcher.Submit(r.Context(), s)
 	conn := http.NewResponseController(w)
 	_ = conn.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
@@ -157,39 +161,53 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// readBody reads a whole body within the limits of size, memory and time. release
-// returns the reserved memory to the budget and is never nil.
-func (c *Caller) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), refusal *job.Answer) {
-	release = func() {}
-	limit := int64(config.DefaultMaxJobBytes)
-	if file := c.Config.Current(); file != nil {
-		limit = file.Limits.MaxJobBytes
-	}
-	limit += maxEnvelopeBytes
-	refuse := func(reason job.Reason, detail string, after time.Duration) *job.Answer {
-		a := job.Refuse("", reason, detail, after)
+// readSubmission reads and decodes a submission within the limits of size, memory and
+// time. held keeps the memory that the submission takes.
+func (c *Caller) readSubmission(
+	w http.ResponseWriter,
+	r *http.Request,
+	held *reservation,
+	decode func(*http.Request, []byte, time.Time) (*Request, error),
+) (*job.Submission, *job.Answer) {
+	body, refusal := c.readBody(w, r, held)
+	if refusal != nil {
+		return nil, refusal
+	}
+	req, err := decode(r, body, time.Now())
+	if err != nil {
+		refused := job.Refuse("", job.Malformed, err.Error(), 0)
+		return nil, &refused
+	}
+	return req.Submission, c.createTasks(req, held)
+}
+
+// readBody reads a whole body within the limits of size, memory and time, and reserves
+// its memory.
+func (c *Caller) readBody(w http.ResponseWriter, r *http.Request, held *reservation) ([]byte, *job.Answer) {
+	limit := c.limits().MaxJobBytes + maxEnvelopeBytes
+	refuse := func(reason job.Reason, detail string) *job.Answer {
+		a := job.Refuse("", reason, detail, 0)
 		return &a
 	}
 	if r.ContentLength > limit {
-		return nil, release, refuse(job.TooLarge, "the body is larger than the configuration allows", 0)
+		return nil, refuse(job.TooLarge, "the body is larger than the configuration allows")
 	}
 	reserved := r.ContentLength
 	if reserved < 0 {
 		reserved = limit
 	}
-	if !c.Memory.Reserve(reserved) {
-		return nil, release, refuse(job.Overloaded, "the memory for the bodies of submissions is exhausted", time.Second)
+	if !held.resize(reserved) {
+		return nil, c.refuseMemory("", reserved, true)
 	}
-	release = func() { c.Memory.Release(reserved) }
 	body, err := readBodyInTime(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, release, refuse(job.TooLarge, "the body is larger than the configuration allows", 0)
+		return nil, refuse(job.TooLarge, "the body is larger than the configuration allows")
 	case err != nil:
-		return nil, release, refuse(job.Malformed, "the body could not be read completely: "+err.Error(), 0)
+		return nil, refuse(job.Malformed, "the body could not be read completely: "+err.Error())
 	}
-	return body, release, nil
+	return body, nil
 }
 
 // readBodyInTime reads the body within bodyReadTimeout. It clears the read deadline
@@ -207,7 +225,7 @@
 	return body, nil
 }
 
-func decodeJob(_ *http.Request, body []byte, now time.Time) (*job.Submission, error) {
+func decodeJob(_ *http.Request, body []byte, now time.Time) (*Request, error) {
 	var req JobRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "the body is not a job")
@@ -228,10 +246,17 @@
 		Team:     req.Team,
 		Service:  req.Service,
 		Attempt:  req.Attempt,
-		Tasks:    req.Tasks,
 		Received: now,
 	}
-	return s, completeSubmission(s, req.DeadlineMS)
+	if err := completeSubmission(s, req.DeadlineMS); err != nil {
+		return nil, err
+	}
+	return &Request{
+		Submission:   s,
+		TaskCount:    len(req.Tasks),
+		PayloadBytes: int64(len(body)),
+		CreateTasks:  func() ([]job.TaskSpec, error) { return req.Tasks, nil },
+	}, nil
 }
 
 func checkTask(t *job.TaskSpec) error {
@@ -244,12 +269,11 @@
 	return nil
 }
 
-func decodeSingle(r *http.Request, body []byte, now time.Time) (*job.Submission, error) {
+func decodeSingle(r *http.Request, body []byte, now time.Time) (*Request, error) {
 	s := &job.Submission{
 		ID:       job.ID(r.Header.Get(HeaderID)),
 		Team:     r.Header.Get(HeaderTeam),
 		Service:  r.PathValue("service"),
-		Tasks:    []job.TaskSpec{{Kind: mediaKind(r), Payload: body}},
 		Received: now,
 		Single:   true,
 	}
@@ -262,7 +286,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return s, completeSubmission(s, deadline)
+	if err := completeSubmission(s, deadline); err != nil {
+		return nil, err
+	}
+	task := job.TaskSpec{Kind: mediaKind(r), Payload: body}
+	return &Request{
+		Submission:   s,
+		TaskCount:    1,
+		PayloadBytes: int64(len(body)),
+		CreateTasks:  func() ([]job.TaskSpec, error) { return []job.TaskSpec{task}, nil },
+	}, nil
 }
 
 // mediaKind returns the media type of an opaque request. It serves as the task's
@@ -288,7 +321,7 @@
 }
 
 // completeSubmission validates the fields that jobs and single requests share and
-// sets the deadline, the id if the caller gave none, and the digest.
+// sets the deadline, and the id if the caller gave none.
 func completeSubmission(s *job.Submission, deadlineMS int64) error {
 	if s.Attempt < 0 {
 		return errors.New("attempt is negative")
@@ -306,7 +339,6 @@
 	if !s.CallerID {
 		s.ID = job.ID(ulid.Make().String())
 	}
-	s.Digest = s.ContentDigest()
 	return nil
 }
 
--- /dev/null
+++ b/internal/api/request.go
@@ -0,0 +1,75 @@
+package api
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vanillagrade/vanillagrade/internal/config"
+	"github.com/vanillagrade/vanillagrade/internal/job"
+)
+
+// Request is a decoded request. Its tasks are created only once their number is allowed
+// and their memory is reserved, because a body of a few bytes may describe any number of
+// tasks.
+type Request struct {
+	// Submission has all fields except Tasks and Digest.
+	Submission *job.Submission
+	// TaskCount is the number of tasks that the request describes.
+	TaskCount int
+	// PayloadBytes bounds the bytes that the payloads of all tasks take together.
+	PayloadBytes int64
+	// CreateTasks returns the tasks. An error means that the request is malformed.
+	CreateTasks func() ([]job.TaskSpec, error)
+}
+
+// taskBytes is the memory reserved for one task until its job is answered, besides its
+// payload: its specification, its outcome and its part of the messages to holders.
+const taskBytes = 1 << 10
+
+// exhaustedRetryAfter is the retry delay of a request for which no memory is free.
+const exhaustedRetryAfter = time.Second
+
+// createTasks reserves the memory of the tasks and creates them. It creates none if they
+// are more than a configuration allows, and leaves the refusal to the dispatcher, which
+// records it. A job that was sent before is an exception: an earlier attempt may have
+// been accepted under another configuration, and only the whole job identifies it.
+func (c *Caller) createTasks(req *Request, held *reservation) *job.Answer {
+	s := req.Submission
+	sentBefore := s.CallerID && s.Attempt != 1
+	if req.TaskCount > c.limits().MaxJobTasks && !sentBefore {
+		s.ExcessTasks = req.TaskCount
+		return nil
+	}
+	bytes := int64(req.TaskCount)*taskBytes + req.PayloadBytes
+	if !held.resize(bytes) {
+		return c.refuseMemory(s.ID, bytes, !sentBefore)
+	}
+	tasks, err := req.CreateTasks()
+	if err != nil {
+		refused := job.Refuse("", job.Malformed, err.Error(), 0)
+		return &refused
+	}
+	s.Tasks = tasks
+	s.Digest = s.ContentDigest()
+	return nil
+}
+
+// limits returns the limits of the configuration in effect.
+func (c *Caller) limits() config.Limits {
+	if file := c.Config.Current(); file != nil {
+		return file.Limits
+	}
+	return config.Limits{MaxJobTasks: config.DefaultMaxJobTasks, MaxJobBytes: config.DefaultMaxJobBytes}
+}
+
+// refuseMemory refuses a request for which bytes of memory can't be reserved.
+func (c *Caller) refuseMemory(id job.ID, bytes int64, notRun bool) *job.Answer {
+	a := job.Refuse(id, job.Overloaded, "the memory for submissions is exhausted", exhaustedRetryAfter)
+	if !c.Memory.Fits(bytes) {
+		a = job.Refuse(id, job.TooLarge, fmt.Sprintf("the job takes %d bytes of memory, more than this entry has for all submissions", bytes), 0)
+	}
+	if !notRun {
+		a.Run = job.MayHaveRun
+	}
+	return &a
+}
--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -20,7 +20,7 @@
 // Caller returns the handler of submissions, for servers that offer callers other
 // protocols.
 func (e *Entry) Caller() *api.Caller {
-	return &api.Caller{Dispatcher: e, Config: e.config, Memory: e.memory}
+	return &api.Caller{Dispatcher: e, Config: e.config, Memory: e.memory, Refused: e.RecordRefusal}
 }
 
 // RecordRefusal records a refusal by another server of this entry.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -314,7 +314,8 @@
 	var g run.Group
 	e.events.Record(timeline.Event{Kind: timeline.EntryStarted})
 	e.log.Info("entry serving", "callers", e.opts.Settings.CallerAddr, "peers", e.opts.Settings.PeerAddr, "incarnation", e.self.Incarnation, "version", version())
-	caller := &api.Caller{Dispatcher: e, Config: e.config, Targets: api.Targets(e.targets), Memory: e.memory}
+	caller := e.Caller()
+	caller.Targets = api.Targets(e.targets)
 	listen := e.opts.Listeners
 	if listen.Caller != nil {
 		e.addActor(&g, func(ctx context.Context) error {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -151,9 +151,12 @@
 	Service  string
 	// Attempt is the number of the caller's attempt with this id, or
 	// AttemptUnknown if the caller did not state it.
-	Attempt  int
-	Tasks    []TaskSpec
-	Received time.Time
+	Attempt int
+	Tasks   []TaskSpec
+	// ExcessTasks is the number of tasks if they are more than the configuration allows
+	// and were therefore not created; Tasks is empty then. It is zero otherwise.
+	ExcessTasks int
+	Received    time.Time
 	// Deadline is the time after which the answer is useless; zero means none.
 	Deadline time.Time
 	// Single marks an opaque request of the /v1/services path: one task whose
@@ -193,6 +196,9 @@
 	return d
 }
 
+// TaskCount returns how many tasks the caller sent.
+func (s *Submission) TaskCount() int { return max(len(s.Tasks), s.ExcessTasks) }
+
 // Bytes returns the payload bytes of the submission.
 func (s *Submission) Bytes() int {
 	n := 0
--- a/internal/pipeline/check.go
+++ b/internal/pipeline/check.go
@@ -40,7 +40,7 @@
 // Process implements Stage.
 func (c *Check) Process(ctx context.Context, f *Flow, next Next) job.Answer {
 	s := f.Submission
-	c.Events.Record(timeline.Event{Kind: timeline.SubmissionReceived, Submission: s.ID, Count: len(s.Tasks), Cause: s.Service})
+	c.Events.Record(timeline.Event{Kind: timeline.SubmissionReceived, Submission: s.ID, Count: s.TaskCount(), Cause: s.Service})
 	if refusal, ok := c.check(f); !ok {
 		if s.CallerID && s.Attempt != 1 {
 			f.Refusal = &refusal
@@ -68,11 +68,11 @@
 	if _, ok := file.Team(s.Team); !ok {
 		return job.Refuse(s.ID, job.UnknownTeam, fmt.Sprintf("team %q is not in configuration %d", s.Team, file.Number), 0), false
 	}
-	if len(s.Tasks) == 0 {
+	if s.TaskCount() == 0 {
 		return job.Refuse(s.ID, job.Malformed, "a job needs at least one task", 0), false
 	}
-	if n := file.Limits.MaxJobTasks; len(s.Tasks) > n {
-		return job.Refuse(s.ID, job.TooManyTasks, fmt.Sprintf("%d tasks, at most %d", len(s.Tasks), n), 0), false
+	if n := file.Limits.MaxJobTasks; s.TaskCount() > n || s.ExcessTasks > 0 {
+		return job.Refuse(s.ID, job.TooManyTasks, fmt.Sprintf("%d tasks, at most %d", s.TaskCount(), n), 0), false
 	}
 	if n := file.Limits.MaxJobBytes; int64(s.Bytes()) > n {
 		return job.Refuse(s.ID, job.TooLarge, fmt.Sprintf("%d bytes, at most %d", s.Bytes(), n), 0), false
