Count the tasks of a job in its JSON before they are decoded

A body within the limit (16 MiB) that lists millions of empty tasks, three bytes each, is decoded whole before max_job_tasks is checked.

A decoded task takes about thirty times its three bytes, and growing the slice allocates several times that.

Changed: the first pass over the body only counts the elements of "tasks", also where the key stands twice; the tasks are decoded by a second pass into a slice of that size, once their number is allowed and their memory is reserved.

Ruled out: a streaming decoder that stops at the limit. A job sent again after the limit was lowered has to reach the registrar with its whole content.

After: less than six times the body is allocated, most of it by reading the body into growing buffers.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -226,21 +226,16 @@
 }
 
 func decodeJob(_ *http.Request, body []byte, now time.Time) (*Request, error) {
-	var req JobRequest
+	var req jobEnvelope
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "the body is not a job")
 	}
 	if req.Service == "" {
 		return nil, errors.New("service is missing")
 	}
-	if len(req.Tasks) == 0 {
+	if req.Tasks == 0 {
 		return nil, errors.New("tasks is missing or empty")
 	}
-	for i := range req.Tasks {
-		if err := checkTask(&req.Tasks[i]); err != nil {
-			return nil, errors.Annotatef(err, "task %d", i)
-		}
-	}
 	s := &job.Submission{
 		ID:       job.ID(req.ID),
 		Team:     req.Team,
@@ -253,9 +248,9 @@
 	}
 	return &Request{
 		Submission:   s,
-		TaskCount:    len(req.Tasks),
+		TaskCount:    int(req.Tasks),
 		PayloadBytes: int64(len(body)),
-		CreateTasks:  func() ([]job.TaskSpec, error) { return req.Tasks, nil },
+		CreateTasks:  func() ([]job.TaskSpec, error) { return createTasks(body, int(req.Tasks)) },
 	}, nil
 }
 
--- a/internal/api/request_test.go
+++ b/internal/api/request_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -52,6 +53,24 @@
 	return `{"service":"s",` + fields + `"tasks":[` + strings.TrimSuffix(strings.Repeat("{},", n), ",") + `]}`
 }
 
+// Guards against a job of millions of empty tasks, three bytes each, whose decoded tasks take
+// thirty times the memory of its body and end the process before their number is checked.
+func TestJobOfTooManyTasksIsRefusedBeforeItIsDecoded(t *testing.T) {
+	for _, repeated := range []string{"", `"tasks":[{}],`} {
+		c, _ := newCheckedCaller(config.Limits{MaxJobBytes: config.DefaultMaxJobBytes, MaxJobTasks: config.DefaultMaxJobTasks}, 256<<20)
+		body := jobOf(5_000_000, repeated)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		w := postJob(c, body)
+		runtime.ReadMemStats(&after)
+		qt.Assert(t, w.Code, qt.Equals, http.StatusRequestEntityTooLarge, qt.Commentf("%s", w.Body))
+		qt.Assert(t, w.Header().Get(HeaderRun), qt.Equals, "not-run")
+		allocated := after.TotalAlloc - before.TotalAlloc
+		qt.Assert(t, allocated < 6*uint64(len(body)), qt.IsTrue, qt.Commentf("%d MB allocated for a body of %d MB", allocated>>20, len(body)>>20))
+		qt.Assert(t, c.Memory.Used(), qt.Equals, int64(0))
+	}
+}
+
 // Guards against jobs of many small tasks that take far more memory than their bodies: only
 // the bodies were reserved, so any number of such jobs was in progress at once.
 func TestTasksShareTheMemoryForSubmissions(t *testing.T) {
@@ -112,3 +131,18 @@
 	qt.Assert(t, got.Tasks, qt.HasLen, 3)
 	qt.Assert(t, got.Digest, qt.Equals, got.ContentDigest())
 }
+
+func TestCountElements(t *testing.T) {
+	for raw, want := range map[string]int{
+		`null`: 0, `[]`: 0, "[ \n]": 0, `[{}]`: 1, `[[]]`: 1, `[[],[]]`: 2, `[""]`: 1,
+		`[{"a":[1,2],"b":"],["}, 3]`: 2, `["\",", "\\", ","]`: 3, `[1,2,3]`: 3,
+	} {
+		n, err := CountElements([]byte(raw))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, n, qt.Equals, want, qt.Commentf("%s", raw))
+	}
+	for _, raw := range []string{`{}`, `"x"`, `7`, `true`} {
+		_, err := CountElements([]byte(raw))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", raw))
+	}
+}
