Bound the memory of submissions by what the VM has, and reserve bodies as they arrive

Callers saw: an edge VM ends, with all the jobs that it has accepted, while callers send large bodies and stop before their end.

Cause: the budget for submissions was 512 MB whatever the VM had (144 to 424 MB on the deployments in use), so the process was killed before anything was refused for its memory. A body was also reserved as announced: with a smaller budget some dozens of callers that announce large bodies and send nothing would keep everybody else out.

Ruled out: reserving more for each body within the old budget. The budget is the part that was wrong; a body holds what has arrived of it.

A body's buffers are reserved before they are allocated, twice, since what is decoded from it is held beside it. A job that needs more than the whole budget is refused as too large, not told to return. The start line names both figures, a metric gives the limit.

--- a/cmd/vanillagrade/entry.go
+++ b/cmd/vanillagrade/entry.go
@@ -29,6 +29,7 @@
 
 	Processors float64 `arg:"--processors,env:VANILLAGRADE_PROCESSORS" placeholder:"N" help:"number of processors of this VM that the entry may use, possibly a fraction; bounds how many targets it holds"`
 	LinkMbps   float64 `arg:"--link-mbps,env:VANILLAGRADE_LINK_MBPS" placeholder:"N" help:"rate of this VM's link in megabits per second; bounds how many targets it holds"`
+	MemoryMB   int64   `arg:"--memory-mb,env:VANILLAGRADE_MEMORY_MB" placeholder:"N" help:"memory that the entry may use, in MiB; all of the machine's if unset"`
 }
 
 // settings returns the settings after checking them.
@@ -44,6 +45,7 @@
 		Voters:       settings.ParseNames(c.Voters),
 		Processors:   c.Processors,
 		LinkMbps:     c.LinkMbps,
+		MemoryBytes:  c.MemoryMB << 20,
 	}
 	peers, err := settings.ParsePeers(c.Peers)
 	if err != nil {
@@ -69,6 +71,7 @@
 	}
 	lines := setLimitedLog(ctx, stdout)
 	defer lines.Close()
+	limitHeap(s)
 	options := entry.Options{Settings: *s, Log: slog.Default(), LogEvents: true}
 	if s.MetricsAddr != "" {
 		l, err := net.Listen("tcp", s.MetricsAddr)
--- a/cmd/vanillagrade/platform.go
+++ b/cmd/vanillagrade/platform.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
+	limitHeap(&options.Settings)
 	runtime.GOMAXPROCS(options.Settings.Threads(runtime.GOMAXPROCS(0)))
 	lastIncarnation := discovery.LastIncarnation(ctx, seeds.list(), nil, options.Settings.Name)
 	options.Suspended = vmclock.Suspended()
--- a/internal/api/budget.go
+++ b/internal/api/budget.go
@@ -29,8 +29,8 @@
 // Used returns the number of reserved bytes.
 func (b *ByteBudget) Used() int64 { return b.used.Load() }
 
-// Fits reports whether n bytes could be reserved if nothing else were.
-func (b *ByteBudget) Fits(n int64) bool { return n <= b.limit }
+// Limit returns the number of bytes that can be reserved at once.
+func (b *ByteBudget) Limit() int64 { return b.limit }
 
 // reservation is the part of a budget that one request holds. Only the goroutine of the
 // request uses it.
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -192,16 +192,11 @@
 	if r.ContentLength > limit {
 		return nil, refuse(job.TooLarge, "the body is larger than the configuration allows")
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !held.resize(reserved) {
-		return nil, c.refuseMemory("", reserved, true)
-	}
-	body, err := readBodyInTime(w, r, limit)
+	body, err := readBodyInTime(w, r, limit, held)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemoryExhausted):
+		return nil, c.refuseMemory("", bodyFactor*max(0, r.ContentLength), true)
 	case errors.As(err, &tooLarge):
 		return nil, refuse(job.TooLarge, "the body is larger than the configuration allows")
 	case err != nil:
@@ -214,10 +209,10 @@
 // only after a complete body. After an incomplete one, the server goes on reading
 // in order to reuse the connection, and without a deadline it would wait forever
 // for a caller that sends nothing more.
-func readBodyInTime(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func readBodyInTime(w http.ResponseWriter, r *http.Request, limit int64, held *reservation) ([]byte, error) {
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readReserved(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, held)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/api/request.go
+++ b/internal/api/request.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,7 +20,7 @@
 	Submission *job.Submission
 	// TaskCount is the number of tasks that the request describes.
 	TaskCount int
-	// PayloadBytes bounds the bytes that the payloads of all tasks take together.
+	// PayloadBytes bounds the bytes that the payloads of all tasks take in messages.
 	PayloadBytes int64
 	// CreateTasks returns the tasks. An error means that the request is malformed.
 	CreateTasks func() ([]job.TaskSpec, error)
@@ -57,6 +58,49 @@
 	return nil
 }
 
+const (
+	// firstBuffer is the size of the first buffer for a body, in bytes. Larger ones are
+	// allocated as the body arrives, so that a caller that announces a large body and
+	// sends nothing holds little memory.
+	firstBuffer = 4 << 10
+	// bodyFactor times the buffer of a body is reserved until it is decoded: the decoded
+	// strings are held beside it.
+	bodyFactor = 2
+)
+
+// errMemoryExhausted means that the budget has no room for the rest of a body.
+const errMemoryExhausted = errors.ConstError("no memory is free for the body")
+
+// readReserved reads a whole body and reserves the memory of each buffer before it is
+// allocated. length is the announced length, or negative.
+func readReserved(r io.Reader, length int64, held *reservation) ([]byte, error) {
+	size := int64(firstBuffer)
+	if length >= 0 && length < size {
+		size = length + 1 // the last byte is for reading the end
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if !held.resize(bodyFactor * size) {
+				return nil, errMemoryExhausted
+			}
+			body = append(make([]byte, 0, size), body...)
+			size *= 2
+			if length >= int64(cap(body)) {
+				size = min(size, length+1)
+			}
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // limits returns the limits of the configuration in effect.
 func (c *Caller) limits() config.Limits {
 	if file := c.Config.Current(); file != nil {
@@ -68,7 +112,7 @@
 // refuseMemory refuses a request for which bytes of memory can't be reserved.
 func (c *Caller) refuseMemory(id job.ID, bytes int64, notRun bool) *job.Answer {
 	a := job.Refuse(id, job.Overloaded, "the memory for submissions is exhausted", exhaustedRetryAfter)
-	if !c.Memory.Fits(bytes) {
+	if bytes > c.Memory.Limit() {
 		a = job.Refuse(id, job.TooLarge, fmt.Sprintf("the job takes %d bytes of memory, more than this entry has for all submissions", bytes), 0)
 	}
 	if !notRun {
--- a/internal/api/request_test.go
+++ b/internal/api/request_test.go
@@ -66,7 +66,7 @@
 		qt.Assert(t, w.Code, qt.Equals, http.StatusRequestEntityTooLarge, qt.Commentf("%s", w.Body))
 		qt.Assert(t, w.Header().Get(HeaderRun), qt.Equals, "not-run")
 		allocated := after.TotalAlloc - before.TotalAlloc
-		qt.Assert(t, allocated < 6*uint64(len(body)), qt.IsTrue, qt.Commentf("%d MB allocated for a body of %d MB", allocated>>20, len(body)>>20))
+		qt.Assert(t, allocated < 4*uint64(len(body)), qt.IsTrue, qt.Commentf("%d MB allocated for a body of %d MB", allocated>>20, len(body)>>20))
 		qt.Assert(t, c.Memory.Used(), qt.Equals, int64(0))
 	}
 }
@@ -146,3 +146,24 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", raw))
 	}
 }
+
+// Guards against reserving for what a caller announces: many connections that announce large
+// bodies and send nothing would take the memory of all others.
+func TestBodyIsReservedAsItArrives(t *testing.T) {
+	const sent = 100 << 10
+	budget := NewByteBudget(1 << 20)
+	held := &reservation{budget: budget}
+	body, err := readReserved(strings.NewReader(strings.Repeat("x", sent)), 64<<20, held)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.HasLen, sent)
+	qt.Assert(t, budget.Used() >= bodyFactor*sent, qt.IsTrue)
+	for _, length := range []int64{-1, sent, sent - 1, 0} {
+		held.release()
+		body, err = readReserved(strings.NewReader(strings.Repeat("x", sent)), length, held)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.HasLen, sent)
+	}
+	_, err = readReserved(strings.NewReader(strings.Repeat("x", 1<<20)), -1, held)
+	qt.Assert(t, err, qt.ErrorIs, errMemoryExhausted)
+	qt.Assert(t, budget.Used() <= 1<<20, qt.IsTrue)
+}
--- a/internal/entry/attach.go
+++ b/internal/entry/attach.go
@@ -74,6 +74,7 @@
 	m.Gauge("vanillagrade_configuration_number", func() float64 { return float64(e.Configuration()) })
 	m.Gauge("vanillagrade_zones_cordoned", func() float64 { return float64(len(e.CordonedZones())) })
 	m.Gauge("vanillagrade_body_bytes", func() float64 { return float64(e.memory.Used()) })
+	m.Gauge("vanillagrade_body_bytes_limit", func() float64 { return float64(e.memory.Limit()) })
 	m.Gauge("vanillagrade_targets_held", func() float64 { return float64(len(e.targets.registry.Held())) })
 	m.Gauge("vanillagrade_targets_remembered", func() float64 { return float64(e.inventory.count()) })
 	if e.inventory != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/vanillagrade/vanillagrade/internal/metrics"
 	"github.com/vanillagrade/vanillagrade/internal/peer"
 	"github.com/vanillagrade/vanillagrade/internal/pipeline"
+	"github.com/vanillagrade/vanillagrade/internal/policy/memory"
 	"github.com/vanillagrade/vanillagrade/internal/register"
 	"github.com/vanillagrade/vanillagrade/internal/registrar"
 	"github.com/vanillagrade/vanillagrade/internal/runs"
@@ -161,10 +162,6 @@
 	killOnce sync.Once
 }
 
-// maxBodyBytes bounds the bytes of submissions that one entry holds in memory: half
-// of a small entry VM's 1 GiB. Payloads are held once, as received.
-const maxBodyBytes = 512 << 20
-
 // DefaultLingerPeriod is how long a stopping entry keeps its listener and its
 // connections. A caller that reuses a connection may write its next request while
 // the entry closes the connection, and can't know whether the entry read it. While
@@ -201,7 +198,7 @@
 		log:     o.Log.With("entry", self.Entry, "availability_zone", self.Zone),
 		clock:   timeline.NewClock(time.Now),
 		vmClock: vmclock.Clock{Suspended: o.Suspended},
-		memory:  api.NewByteBudget(maxBodyBytes),
+		memory:  api.NewByteBudget(memory.Share(o.Settings.Memory()).Submissions),
 
 		stopping:     make(chan struct{}),
 		started:      time.Now(),
@@ -313,7 +310,8 @@
 func (e *Entry) Run(ctx context.Context) error {
 	var g run.Group
 	e.events.Record(timeline.Event{Kind: timeline.EntryStarted})
-	e.log.Info("entry serving", "callers", e.opts.Settings.CallerAddr, "peers", e.opts.Settings.PeerAddr, "incarnation", e.self.Incarnation, "version", version())
+	e.log.Info("entry serving", "callers", e.opts.Settings.CallerAddr, "peers", e.opts.Settings.PeerAddr, "incarnation", e.self.Incarnation, "version", version(),
+		"memory_bytes", e.opts.Settings.Memory(), "submission_bytes", e.memory.Limit())
 	caller := e.Caller()
 	caller.Targets = api.Targets(e.targets)
 	listen := e.opts.Listeners
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/vmmemory"
 )
 
 // Peer is one entry listed in the settings.
@@ -64,6 +65,8 @@
 	// of one. LinkMbps is the rate of its link in megabits per second. Zero means unknown.
 	Processors float64
 	LinkMbps   float64
+	// MemoryBytes is the memory that this process may use; zero means that of the machine.
+	MemoryBytes int64
 }
 
 // Threads returns how many threads may run at once if the machine has the given number of
@@ -146,6 +149,9 @@
 	if e.Processors < 0 || e.LinkMbps < 0 {
 		return errors.Errorf("--processors %g, --link-mbps %g: neither may be negative", e.Processors, e.LinkMbps)
 	}
+	if e.MemoryBytes < 0 {
+		return errors.New("--memory-mb must not be negative")
+	}
 	if err := e.checkPeers(); err != nil {
 		return err
 	}
@@ -235,3 +241,11 @@
 	}
 	return strings.TrimSpace(string(content)), nil
 }
+
+// Memory returns the memory that this process may use, in bytes, or zero if it is unknown.
+func (e *Entry) Memory() int64 {
+	if e.MemoryBytes > 0 {
+		return e.MemoryBytes
+	}
+	return vmmemory.Total()
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,7 @@
 		{"unknown voter", func(e *Entry) { e.Voters = []job.EntryID{"x"} }, `voter "x" is not among --peers`},
 		{"even voters", func(e *Entry) { e.Peers = peers("b1"); e.Voters = []job.EntryID{"a1", "b1"}; e.DataDir = "d" }, "2 voters.*"},
 		{"voter without disk", func(e *Entry) { e.Voters = []job.EntryID{"a1"} }, "a voter needs --data"},
+		{"negative memory", func(e *Entry) { e.MemoryBytes = -1 }, "--memory-mb must not be negative"},
 		{"open peers", func(e *Entry) { e.PeerAddr = "10.0.0.1:2" }, ".*VANILLAGRADE_PEER_SECRET.*"},
 		{"open operators", func(e *Entry) { e.OperatorAddr = "10.0.0.1:2" }, ".*VANILLAGRADE_OPERATOR_TOKEN.*"},
 		{"zone clash", func(e *Entry) { e.Peers = []Peer{{Entry: "a1", Zone: "b", Address: "127.0.0.1:9"}} }, "--az says.*"},
--- /dev/null
+++ b/internal/vmmemory/doc.go
@@ -0,0 +1,2 @@
+// Package vmmemory reads how much memory the machine has.
+package vmmemory
