Bound the bytes of ids and kinds that callers choose

Callers saw: an entry that ends, with all the jobs that it has accepted, after some thousand requests whose path ends in an id of several kilobytes. No such request needs to be valid.

Cause: events, logs and estimates bound how many ids and kinds they keep, but not how long these are. The platform's path took an id of any length (16 KB of headers are read), also for requests that are refused before a route is known; the product's interface took a kind of any length and keeps the run times of 4,096 kinds.

Ruled out: bounding the ring by bytes. An id beyond 200 bytes has no use, and the product's interface refuses it already.

Changed: ids over 200 bytes are refused on every path, and the record of such a refusal, or of one before the id is looked at, has its first 200 bytes; kinds over 200 bytes are refused as malformed.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -18,8 +18,6 @@
 
 // Limits on a caller's request that do not depend on the configuration.
 const (
-	// maxIDBytes bounds the id that a caller chooses: registrars keep it in memory.
-	maxIDBytes = 200
 	// maxEnvelopeBytes is allowed in addition to the payloads of a job, for JSON
 	// keys, task kinds and punctuation.
 	maxEnvelopeBytes = 1 << 20
@@ -127,7 +125,7 @@
 	}
 	if refusal != nil {
 		if refusal.ID == "" {
-			refusal.ID = id
+			refusal.ID = id.Truncated()
 		}
 		if c.Refused != nil {
 			c.Refused(*refusal)
@@ -174,6 +172,9 @@
 		return nil, refusal
 	}
 	req, err := decode(r, body, time.Now())
+	if err == nil {
+		err = req.Submission.ID.Check()
+	}
 	if err != nil {
 		refused := job.Refuse("", job.Malformed, err.Error(), 0)
 		return nil, &refused
@@ -253,6 +254,9 @@
 	if t.RunMillis < 0 || t.Processors < 0 || t.MemoryMB < 0 || t.Accelerators < 0 {
 		return errors.New("a negative size or run time")
 	}
+	if err := t.CheckKind(); err != nil {
+		return err
+	}
 	if len(t.Payload) == 0 {
 		t.Payload = json.RawMessage("null")
 	}
@@ -280,6 +284,9 @@
 		return nil, err
 	}
 	task := job.TaskSpec{Kind: mediaKind(r), Payload: body}
+	if err := task.CheckKind(); err != nil {
+		return nil, err
+	}
 	return &Request{
 		Submission:   s,
 		TaskCount:    1,
@@ -322,8 +329,8 @@
 	if deadlineMS > 0 {
 		s.Deadline = s.Received.Add(time.Duration(deadlineMS) * time.Millisecond)
 	}
-	if len(s.ID) > maxIDBytes {
-		return errors.Errorf("the id is longer than %d bytes", maxIDBytes)
+	if err := s.ID.Check(); err != nil {
+		return err
 	}
 	s.CallerID = s.ID != ""
 	if !s.CallerID {
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -106,7 +106,7 @@
 		return
 	}
 	changeID := strings.TrimSpace(r.Header.Get(HeaderChangeID))
-	if changeID == "" || len(changeID) > maxIDBytes {
+	if changeID == "" || len(changeID) > job.MaxIDBytes {
 		writeJSON(w, http.StatusBadRequest, problem{Error: "header " + HeaderChangeID + " is missing or too long: it makes it safe to send a change again"})
 		return
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -12,6 +12,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"reflect"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,31 @@
 // ID identifies a submission. The caller chooses it, or the entry generates one.
 type ID string
 
+const (
+	// MaxIDBytes bounds an ID. Registrars, events and logs keep ids, and bound their number.
+	MaxIDBytes = 200
+	// MaxKindBytes bounds the kind of a task. Run times are kept by kind, and the number of
+	// kinds is bounded.
+	MaxKindBytes = 200
+)
+
+// Truncated returns the id, or its first MaxIDBytes bytes, for the record of a submission
+// that is refused because its id is too long.
+func (id ID) Truncated() ID {
+	if len(id) <= MaxIDBytes {
+		return id
+	}
+	return ID(strings.Clone(string(id[:MaxIDBytes])))
+}
+
+// Check returns an error if the id is too long.
+func (id ID) Check() error {
+	if len(id) > MaxIDBytes {
+		return errors.Errorf("the id is longer than %d bytes", MaxIDBytes)
+	}
+	return nil
+}
+
 // EntryID is the configured name of an entry.
 type EntryID string
 
@@ -63,6 +89,14 @@
 	MilliProcessors int `json:"milli_processors,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
+// CheckKind returns an error if the kind is too long.
+func (t *TaskSpec) CheckKind() error {
+	if len(t.Kind) > MaxKindBytes {
+		return errors.Errorf("the kind is longer than %d bytes", MaxKindBytes)
+	}
+	return nil
+}
+
 // Equal reports whether two specifications are equal.
 func (t *TaskSpec) Equal(other *TaskSpec) bool {
 	if !bytes.Equal(t.Payload, other.Payload) {
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -49,7 +49,7 @@
 // the caller.
 func (r *Record) RecordRefusal(a job.Answer) {
 	r.count(&a)
-	r.Events.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Submission: a.ID, Reason: a.Reason, Cause: summary(&a)})
+	r.Events.Record(timeline.Event{Kind: timeline.SubmissionAnswered, Submission: a.ID.Truncated(), Reason: a.Reason, Cause: summary(&a)})
 }
 
 // ideal returns the declared run time of the longest task.
--- a/internal/pipeline/record_test.go
+++ b/internal/pipeline/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +48,13 @@
 		})
 	}
 }
+
+// Guards against refusals that fill the memory: the number of recorded events is bounded, and each
+// kept an id of any length.
+func TestRefusalKeepsAShortID(t *testing.T) {
+	kept := &recordedEvents{}
+	r := &Record{Events: kept}
+	r.RecordRefusal(job.Refuse(job.ID(strings.Repeat("i", 16<<10)), job.UnknownService, "", 0))
+	qt.Assert(t, kept.all, qt.HasLen, 1)
+	qt.Assert(t, kept.all[0].Submission, qt.Equals, job.ID(strings.Repeat("i", job.MaxIDBytes)))
+}
