Answer a read only by promises that were asked for after it arrived

Operators saw: a voter that was frozen for 4.2 s answers a read with 200 and the version from before the freeze, more than 2 s after a newer one was acknowledged.

Cause: nextCommand answered everything in the queue once an attempt had its promises. They prove that nothing newer existed when the attempt began. While one of them is on its way, another proposer's change can be chosen and acknowledged, and a read that arrives after that joins the same attempt.

Changed: a request that arrives during an attempt is answered by the next one, unless it needs a new value. The same for conflicts and outcomes of changes of voters and cordons. The next attempt begins at once and serves all that wait.

--- a/internal/consensus/learner.go
+++ b/internal/consensus/learner.go
@@ -55,7 +55,7 @@
 	t.Chosen = v
 	t.Promised, t.Accepted = Ballot{}, nil
 	t.dirty = true
-	t.Attempt = nil
+	t.endAttempt()
 	queue := make([]Request, 0, len(t.Queue))
 	for _, r := range t.Queue {
 		if r.Command.Kind == Configure {
--- a/internal/consensus/proposer.go
+++ b/internal/consensus/proposer.go
@@ -19,6 +19,7 @@
 			return
 		}
 	}
+	r.MissedPrepare = t.Attempt != nil
 	t.Queue = append(slices.Clone(t.Queue), r)
 	t.startAttempt(false)
 }
@@ -149,7 +150,9 @@
 	}
 	command, ok := t.chooseCommand(&a)
 	if !ok {
-		t.Attempt = nil
+		if t.endAttempt() {
+			t.startAttempt(false)
+		}
 		return
 	}
 	a.Phase, a.Command = accepting, command
@@ -181,8 +184,12 @@
 }
 
 // nextCommand answers the requests that need no new value and returns the command
-// of the first request that does. The quorum has just confirmed that no value
-// newer than Chosen exists.
+// of the first request that does. The promises of the attempt prove that no value
+// newer than Chosen existed when the attempt began, and no more: a voter may have
+// promised, then accepted and chosen a newer value with another proposer, before its
+// promise arrived here. A request that arrived after the attempt began could get an
+// answer that was outdated before it was sent, so it waits for the next attempt unless
+// it needs a new value, which only the voters' acceptance can make chosen.
 func (t *step) nextCommand() (Command, bool) {
 	var rest []Request
 	var command Command
@@ -197,6 +204,8 @@
 		case propose:
 			found, command, r.Proposed = true, r.Command, true
 			rest = append(rest, r)
+		case r.MissedPrepare:
+			rest = append(rest, r)
 		case r.Command.ChangesVoters() && o.Kind == Accepted:
 			t.awaitReplication(r)
 		default:
@@ -245,5 +254,20 @@
 		return
 	}
 	t.Round = max(t.Round, m.Ballot.Round)
+	t.endAttempt()
+}
+
+// endAttempt ends the attempt in progress. It reports whether requests have arrived too
+// late for its promises.
+func (t *step) endAttempt() (missed bool) {
 	t.Attempt = nil
+	queue := slices.Clone(t.Queue)
+	for i := range queue {
+		missed = missed || queue[i].MissedPrepare
+		queue[i].MissedPrepare = false
+	}
+	if missed {
+		t.Queue = queue
+	}
+	return missed
 }
--- a/internal/consensus/state.go
+++ b/internal/consensus/state.go
@@ -53,6 +53,9 @@
 	// Proposed is set once this node has proposed the command for the version
 	// being decided: from then on it may be chosen without this node.
 	Proposed bool
+	// MissedPrepare is set if the request arrived after the attempt in progress had asked
+	// for its promises. They may be older than the request.
+	MissedPrepare bool
 	// CaughtUp is the latest version that the new voter of a membership change
 	// has confirmed.
 	CaughtUp uint64
--- a/internal/explore/voters.go
+++ b/internal/explore/voters.go
@@ -90,7 +90,10 @@
 	Answers []answerRecord
 	// Submitted counts the submissions of each operator.
 	Submitted [maxOperators]uint8
-	Wrong     string
+	// NewestAtRead is the number of the newest chosen configuration when the operator last
+	// submitted a read.
+	NewestAtRead [maxOperators]uint64
+	Wrong        string
 }
 
 const maxOperators = 4
@@ -100,6 +103,9 @@
 	Outcome  consensus.Outcome
 	// Submitted is how often the operator had submitted before the answer.
 	Submitted uint8
+	// NewestAtRead is the number of the newest chosen configuration when the answered
+	// read was submitted.
+	NewestAtRead uint64
 }
 
 // World is one state of the model.
--- a/internal/explore/voters_step.go
+++ b/internal/explore/voters_step.go
@@ -182,7 +182,11 @@
 	h := m.histories.values[w.history]
 	h.Answers = slices.Clone(h.Answers)
 	if input >= inputSubmit && input < inputAbandon {
-		h.Submitted[input-inputSubmit]++
+		o := input - inputSubmit
+		h.Submitted[o]++
+		if n := len(h.Chosen); n > 0 && m.Operators[o].Command.Kind == consensus.Read {
+			h.NewestAtRead[o] = h.Chosen[n-1].Change.Number
+		}
 	}
 	if e.wentBack {
 		h.fail("a disk reverted to an older version")
@@ -258,7 +262,7 @@
 
 // recordAnswer records an answer and checks it against the history so far.
 func (m *Voters) recordAnswer(w World, h *history, operator int, o consensus.Outcome) {
-	a := answerRecord{Operator: operator, Outcome: o, Submitted: h.Submitted[operator]}
+	a := answerRecord{Operator: operator, Outcome: o, Submitted: h.Submitted[operator], NewestAtRead: h.NewestAtRead[operator]}
 	if !slices.Contains(h.Answers, a) {
 		h.Answers = append(h.Answers, a)
 		slices.SortFunc(h.Answers, func(a, b answerRecord) int { return a.Operator - b.Operator })
@@ -273,6 +277,9 @@
 // checkAnswer compares one answer with the chosen values.
 func (h *history) checkAnswer(a answerRecord, operators []Operator) {
 	c := &operators[a.Operator].Command
+	if c.Kind == consensus.Read && a.Outcome.Kind == consensus.Accepted && a.Outcome.Change.Number < a.NewestAtRead {
+		h.fail("a read was answered with number %d, though %d had been chosen before it was submitted", a.Outcome.Change.Number, a.NewestAtRead)
+	}
 	if c.Kind != consensus.Configure {
 		return
 	}
--- a/internal/explore/voters_test.go
+++ b/internal/explore/voters_test.go
@@ -25,6 +25,11 @@
 	return Operator{Command: consensus.Command{Kind: consensus.Configure, Change: change, Body: body}, At: at}
 }
 
+// read returns an operator who reads the configuration.
+func read(at ...int) Operator {
+	return Operator{Command: consensus.Command{Kind: consensus.Read}, At: at}
+}
+
 func replace(old, updated job.EntryID, disk int, at ...int) Operator {
 	voter := consensus.Voter{Entry: updated, Identity: diskName(updated, disk)}
 	return Operator{Command: consensus.Command{Kind: consensus.Replace, Old: old, New: voter}, At: at}
@@ -107,6 +112,9 @@
 	{"a change resent to another voter", always, func() *Voters {
 		return three(1, configure("x", 2, 0, 2))
 	}, []string{"0: accepted"}},
+	{"two reads at one voter and a change at another", notUnderRace, func() *Voters {
+		return three(1, read(0), configure("x", 2, 1), read(0))
+	}, []string{"0: accepted", "1: accepted", "2: accepted"}},
 	{"a cordon sent again and its withdrawal, at one voter", notUnderRace, func() *Voters {
 		return three(1, cordon(true, 0, 0, 0), cordon(false, 2, 0))
 	}, []string{"0: accepted", "0: outdated", "1: accepted"}},
--- a/internal/register/bench_test.go
+++ b/internal/register/bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -172,3 +174,42 @@
 		})
 	}
 }
+
+// BenchmarkConfirm measures reads that a majority confirms, by eight readers at one voter, alone
+// and while changes are accepted at another.
+func BenchmarkConfirm(b *testing.B) {
+	for _, changing := range []bool{false, true} {
+		b.Run(fmt.Sprintf("changing=%t", changing), func(b *testing.B) {
+			f := newRealDiskFleet(b, 3, 4, 0)
+			done := make(chan struct{})
+			var changes atomic.Int64
+			var writer sync.WaitGroup
+			if changing {
+				writer.Go(func() {
+					for number := 2; ; number++ {
+						select {
+						case <-done:
+							return
+						default:
+						}
+						if _, err := f.apply("v2", fmt.Sprint(number), fileOf(number, "a")); err == nil {
+							changes.Add(1)
+						}
+					}
+				})
+			}
+			b.SetParallelism(8)
+			start := time.Now()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					_, _ = f.nodes["v1"].Confirm(b.Context())
+				}
+			})
+			took := time.Since(start).Seconds()
+			close(done)
+			writer.Wait()
+			b.ReportMetric(float64(b.N)/took, "reads/s")
+			b.ReportMetric(float64(changes.Load())/took, "changes/s")
+		})
+	}
+}
