Move the counting of JSON elements into a package of its own

Cause: three decoders use it, and two of them have nothing to do with the callers' API in which it stood.

Changed: internal/jsoncount; the decoder of a job's tasks has a name that differs from the step that reserves their memory. No behaviour differs.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -119,7 +119,7 @@
 	defer held.release()
 	s, refusal := c.readSubmission(w, r, held, decode)
 	if refusal == nil && s.Transient && HungUp(r) {
-		// Nobody reads this answer; it is only recorded.
+		// Nobody reads this answer, but it is recorded.
 		gone := job.Refuse("", job.CallerGone, "the caller hung up before its request was read", 0)
 		refusal = &gone
 	}
@@ -246,7 +246,7 @@
 		Submission:   s,
 		TaskCount:    int(req.Tasks),
 		PayloadBytes: int64(len(body)),
-		CreateTasks:  func() ([]job.TaskSpec, error) { return createTasks(body, int(req.Tasks)) },
+		CreateTasks:  func() ([]job.TaskSpec, error) { return decodeTasks(body, int(req.Tasks)) },
 	}, nil
 }
 
--- a/internal/api/request.go
+++ b/internal/api/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/vanillagrade/vanillagrade/internal/config"
 	"github.com/vanillagrade/vanillagrade/internal/job"
+	"github.com/vanillagrade/vanillagrade/internal/jsoncount"
 )
 
 // Request is a decoded request. Its tasks are created only once their number is allowed
@@ -121,59 +122,14 @@
 	return &a
 }
 
-// ElementCount is the number of elements of a JSON array. Decoding into it allocates
-// nothing. If the key of the array is repeated, the largest of the arrays counts.
-type ElementCount int
-
-// UnmarshalJSON implements json.Unmarshaler. raw is valid JSON.
-func (n *ElementCount) UnmarshalJSON(raw []byte) error {
-	count, err := CountElements(raw)
-	*n = max(*n, ElementCount(count))
-	return err
-}
-
-// CountElements returns the number of elements of a JSON array or null. raw must be valid
-// JSON.
-func CountElements(raw []byte) (int, error) {
-	if string(raw) == "null" {
-		return 0, nil
-	}
-	if len(raw) == 0 || raw[0] != '[' {
-		return 0, errors.New("not an array")
-	}
-	commas, depth, inString, empty := 0, 0, false, true
-	for i := 0; i < len(raw); i++ {
-		switch b := raw[i]; {
-		case inString && b == '\\':
-			i++ // the next byte is escaped
-		case b == '"':
-			inString, empty = !inString, false
-		case inString || b == ' ' || b == '\t' || b == '\r' || b == '\n':
-		case b == '[' || b == '{':
-			depth++
-			empty = empty && depth == 1
-		case b == ']' || b == '}':
-			depth--
-		case b == ',' && depth == 1:
-			commas++
-		default:
-			empty = false
-		}
-	}
-	if empty {
-		return 0, nil
-	}
-	return commas + 1, nil
-}
-
 // jobEnvelope is a JobRequest whose tasks are only counted.
 type jobEnvelope struct {
 	JobRequest
-	Tasks ElementCount `json:"tasks"`
+	Tasks jsoncount.Elements `json:"tasks"`
 }
 
-// createTasks decodes the tasks of a body that describes at most count of them.
-func createTasks(body []byte, count int) ([]job.TaskSpec, error) {
+// decodeTasks decodes the tasks of a body that describes at most count of them.
+func decodeTasks(body []byte, count int) ([]job.TaskSpec, error) {
 	req := JobRequest{Tasks: make([]job.TaskSpec, 0, count)}
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, errors.Annotate(err, "the body is not a job")
