Record the identities of new voters when a change of the voters takes effect

A voter that had not heard of an emptied disk by itself kept the identity of the lost one. Nothing wrong was carried out, as the change asks the disk for its identity first, but the turn order leaves out a voter that can act, and another change that is due waits meanwhile.

A set of voters that was agreed on is newer than what was recorded before it, so its new members are recorded when it takes effect. A disk that is emptied again before that reports itself anew.

--- a/internal/register/propagation.go
+++ b/internal/register/propagation.go
@@ -116,11 +116,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.setDisk(disk)
+	r.cordonKeepers[disk] = keepsCordons
+}
+
+// setDisk records which disk an entry has. The caller holds mu.
+func (r *Register) setDisk(disk consensus.Voter) {
 	if former := r.disks[disk.Entry]; former != disk.Identity {
 		delete(r.cordonKeepers, consensus.Voter{Entry: disk.Entry, Identity: former})
 	}
 	r.disks[disk.Entry] = disk.Identity
-	r.cordonKeepers[disk] = keepsCordons
 }
 
 func (r *Register) diskUsable() bool {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -269,6 +269,7 @@
 	if old != nil && old.Change == s.Change {
 		s.file, s.body, s.since = old.file, old.body, old.since
 		r.current.Store(s)
+		r.recordNewVoters(old, s)
 		r.reportCordons(old, s)
 		return
 	}
@@ -286,6 +287,7 @@
 		}
 	}
 	r.current.Store(s)
+	r.recordNewVoters(old, s)
 	r.reportCordons(old, s)
 	if s.file == nil || s.file == previous {
 		return
@@ -298,6 +300,21 @@
 	r.signalChange()
 }
 
+// recordNewVoters records the disks that became voters. An entry's own report of its disk may
+// have been lost; the disk that was recorded before is not the one that votes now.
+func (r *Register) recordNewVoters(old, updated *snapshot) {
+	if old == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range updated.Voters {
+		if !slices.Contains(old.Voters, v) {
+			r.setDisk(v)
+		}
+	}
+}
+
 // signalChange wakes those who wait for a change. The caller holds installing.
 func (r *Register) signalChange() {
 	close(r.changed)
