Report an emptied disk to all voters until the register lists it

Cause, first of three: only the voter that is first in turn repairs at once, and it learned of an emptied disk only by a pull between the two. An entry that comes back asks each voter once; if that request is lost, the next one between just these two is drawn by lot each 1 to 2 s, as messages of the consensus count as contact.

Ruled out: that the entry was not seen as alive (both list it as alive in the assessments), that the change itself is slow (0.05 to 0.3 s in the logs).

An entry that the register lists with another disk now reports its disk to all voters each 100 to 200 ms until it votes, and the identity in each message of the consensus is recorded. With that a lost report costs 0.2 s.

--- a/internal/register/node.go
+++ b/internal/register/node.go
@@ -72,6 +72,7 @@
 		return nil, errors.NotValidf("message from %s to %s over the link of %s", m.From.Entry, m.To, from.Entry)
 	}
 	r.recordContact(from.Entry)
+	r.recordSender(m.From)
 	r.step(consensus.Received{Message: m})
 	return nil, nil
 }
@@ -231,6 +232,17 @@
 	return r.idleTicks >= ticks
 }
 
+// recordSender records the disk that a message of the consensus names: it reveals a lost
+// disk as soon as its entry takes part again.
+func (r *Register) recordSender(disk consensus.Voter) {
+	if disk.Identity == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.setDisk(disk)
+}
+
 func (r *Register) recordContact(from job.EntryID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/register/propagation.go
+++ b/internal/register/propagation.go
@@ -205,15 +205,20 @@
 
 // probeLoop requests updates that no message has delivered: from voters without
 // recent contact, from one random voter each time, and, while there is no
-// configuration, from all entries in turn.
+// configuration, from all entries in turn. While this entry's disk has to become a
+// voter again, each request also tells the voters its identity.
 func (r *Register) probeLoop(ctx context.Context) {
 	for {
 		r.updateStaleness()
 		wait := probeInterval
-		if r.Current() == nil {
+		switch {
+		case r.Current() == nil:
 			wait = bootstrapInterval
 			r.probeNextEntry(ctx)
-		} else {
+		case r.lostVote():
+			wait = rejoinInterval
+			r.probeAllVoters(ctx)
+		default:
 			r.probeVoters(ctx)
 		}
 		if !sleep(ctx, jitter(wait)) {
@@ -231,6 +236,21 @@
 	r.startProbe(ctx, others[r.probeCount%len(others)])
 }
 
+// lostVote reports whether the register lists another disk as this entry's vote, and the
+// voters repair that without an operator. The other voters can't tell an emptied disk from
+// the listed one until this entry reports it.
+func (r *Register) lostVote() bool {
+	return r.opts.Repair != nil && r.diskUsable() && slices.Contains(r.voters(), r.self) && !r.isVoting()
+}
+
+func (r *Register) probeAllVoters(ctx context.Context) {
+	for _, v := range r.voters() {
+		if v != r.self {
+			r.startProbe(ctx, v)
+		}
+	}
+}
+
 func (r *Register) probeVoters(ctx context.Context) {
 	voters := r.voters()
 	if len(voters) == 0 {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -44,6 +44,10 @@
 	finishInterval = time.Second
 	// bootstrapInterval is the time between pulls while there is no configuration.
 	bootstrapInterval = 200 * time.Millisecond
+	// rejoinInterval is the time between the reports of an entry whose disk is not the one
+	// that the register lists. One lost report must not delay the repair of the voter set
+	// by much, and the reports end with it.
+	rejoinInterval = 200 * time.Millisecond
 	// staleAfter is how long a majority may be unreachable before an entry
 	// reports its configuration as stale: two probes and their answers.
 	staleAfter = 5 * time.Second
