Count the turn to repair the voters by their set, not by the configuration

While configurations come more often than each 1.5 s only the first voter in turn ever acted, and if it can't hear of the lost disk, nobody did.

The time now runs while a change of the same set of voters is due. The decision is policy/voters.Turn, without I/O.

Ruled out: a shorter turn, which two entries that act at once would pay with each repair, and which 0.9 s between configurations would still not let end.

TestLostDiskIsReplacedWhileConfigurationsChange has a voter that is first in turn and cut off from the emptied one.

--- a/internal/register/lostdisk_test.go
+++ b/internal/register/lostdisk_test.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// cutFromFirst cuts the link between the lost voter and the first of the others.
+func cutFromFirst(s *replacementSeries, lost job.EntryID, others []job.EntryID, on bool) {
+	s.net.SetPartitioned(lost, others[0], on)
+	s.net.SetPartitioned(others[0], lost, on)
+}
+
 // votersMatchDisks reports whether the entry lists exactly the disks of the running entries
 // as voters.
 func (s *replacementSeries) votersMatchDisks(at job.EntryID) bool {
@@ -186,7 +192,9 @@
 		disturb func(s *replacementSeries, lost job.EntryID, others []job.EntryID, on bool)
 	}{
 		{"one of three", 3, 4 * time.Second, syncTime, nil},
+		{"one of three, the first in turn does not hear it", 3, 4 * time.Second, syncTime, cutFromFirst},
 		{"one of five", 5, 6 * time.Second, syncTime, nil},
+		{"one of five, the first in turn does not hear it", 5, 6 * time.Second, syncTime, cutFromFirst},
 		{"one of five, the first in turn frozen", 5, 6 * time.Second, syncTime, freeze(0)},
 		{"one of five, the second in turn frozen", 5, 6 * time.Second, syncTime, freeze(1)},
 	}
--- a/internal/register/repair.go
+++ b/internal/register/repair.go
@@ -51,19 +51,12 @@
 type repairState struct {
 	// away holds, for each entry that is not alive, when it was first seen so.
 	away map[job.EntryID]time.Time
-	// due is the change that is due, dueAt the time since which it is due.
-	due   dueChange
-	dueAt time.Time
+	// turn decides when this entry carries out a change that is due.
+	turn voters.Turn
 	// assessment is the last logged assessment.
 	assessment assessment
 }
 
-// dueChange is a change of the voters of one version of the register.
-type dueChange struct {
-	version uint64
-	action  voters.Action
-}
-
 // repairLoop repairs the voter set. The first live voter in order carries out a change,
 // or the next one if the first can't. If two voters act on the same version, the change
 // happens once, since the register refuses the second one.
@@ -96,12 +89,8 @@
 	decision := voters.Plan(now, disks, r.opts.Repair.Want)
 	turnOrder := voters.Order(disks, &decision)
 	r.logAssessment(s, disks, decision, turnOrder)
-	due := dueChange{s.Version, decision.Action}
-	if due != r.repairState.due {
-		r.repairState.due, r.repairState.dueAt = due, now
-	}
-	turn := slices.Index(turnOrder, r.self)
-	if !decision.Due() || turn < 0 || now.Sub(r.repairState.dueAt) < time.Duration(turn)*voters.TurnTimeout {
+	place := slices.Index(turnOrder, r.self)
+	if !r.repairState.turn.Reached(now, s.Voters, decision.Due(), place) {
 		return false
 	}
 	return r.changeVoters(ctx, s.Version, decision.Action)
