Tie a change of the voters to their set, not to the version of the register

The version was compared so that two entries do not repair one loss twice; for that it is enough that the set of voters is still the same.

Field 9 of a command is not used any more. An earlier release ignores the new field 12, so between releases a forwarded addition can be carried out twice (one voter too many) and a replacement can't, as its old entry is gone.

After its change the entry now waits until the new voter is listed and not for any newer version, which could be a configuration.

TestVoterChangeFollowsOneSetOfVoters fails before (refused after a configuration).

--- a/internal/consensus/value.go
+++ b/internal/consensus/value.go
@@ -97,14 +97,16 @@
 	// Old and New are used by Replace; New also by Add.
 	Old job.EntryID `cbor:"7,keyasint,omitempty"`
 	New Voter       `cbor:"8,keyasint,omitempty"`
-	// Expect, if set, is the only version that the membership change may follow.
-	// The need for the change was assessed on that version, and two entries that
-	// repair the same fault must not do so twice.
-	Expect uint64 `cbor:"9,keyasint,omitempty"`
+	// Field 9 was the only version that a membership change may follow, in earlier releases.
+
 	// Cordon is used by SetCordon. Its Revision is the one that the change replaces.
 	Cordon Cordon `cbor:"10,keyasint,omitzero"`
 	// KeepsCordons is set in Replace and Add if the new voter keeps cordons.
 	KeepsCordons bool `cbor:"11,keyasint,omitempty"`
+	// ExpectVoters, if set, are the only voters that the membership change may follow.
+	// The need for the change was assessed on them, and two entries that repair the same
+	// fault must not do so twice. Configurations may be accepted in between.
+	ExpectVoters []Voter `cbor:"12,keyasint,omitempty"`
 }
 
 // ChangesVoters reports whether the command is a membership change.
@@ -124,7 +126,7 @@
 	Reused
 	// NotVoting means that the membership change does not apply: the entry to
 	// replace is no voter, the new entry already votes with another disk, or
-	// Expect is not the latest version.
+	// ExpectVoters are not the latest voters.
 	NotVoting
 	// Unavailable means that the change was not accepted and that this request
 	// will never lead to its acceptance.
@@ -227,8 +229,10 @@
 	return Outcome{}, true
 }
 
-// outdated reports whether a membership change expects a version other than v's.
-func (v *Value) outdated(c *Command) bool { return c.Expect != 0 && c.Expect != v.Version }
+// outdated reports whether a membership change expects voters other than v's.
+func (v *Value) outdated(c *Command) bool {
+	return c.ExpectVoters != nil && !slices.Equal(c.ExpectVoters, v.Voters)
+}
 
 func (v *Value) changeByID(id string) (Change, bool) {
 	for i := len(v.Recent) - 1; i >= 0; i-- {
--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -136,6 +136,25 @@
 	}
 }
 
+// Guards against a repair that is refused whenever a configuration is accepted in between, and
+// against one that two entries carry out.
+func TestVoterChangeFollowsOneSetOfVoters(t *testing.T) {
+	v := Value{Version: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	commands := []*Command{
+		{Kind: Replace, Old: "c", New: Voter{"c", "c#1"}, ExpectVoters: v.Voters},
+		{Kind: Add, New: Voter{"d", "d#0"}, ExpectVoters: v.Voters},
+	}
+	configured := v.Apply(configure("one", 1, "x"))
+	repaired := configured.Apply(&Command{Kind: Replace, Old: "b", New: Voter{"b", "b#1"}})
+	for _, c := range commands {
+		_, propose := configured.Decide(c)
+		qt.Check(t, propose, qt.IsTrue)
+		o, propose := repaired.Decide(c)
+		qt.Check(t, propose, qt.IsFalse)
+		qt.Check(t, o.Kind, qt.Equals, NotVoting)
+	}
+}
+
 // An operator replaces a voter by an unreachable entry. If that entry became a
 // voter at once, the fleet would rely on a copy that does not exist: the old voter
 // must stay until the new one has caught up.
--- a/internal/register/repair.go
+++ b/internal/register/repair.go
@@ -58,8 +58,8 @@
 }
 
 // repairLoop repairs the voter set. The first live voter in order carries out a change,
-// or the next one if the first can't. If two voters act on the same version, the change
-// happens once, since the register refuses the second one.
+// or the next one if the first can't. If two voters act on the same set, the change happens
+// once, since the register refuses the second one.
 func (r *Register) repairLoop(ctx context.Context) {
 	for {
 		for r.repairOnce(ctx) {
@@ -93,7 +93,7 @@
 	if !r.repairState.turn.Reached(now, s.Voters, decision.Due(), place) {
 		return false
 	}
-	return r.changeVoters(ctx, s.Version, decision.Action)
+	return r.changeVoters(ctx, s.Voters, decision.Action)
 }
 
 // TransferVote transfers this entry's vote to a spare disk, if there is one, before a
@@ -219,8 +219,8 @@
 	m.away = away
 }
 
-// changeVoters carries out one change of the voters and reports whether it succeeded.
-func (r *Register) changeVoters(ctx context.Context, version uint64, a voters.Action) bool {
+// changeVoters carries out one change of the given voters and reports whether it succeeded.
+func (r *Register) changeVoters(ctx context.Context, set []consensus.Voter, a voters.Action) bool {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	voter, err := r.identify(ctx, a.New)
@@ -229,7 +229,7 @@
 		return false
 	}
 	if err == nil {
-		c := consensus.Command{Kind: consensus.Replace, Old: a.Old, New: voter, Expect: version, KeepsCordons: r.keepsCordons(voter)}
+		c := consensus.Command{Kind: consensus.Replace, Old: a.Old, New: voter, ExpectVoters: set, KeepsCordons: r.keepsCordons(voter)}
 		if a.Old == "" {
 			c.Kind = consensus.Add
 		}
@@ -242,7 +242,7 @@
 		return false
 	}
 	r.logRepair(a, voter.Identity)
-	r.awaitVersion(ctx, version)
+	r.awaitVoter(ctx, voter)
 	return true
 }
 
@@ -261,11 +261,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.VotersChanged, Peer: a.New, Cause: describeChange(a), Took: took})
 }
 
-// awaitVersion waits until a version later than the given one is in effect here.
-func (r *Register) awaitVersion(ctx context.Context, version uint64) {
+// awaitVoter waits until a version that lists the new voter is in effect here.
+func (r *Register) awaitVoter(ctx context.Context, voter consensus.Voter) {
 	ctx, cancel := context.WithTimeout(ctx, repairVisibleTimeout)
 	defer cancel()
-	for r.currentVersion() <= version {
+	for !slices.Contains(r.current.Load().Voters, voter) {
 		if !sleep(ctx, installPollInterval) {
 			return
 		}
