Propose a change of the voters without waiting for the latest configuration

A disk whose sync takes longer than the time between two configurations never became a voter. The change also waited behind all configurations that were queued at the same voter.

The new voter now confirms the version at which the change was submitted, which shows that it is reachable and that its disk holds what it is given. It may miss later versions, as any voter may: it promises nothing for a version before it holds the one before that, and the change is answered only when the new voter and a majority hold the result.

TestVoterChangeIsProposedBesideConfigurations fails before.

--- a/internal/consensus/proposer.go
+++ b/internal/consensus/proposer.go
@@ -20,10 +20,26 @@
 		}
 	}
 	r.MissedPrepare = t.Attempt != nil
-	t.Queue = append(slices.Clone(t.Queue), r)
+	if !r.Command.ChangesVoters() {
+		t.Queue = append(slices.Clone(t.Queue), r)
+	} else {
+		r.CatchUpTo = max(t.Chosen.Version, 1)
+		t.Queue = insertVoterChange(t.Queue, r)
+	}
 	t.startAttempt(false)
 }
 
+// insertVoterChange returns the queue with a membership change added, before all other
+// requests: the set tolerates one loss less until it is chosen, and a queue of configurations
+// can take seconds.
+func insertVoterChange(queue []Request, r Request) []Request {
+	i := slices.IndexFunc(queue, func(q Request) bool { return !q.Command.ChangesVoters() })
+	if i < 0 {
+		i = len(queue)
+	}
+	return slices.Insert(slices.Clone(queue), i, r)
+}
+
 func (t *step) abandon(token Token) {
 	for i, r := range t.Queue {
 		if r.Token != token {
@@ -82,8 +98,12 @@
 	return found
 }
 
+// mustCatchUp reports whether the new voter of a membership change must still confirm a
+// version. Later versions than the one at its submission may be missing: a disk that is slower
+// than the changes would never hold the latest one, and it votes on a version only once it
+// holds the version before.
 func (t *step) mustCatchUp(r *Request) bool {
-	return r.Command.ChangesVoters() && r.CaughtUp < t.Chosen.Version && !t.Chosen.Votes(r.Command.New)
+	return r.Command.ChangesVoters() && r.CaughtUp < r.CatchUpTo && !t.Chosen.Votes(r.Command.New)
 }
 
 // resend sends the message of the current phase to all voters that have not
--- a/internal/consensus/state.go
+++ b/internal/consensus/state.go
@@ -57,8 +57,8 @@
 	// for its promises. They may be older than the request.
 	MissedPrepare bool
 	// CaughtUp is the latest version that the new voter of a membership change
-	// has confirmed.
-	CaughtUp uint64
+	// has confirmed. The change is proposed once that is CatchUpTo or later.
+	CaughtUp, CatchUpTo uint64
 }
 
 // attemptPhase is the Paxos phase of an attempt.
--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -178,3 +178,21 @@
 	_, out = Step(s, Received{Message{Kind: MsgLearned, From: spare, To: "a", Version: 4}})
 	qt.Assert(t, kinds(out), qt.DeepEquals, map[MessageKind]int{MsgPrepare: 3})
 }
+
+// Guards against a repair that never begins: each configuration that is accepted while the new
+// disk catches up would put it behind again.
+func TestVoterChangeIsProposedBesideConfigurations(t *testing.T) {
+	value := Value{Version: 4, Lineage: 1, Voters: []Voter{{"a", "a#0"}, {"b", "b#0"}, {"c", "c#0"}}}
+	emptied := Voter{"c", "c#1"}
+	s := Start(Record{Self: value.Voters[0], Chosen: value}, nil, 1)
+	s, _ = Step(s, Submit{Token: 1, Command: *configure("waiting", 9, "x")})
+	s, _ = Step(s, Submit{Token: 2, Command: Command{Kind: Replace, Old: "c", New: emptied, ExpectVoters: value.Voters}})
+	next := value.Apply(configure("other", 8, "y"))
+	s, _ = Step(s, Received{Message{Kind: MsgLearn, From: value.Voters[1], To: "a", Version: 5, Value: &next}})
+	s, _ = Step(s, Received{Message{Kind: MsgLearned, From: emptied, To: "a", Version: 4}})
+	for _, from := range value.Voters[:2] {
+		s, _ = Step(s, Received{Message{Kind: MsgPromise, From: from, To: "a", Version: 6, Ballot: s.Attempt.Ballot}})
+	}
+	qt.Assert(t, s.Attempt.Phase, qt.Equals, accepting)
+	qt.Assert(t, s.Attempt.Command.Kind, qt.Equals, Replace)
+}
--- a/internal/register/lostdisk_test.go
+++ b/internal/register/lostdisk_test.go
@@ -192,6 +192,7 @@
 		disturb func(s *replacementSeries, lost job.EntryID, others []job.EntryID, on bool)
 	}{
 		{"one of three", 3, 4 * time.Second, syncTime, nil},
+		{"one of three, its new disk slow", 3, 4 * time.Second, 30 * syncTime, nil},
 		{"one of three, the first in turn does not hear it", 3, 4 * time.Second, syncTime, cutFromFirst},
 		{"one of five", 5, 6 * time.Second, syncTime, nil},
 		{"one of five, the first in turn does not hear it", 5, 6 * time.Second, syncTime, cutFromFirst},
@@ -224,6 +225,7 @@
 						if c.disturb != nil {
 							c.disturb(s, lost, others, false)
 						}
+						s.nodes[lost].fs.Slow(syncTime)
 						time.Sleep(c.catchUp - took)
 					}
 					t.Logf("slowest repair %v", slowest)
