Fill the disk of an entry that follows a learner as soon as a voter asks it

Cause: two of the three ways in which it could learn of the voters' version did not work. A voter's pull names its version, which was compared with the version in effect and not with the one on the disk. That pull also counted as contact, so the entry asked a voter only by lot each 1 to 2 s, and the lot included the entry itself.

--- a/internal/register/propagation.go
+++ b/internal/register/propagation.go
@@ -185,7 +185,7 @@
 	}
 	r.recordContact(from.Entry)
 	r.recordDisk(consensus.Voter{Entry: from.Entry, Identity: req.Disk}, req.KeepsCordons)
-	if req.Version > r.currentVersion() {
+	if req.Version > r.durableVersion() {
 		r.startPull(from.Entry)
 	}
 	if req.Hint {
@@ -243,16 +243,19 @@
 	return r.opts.Repair != nil && r.diskUsable() && slices.Contains(r.voters(), r.self) && !r.isVoting()
 }
 
+// otherVoters returns the voters other than this entry.
+func (r *Register) otherVoters() []job.EntryID {
+	return slices.DeleteFunc(slices.Clone(r.voters()), func(v job.EntryID) bool { return v == r.self })
+}
+
 func (r *Register) probeAllVoters(ctx context.Context) {
-	for _, v := range r.voters() {
-		if v != r.self {
-			r.startProbe(ctx, v)
-		}
+	for _, v := range r.otherVoters() {
+		r.startProbe(ctx, v)
 	}
 }
 
 func (r *Register) probeVoters(ctx context.Context) {
-	voters := r.voters()
+	voters := r.otherVoters()
 	if len(voters) == 0 {
 		return
 	}
@@ -266,7 +269,7 @@
 		r.mu.Lock()
 		unresponsive := now.Sub(r.lastContact[v]) >= unresponsiveAfter
 		r.mu.Unlock()
-		if v != r.self && (unresponsive || v == picked) {
+		if unresponsive || v == picked {
 			r.startProbe(ctx, v)
 		}
 	}
@@ -281,9 +284,7 @@
 func (r *Register) probeRoundRobin(ctx context.Context, voters []job.EntryID) {
 	for range min(probesPerRound, len(voters)) {
 		r.probeCount++
-		if v := voters[r.probeCount%len(voters)]; v != r.self {
-			r.startProbe(ctx, v)
-		}
+		r.startProbe(ctx, voters[r.probeCount%len(voters)])
 	}
 }
 
