Report the loss of a majority of the voters' disks, and the way back

When more disks are lost than the voters bear, nothing repairs the set. Operators saw "voter set repair failed" each 1.7 s and 503, as while VMs are down for a moment, and no page said what to do.

The voters that are left now assess the set as voter_majority_lost, log an error with the names once, and show it in status. OPERATIONS.md has the steps to form the fleet anew; TestFleetIsFormedAnewAfterItsMajorityIsLost goes through them in virtual time (report, refused change, saved file, all stopped, first start, file applied again). They were not gone through with real processes.

--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -115,6 +115,9 @@
 	Healthy Reason = "healthy"
 	// DiskLost says that a voter returned with an empty disk.
 	DiskLost Reason = "voter_disk_lost"
+	// MajorityLost says that so many voters returned with empty disks that the others are no
+	// majority. They can't agree on a change of the voters, so nothing repairs the set.
+	MajorityLost Reason = "voter_majority_lost"
 	// VoterDead says that a voter is dead and that a spare disk replaces it.
 	VoterDead Reason = "voter_dead"
 	// VoterDraining says that a voter is about to stop as planned and that a spare disk
@@ -151,7 +154,11 @@
 	slices.SortFunc(disks, func(a, b Disk) int { return cmp.Compare(a.Entry, b.Entry) })
 	for _, d := range disks {
 		if d.Voter && d.Foreign && d.Liveness.running() {
-			return Decision{DiskLost, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
+			reason := DiskLost
+			if n := countVoters(disks); n-len(LostDisks(disks)) < n/2+1 {
+				reason = MajorityLost
+			}
+			return Decision{reason, d.Entry, Action{Old: d.Entry, New: d.Entry, Cause: "the voter came back with an empty disk"}}
 		}
 	}
 	found := Decision{Reason: Healthy}
@@ -224,6 +231,18 @@
 
 func isMajority(n, of int) bool { return n > 1 && 2*n > of }
 
+// LostDisks returns the voters whose disks are not those that the register lists.
+func LostDisks(disks []Disk) []job.EntryID {
+	var lost []job.EntryID
+	for _, d := range disks {
+		if d.Voter && d.Foreign {
+			lost = append(lost, d.Entry)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
 // Order lists the entries that may carry out the change, first to last: the draining voter
 // that the change replaces, if any, then the other voters by name.
 func Order(disks []Disk, v *Decision) []job.EntryID {
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -91,6 +91,11 @@
 		{[]Disk{dead("a", "x", time.Minute), b, c}, 3, NoSpare, "a"},
 		{[]Disk{alive("a", "x", true), b, c}, 5, NoSpare, ""},
 	}
+	lost := []Disk{foreign(alive("a", "x", true)), foreign(alive("b", "y", true)), c}
+	qt.Check(t, Plan(now, lost, 3).Reason, qt.Equals, MajorityLost)
+	qt.Check(t, LostDisks(lost), qt.DeepEquals, []job.EntryID{"a", "b"})
+	qt.Check(t, Plan(now, lost[1:], 3).Reason, qt.Equals, MajorityLost)
+	qt.Check(t, Plan(now, append(lost[1:], alive("d", "z", true)), 3).Reason, qt.Equals, DiskLost)
 	for _, test := range cases {
 		v := Plan(now, test.disks, test.want)
 		qt.Check(t, v, qt.Equals, Decision{Reason: test.reason, Voter: test.voter})
--- a/internal/register/lostdisk_test.go
+++ b/internal/register/lostdisk_test.go
@@ -239,3 +239,38 @@
 		}
 	}
 }
+
+// Two of three disks are lost before either is replaced, so no majority is left to repair the
+// set. Guards against a fleet that keeps this to itself, and against one that operators can't
+// bring back by the steps of docs/OPERATIONS.md.
+func TestFleetIsFormedAnewAfterItsMajorityIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSeries(t, 1, 3, 3)
+		defer s.stopAll()
+		time.Sleep(10 * time.Second)
+		s.mustApply("v01", 7)
+		for _, e := range []job.EntryID{"v01", "v02"} {
+			s.crash(e, storagetest.KeepNone)
+			s.restart(e, &storagetest.FS{})
+		}
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, s.nodes["v03"].State().Problem, qt.Matches, `the disks of \[v01 v02\] are lost .*`)
+		_, err := s.apply("v03", "change-8", fileOf(8, "a"))
+		qt.Assert(t, err, qt.IsNotNil)
+		saved, inForce := s.nodes["v03"].Body()
+		qt.Assert(t, inForce.Number, qt.Equals, uint64(7))
+
+		for _, e := range s.entries {
+			s.crash(e, storagetest.KeepNone)
+		}
+		s.voters = s.entries
+		for _, e := range s.entries {
+			s.restart(e, &storagetest.FS{})
+		}
+		time.Sleep(10 * time.Second)
+		_, err = s.apply("v02", "change-7-again", string(saved))
+		qt.Assert(t, err, qt.IsNil)
+		s.assertInEffect(7, time.Second, s.entries...)
+		qt.Assert(t, s.nodes["v03"].State().Problem, qt.Equals, "")
+	})
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -122,6 +122,8 @@
 	problem      string
 	// foreignFleet describes another fleet that was found on the network.
 	foreignFleet string
+	// majorityLost describes the loss of a majority of the voters' disks; empty otherwise.
+	majorityLost string
 	lastContact  map[job.EntryID]time.Time
 	// disks are the disk identities that entries reported last.
 	disks map[job.EntryID]consensus.Identity
--- a/internal/register/repair.go
+++ b/internal/register/repair.go
@@ -146,11 +146,25 @@
 		return
 	}
 	r.repairState.assessment = assessed
+	r.reportMajorityLost(v.Reason == voters.MajorityLost, voters.LostDisks(disks))
 	r.log.Info("voters assessed", "reason", v.Reason, "voter", v.Voter, "spare", v.Action.New, "acts", actor,
 		"version", s.Version, "voters", len(s.Voters), "heard", reachable, "losses_left", reachable-majority,
 		"spare_disks", spares, "wanted", r.opts.Repair.Want, "disks", describeDisks(disks, time.Now()))
 }
 
+// reportMajorityLost logs that a majority of the voters' disks is lost, and has State report it:
+// no entry can repair that, so an operator has to form the fleet anew.
+func (r *Register) reportMajorityLost(lost bool, disks []job.EntryID) {
+	problem := ""
+	if lost {
+		problem = fmt.Sprintf("the disks of %v are lost and the other voters are no majority: the configuration can't change until the fleet is formed anew", disks)
+		r.log.Error("majority of the voters' disks lost", "lost", disks, "cause", problem)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.majorityLost = problem
+}
+
 // describeDisks describes each disk's role, its liveness and how long it has had that
 // liveness.
 func describeDisks(disks []voters.Disk, now time.Time) []string {
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -31,8 +31,8 @@
 	// Identity names this entry's disk; empty without one.
 	Identity string
 	Voters   []consensus.Voter
-	// Problem says why the data folder is not used or not written, or that the
-	// entry found another fleet on the network.
+	// Problem says why the data folder is not used or not written, that the entry found
+	// another fleet on the network, or that a majority of the voters' disks is lost.
 	Problem string
 	// Serving summarises the state in one line.
 	Serving string
@@ -51,6 +51,9 @@
 	if out.Problem == "" {
 		out.Problem = r.foreignFleet
 	}
+	if out.Problem == "" {
+		out.Problem = r.majorityLost
+	}
 	var self consensus.Voter
 	if r.node != nil {
 		self = r.node.Self
