Let other repairs go first after one has failed

Two of five disks lost together and one of them cut off is within what a fleet of five bears; a third loss after the return of the second one would have left no majority for good.

The disk of a change that failed is postponed behind others, and is asked for its identity for 1 s at the most. It is tried again when it is the only one.

--- a/internal/policy/voters/voters.go
+++ b/internal/policy/voters/voters.go
@@ -75,6 +75,9 @@
 	Liveness Liveness
 	// Stopped says that a dead entry had announced its stop.
 	Stopped bool
+	// Postponed says that the last change that concerned the entry failed. Changes that
+	// concern other entries go first.
+	Postponed bool
 	// Since is when the entry became alive, or stopped being alive, without interruption
 	// since then.
 	Since time.Time
@@ -151,7 +154,12 @@
 // voters the fleet needs.
 func Plan(now time.Time, disks []Disk, want int) Decision {
 	disks = slices.Clone(disks)
-	slices.SortFunc(disks, func(a, b Disk) int { return cmp.Compare(a.Entry, b.Entry) })
+	slices.SortFunc(disks, func(a, b Disk) int {
+		if a.Postponed != b.Postponed {
+			return cmp.Compare(boolToInt(a.Postponed), boolToInt(b.Postponed))
+		}
+		return cmp.Compare(a.Entry, b.Entry)
+	})
 	for _, d := range disks {
 		if d.Voter && d.Foreign && d.Liveness.running() {
 			reason := DiskLost
@@ -229,6 +237,13 @@
 	return Decision{Reason: Healthy}
 }
 
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func isMajority(n, of int) bool { return n > 1 && 2*n > of }
 
 // LostDisks returns the voters whose disks are not those that the register lists.
@@ -284,6 +299,9 @@
 		if !d.Spare() || now.Sub(d.Since) < SpareSettleTime {
 			continue
 		}
+		if best != nil && d.Postponed != best.Postponed {
+			continue // the postponed disks come last
+		}
 		if best == nil || inZone[d.Zone] < inZone[best.Zone] {
 			best = d
 		}
--- a/internal/policy/voters/voters_test.go
+++ b/internal/policy/voters/voters_test.go
@@ -33,6 +33,11 @@
 	return d
 }
 
+func postponed(d Disk) Disk {
+	d.Postponed = true
+	return d
+}
+
 func foreign(d Disk) Disk {
 	d.Foreign = true
 	return d
@@ -63,6 +68,9 @@
 		{"a draining spare disk is not eligible", []Disk{alive("a", "x", true), dead("b", "y", time.Minute), alive("c", "z", true), draining(alive("d", "z", false))}, 3, "", ""},
 		{"a zone with a majority loses one voter", []Disk{alive("a", "x", true), alive("b", "x", true), alive("c", "z", true), alive("d", "y", false)}, 3, "a", "d"},
 		{"a zone that would get the majority is not eligible", []Disk{alive("a", "x", true), alive("b", "x", true), alive("c", "z", true), alive("d", "z", false)}, 3, "", ""},
+		{"an emptied disk whose change failed lets another one go first", []Disk{postponed(foreign(alive("a", "x", true))), foreign(alive("b", "y", true)), alive("c", "z", true), alive("d", "x", true), alive("e", "y", true)}, 5, "b", "b"},
+		{"an emptied disk whose change failed is tried again if it is the only one", []Disk{postponed(foreign(alive("a", "x", true))), alive("b", "y", true), alive("c", "z", true)}, 3, "a", "a"},
+		{"a spare disk whose change failed lets another one go first", []Disk{alive("a", "x", true), dead("b", "y", time.Minute), alive("c", "z", true), postponed(alive("d", "y", false)), alive("e", "z", false)}, 3, "b", "e"},
 		{"a voter is added in the zone with the fewest voters", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false), alive("e", "w", false)}, 5, "", "e"},
 		{"no voter is added beyond the required number", []Disk{alive("a", "x", true), alive("b", "y", true), alive("c", "z", true), alive("d", "x", false)}, 3, "", ""},
 	}
--- a/internal/register/lostdisk_test.go
+++ b/internal/register/lostdisk_test.go
@@ -310,3 +310,23 @@
 		qt.Assert(t, s.nodes["v03"].State().Problem, qt.Equals, "")
 	})
 }
+
+// Two of five disks are lost, and nothing reaches the first of the two, though it is heard. Guards
+// against a repair that fails again and again and keeps the other disk from being replaced.
+func TestUnreachableDiskDelaysNoOtherRepair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSeries(t, 1, 5, 5)
+		defer s.stopAll()
+		time.Sleep(10 * time.Second)
+		s.mustApply("v01", 1)
+		for _, e := range s.entries[1:] {
+			s.net.SetBlocked(e, "v01", true)
+		}
+		s.loseDisk("v01", syncTime)
+		s.nodes["v01"].install(s.nodes["v03"].current.Load())
+		s.loseDisk("v02", syncTime)
+		time.Sleep(catchUp)
+		emptied := consensus.Voter{Entry: "v02", Identity: s.nodes["v02"].diskIdentity()}
+		qt.Assert(t, s.nodes["v03"].State().Voters, qt.Contains, emptied)
+	})
+}
--- a/internal/register/repair.go
+++ b/internal/register/repair.go
@@ -28,6 +28,8 @@
 	// startupGrace is how long after the start of this entry a voter that it has not
 	// discovered may still be starting.
 	startupGrace = 3 * time.Second
+	// identifyTimeout bounds the wait for the identity of a new voter's disk.
+	identifyTimeout = time.Second
 	// retireTimeout bounds how long a planned stop waits for the transfer of the vote.
 	retireTimeout = 2 * time.Second
 	// retirePollInterval is how often a planned stop checks whether the vote was
@@ -53,6 +55,9 @@
 	away map[job.EntryID]time.Time
 	// turn decides when this entry carries out a change that is due.
 	turn voters.Turn
+	// failed is the new voter of the last change, if that failed: it may be
+	// heard and yet not reachable, and must not keep others from being replaced.
+	failed job.EntryID
 	// assessment is the last logged assessment.
 	assessment assessment
 }
@@ -93,7 +98,12 @@
 	if !r.repairState.turn.Reached(now, s.Voters, decision.Due(), place) {
 		return false
 	}
-	return r.changeVoters(ctx, s.Voters, decision.Action)
+	changed := r.changeVoters(ctx, s.Voters, decision.Action)
+	r.repairState.failed = ""
+	if !changed {
+		r.repairState.failed = decision.Action.New
+	}
+	return changed
 }
 
 // TransferVote transfers this entry's vote to a spare disk, if there is one, before a
@@ -202,6 +212,9 @@
 		identity, known := r.disks[v.Entry]
 		disks[i].Foreign = v.Entry != r.self && known && identity != v.Identity
 	}
+	for i := range disks {
+		disks[i].Postponed = disks[i].Entry == r.repairState.failed
+	}
 	r.repairState.updateAway(disks, now)
 	return disks
 }
@@ -237,7 +250,7 @@
 func (r *Register) changeVoters(ctx context.Context, set []consensus.Voter, a voters.Action) bool {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
-	voter, err := r.identify(ctx, a.New)
+	voter, err := r.identifyWithin(ctx, a.New, identifyTimeout)
 	if err == nil && slices.Contains(r.current.Load().Voters, voter) {
 		// The known identity of its disk was out of date.
 		return false
@@ -260,6 +273,13 @@
 	return true
 }
 
+// identifyWithin is identify with a time limit of its own.
+func (r *Register) identifyWithin(ctx context.Context, entry job.EntryID, limit time.Duration) (consensus.Voter, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return r.identify(ctx, entry)
+}
+
 // logRepair logs a change of the voters and how long the replaced voter was away.
 func (r *Register) logRepair(a voters.Action, identity consensus.Identity) {
 	took := time.Duration(0)
