Refuse a change of the voters at a disk that does not know the register

A node that knows no version now refuses such a change at once: there are no voters to change, and the asking entry tries the next one.

TestEmptiedDiskProposesNoVoterChange fails before.

--- a/internal/consensus/proposer.go
+++ b/internal/consensus/proposer.go
@@ -7,7 +7,9 @@
 )
 
 func (t *step) submit(r Request) {
-	if t.Chosen.Version > 0 && !t.Voting() {
+	// Before the register is formed there are no voters to change, and a disk that was emptied
+	// can't know that it is formed.
+	if t.Chosen.Version > 0 && !t.Voting() || t.Chosen.Version == 0 && r.Command.ChangesVoters() {
 		t.answer(r.Token, Outcome{Kind: Unavailable})
 		return
 	}
@@ -23,7 +25,7 @@
 	if !r.Command.ChangesVoters() {
 		t.Queue = append(slices.Clone(t.Queue), r)
 	} else {
-		r.CatchUpTo = max(t.Chosen.Version, 1)
+		r.CatchUpTo = t.Chosen.Version
 		t.Queue = insertVoterChange(t.Queue, r)
 	}
 	t.startAttempt(false)
--- a/internal/consensus/value_test.go
+++ b/internal/consensus/value_test.go
@@ -196,3 +196,14 @@
 	qt.Assert(t, s.Attempt.Phase, qt.Equals, accepting)
 	qt.Assert(t, s.Attempt.Command.Kind, qt.Equals, Replace)
 }
+
+// Guards against an emptied disk that is asked to become a voter itself: it does not know the
+// register, and would send its empty value to itself again and again.
+func TestEmptiedDiskProposesNoVoterChange(t *testing.T) {
+	self := Voter{"c", "c#1"}
+	s := Start(Record{Self: self}, []job.EntryID{"a", "b", "c"}, 1)
+	s, out := Step(s, Submit{Token: 1, Command: Command{Kind: Replace, Old: "e", New: self}})
+	qt.Assert(t, out.Messages, qt.HasLen, 0)
+	qt.Assert(t, out.Answers, qt.DeepEquals, []Answer{{Token: 1, Outcome: Outcome{Kind: Unavailable}}})
+	qt.Assert(t, s.Queue, qt.HasLen, 0)
+}
