--- a/review/standin2/cancel.go
+++ b/review/standin2/cancel.go
@@ -33,6 +33,8 @@
 // job is one job of a client, with what its client has seen.
 type job struct {
 	id string
+	// work is how long each of its tasks works, in milliseconds.
+	work, tasks int
 	// resendAfter is how long after its answer a re-sent request arrives.
 	resendAfter time.Duration
 
@@ -48,8 +50,8 @@
 func (j *job) submit(f *fleet, first int) {
 	edges := f.of(false)
 	client := &http.Client{Timeout: (waitMillis + 500) * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	spec := fmt.Sprintf("work %d cpu %d", workMillis, 16000)
-	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":16000,"mem_mb":64,"estimated_ms":%d}],"best_effort":true}`, spec, jobTasks, workMillis)
+	spec := fmt.Sprintf("work %d cpu %d", j.work, 16000)
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":16000,"mem_mb":64,"estimated_ms":%d}],"best_effort":true}`, spec, j.tasks, j.work)
 	for n := range maxSendings {
 		m := edges[(first+n)%len(edges)]
 		note("client: sends job %s to %s, sending %d", j.id, m.name, n+1)
@@ -120,7 +122,7 @@
 	var jobs []*job
 	var clients sync.WaitGroup
 	for n := range jobCount {
-		j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), resendAfter: resendAfter}
+		j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), work: workMillis, tasks: jobTasks, resendAfter: resendAfter}
 		if n%8 == 4 {
 			j.resendAfter = lateResend
 		}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -112,5 +112,6 @@
 var cases = map[string]func(f *fleet, trouble bool) bool{
 	"cancel":     playCancel,
 	"firststart": playFirstStart,
+	"lease":      playLease,
 	"firstack":   playFirstAck,
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -34,6 +34,8 @@
 	changed  chan struct{}
 	beatAt   string
 	beats    int
+	// cut is set while a partition cuts the worker off; what runs there goes on.
+	cut bool
 }
 
 type run struct {
@@ -121,6 +123,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.dropped(r) {
+		return
+	}
 	if o.Token < w.token {
 		w.answer(rw, http.StatusConflict, map[string]any{"reason": "fence"})
 		return
@@ -216,6 +221,9 @@
 		case <-r.Context().Done():
 		}
 		w.mu.Lock()
+		if w.dropped(r) {
+			return
+		}
 	}
 	running, ended := []any{}, []any{}
 	for task, x := range w.running {
@@ -232,6 +240,9 @@
 func (w *worker) beat() {
 	client := &http.Client{Timeout: time.Second}
 	for {
+		for w.isCut() {
+			time.Sleep(10 * time.Millisecond)
+		}
 		w.beats++
 		to := w.beatAt
 		if to == "" {
@@ -256,3 +267,28 @@
 		time.Sleep(pause)
 	}
 }
+
+// dropped reports whether a partition keeps a request or its answer from arriving. It returns once
+// the caller has given up. The caller holds the lock.
+func (w *worker) dropped(r *http.Request) bool {
+	if !w.cut {
+		return false
+	}
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+	return true
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	note("network: worker %s cut off: %v", w.id, cut)
+}
