--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -9,4 +9,4 @@
 		exit 2
 	fi
 done
-exec target/review3/standin3 -case cancel-resend -binary target/vanillagrade -record "$here/record.txt"
+exec target/review3/standin3 -case timed -binary target/vanillagrade -record "$here/record.txt"
--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -18,7 +18,6 @@
 const (
 	cancelBound = 3 * time.Second        // cancel_ms
 	earlyBound  = 250 * time.Millisecond // early_ms
-	resendAfter = 1300 * time.Millisecond
 	// slack is added to bounds for the time between an event and its record.
 	slack = 200 * time.Millisecond
 )
@@ -127,44 +126,6 @@
 	return nil
 }
 
-// playCancelResend: one client hands a job in and waits, another one cancels it. The first one gets
-// a 502 and does what the page says of it.
-func playCancelResend(ctx context.Context, f *fleet, trouble bool) error {
-	if err := begin(f, 6); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan reply, 1)
-	go func() {
-		for _, to := range []string{"edge-tomebamba-1", "edge-machangara-1", "edge-yanuncay-1"} {
-			r := f.send(ctx, http.MethodPost, f.get(to), jobID, cancellableJob(), 60*time.Second)
-			if r.status != 0 && r.status != http.StatusBadGateway && r.status != http.StatusGatewayTimeout || ctx.Err() != nil {
-				done <- r
-				return
-			}
-			time.Sleep(resendAfter)
-		}
-		done <- reply{err: errors.New("the client gives up")}
-	}()
-	if err := awaitRunning(f, jobID, 5*time.Second); err != nil {
-		return err
-	}
-	if !trouble {
-		if r := <-done; r.status != http.StatusOK {
-			return fmt.Errorf("the job ended with %d %s", r.status, r.body)
-		}
-		return nil
-	}
-	time.Sleep(time.Second)
-	r := f.send(ctx, http.MethodDelete, f.get("edge-yanuncay-2"), jobID, nil, 5*time.Second)
-	if !acknowledged(r.status) {
-		return errors.New("the cancelling was not acknowledged")
-	}
-	checkCancelled(f, jobID, time.Now())
-	return nil
-}
-
 // playTimed: a client hands in a best-effort job that is due three times from a later moment on.
 func playTimed(ctx context.Context, f *fleet, trouble bool) error {
 	if err := begin(f, 6); err != nil {
@@ -196,31 +157,6 @@
 	return nil
 }
 
-// playSpread: a client hands in a best-effort job of which one task at most may run on a worker.
-func playSpread(ctx context.Context, f *fleet, trouble bool) error {
-	if err := begin(f, 6); err != nil {
-		return err
-	}
-	var body struct {
-		Spec       string           `json:"spec"`
-		BestEffort bool             `json:"best_effort"`
-		Steps      []map[string]any `json:"steps"`
-	}
-	_ = json.Unmarshal(jobOfTasks(12, 2*time.Second, 8000, 64), &body)
-	if trouble {
-		body.Steps[0]["max_per_server"] = 1
-	}
-	raw, _ := json.Marshal(body)
-	r := f.send(ctx, http.MethodPost, f.get("edge-tomebamba-1"), jobID, raw, 30*time.Second)
-	if most, on := f.watch.mostTogether(jobID); trouble && most > 1 {
-		f.watch.breakf("ROUTE: %d tasks of a step with max_per_server 1 run on %s at the same time", most, on)
-	}
-	if !trouble && r.status != http.StatusOK {
-		return fmt.Errorf("the job ended with %d %s", r.status, r.body)
-	}
-	return nil
-}
-
 // open opens a client's channel and uses it once.
 func (f *fleet) open(to *machine) (net.Conn, error) {
 	c, err := net.Dial("tcp", to.front())
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -21,10 +23,8 @@
 type scenario func(ctx context.Context, f *fleet, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"cancel-thaw":   playCancelThaw,
-	"cancel-resend": playCancelResend,
-	"timed":         playTimed,
-	"spread":        playSpread,
+	"cancel-thaw": playCancelThaw,
+	"timed":       playTimed,
 }
 
 func main() { os.Exit(play()) }
@@ -60,6 +60,13 @@
 	f, err := newFleet(w, *binary, dir)
 	if f != nil {
 		defer f.close()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+		go func() {
+			<-stop
+			f.close()
+			os.Exit(couldNot)
+		}()
 	}
 	if err == nil {
 		err = scene(ctx, f, os.Getenv("TROUBLE") != "0")
--- a/review/standin3/watch.go
+++ b/review/standin3/watch.go
@@ -157,34 +157,3 @@
 	}
 	return len(done)
 }
-
-// mostTogether returns the most runs of a job that one worker has had at the same time.
-func (w *watch) mostTogether(job string) (most int, on string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, s := range w.starts {
-		if s.job != job {
-			continue
-		}
-		n := 0
-		for _, other := range w.starts {
-			if other.job == job && other.on == s.on && !other.at.After(s.at) && w.endOf(other).After(s.at) {
-				n++
-			}
-		}
-		if n > most {
-			most, on = n, s.on
-		}
-	}
-	return most, on
-}
-
-// endOf returns when a run has ended; the caller holds the lock.
-func (w *watch) endOf(s start) time.Time {
-	for _, e := range w.ends {
-		if e.task == s.task && e.run == s.run && e.on == s.on {
-			return e.at
-		}
-	}
-	return time.Now()
-}
