--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command standin3 plays the scripts of the third review: a small deployment of the project's own
 // programs on loopback addresses, with stand-ins of workers, clients and the operator.
 package main
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
