Refuse jobs that are due several times or later instead of running them once

Cause: the adapter did not decode repeat_count and start_at_ms, and its decoder skips unknown keys, so such a job was taken for one without times.

Ruled out: the scheduler, the targets and the answer (each task that was created ran once, as ordered); clocks (the start is early by the whole 4 s).

Changed: a job with a repeat_count above 1 is refused, 400 "unsupported". One that is due once is a job without times if its time has come, and is served; until then the check stage refuses it as not run, 503 "not_due" with Retry-After. A job that is not repeated has no times and is served as before.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -176,7 +176,11 @@
 		err = req.Submission.ID.Check()
 	}
 	if err != nil {
-		refused := job.Refuse("", job.Malformed, err.Error(), 0)
+		reason := job.Malformed
+		if errors.Is(err, errors.NotSupported) {
+			reason = job.Unsupported
+		}
+		refused := job.Refuse("", reason, err.Error(), 0)
 		return nil, &refused
 	}
 	return req.Submission, c.createTasks(req, held)
--- a/internal/api/wire.go
+++ b/internal/api/wire.go
@@ -75,6 +75,7 @@
 
 var statusByReason = map[job.Reason]int{
 	job.Malformed:       http.StatusBadRequest,
+	job.Unsupported:     http.StatusBadRequest,
 	job.UnknownService:  http.StatusNotFound,
 	job.UnknownTeam:     http.StatusForbidden,
 	job.IDReused:        http.StatusConflict,
@@ -96,6 +97,7 @@
 	job.ZoneCordoned:    http.StatusServiceUnavailable,
 	job.Draining:        http.StatusServiceUnavailable,
 	job.NotConfigured:   http.StatusServiceUnavailable,
+	job.NotDue:          http.StatusServiceUnavailable,
 	job.ZoneUnreachable: http.StatusServiceUnavailable,
 	job.NoRegistrar:     http.StatusServiceUnavailable,
 	job.NotKept:         http.StatusServiceUnavailable,
--- a/internal/eventlog/sink.go
+++ b/internal/eventlog/sink.go
@@ -144,7 +144,7 @@
 // in its own line, and refusals may come by the hundred.
 func selfExplanatory(reason job.Reason) bool {
 	switch reason {
-	case "", job.Preempted, job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NoTarget, job.ZoneCordoned, job.Infeasible:
+	case "", job.Preempted, job.Overloaded, job.QueueFull, job.OverQuota, job.Draining, job.NotConfigured, job.NotDue, job.NoTarget, job.ZoneCordoned, job.Infeasible:
 		return true
 	}
 	return false
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -191,6 +191,8 @@
 	// and were therefore not created; Tasks is empty then. It is zero otherwise.
 	ExcessTasks int
 	Received    time.Time
+	// NotBefore is the earliest time at which a task may start; zero means at once.
+	NotBefore time.Time
 	// Deadline is the time after which the answer is useless; zero means none.
 	Deadline time.Time
 	// Single marks an opaque request of the /v1/services path: one task whose
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -23,6 +23,7 @@
 // The reasons. docs/OPERATIONS.md says what to do about each.
 const (
 	Malformed       Reason = "malformed"
+	Unsupported     Reason = "unsupported"
 	UnknownService  Reason = "unknown_service"
 	UnknownTeam     Reason = "unknown_team"
 	IDReused        Reason = "id_reused"
@@ -36,6 +37,7 @@
 	ZoneCordoned    Reason = "zone_cordoned"
 	Draining        Reason = "draining"
 	NotConfigured   Reason = "not_configured"
+	NotDue          Reason = "not_due"
 	DeadlinePassed  Reason = "deadline_passed"
 	DeadlineTooNear Reason = "deadline_too_near"
 	CallerGone      Reason = "caller_gone"
--- a/internal/pipeline/check.go
+++ b/internal/pipeline/check.go
@@ -16,6 +16,10 @@
 // the next attempt reaches another one.
 const drainRetryAfter = 500 * time.Millisecond
 
+// maxDueRetryAfter bounds the retry delay given to the caller of a submission that is
+// due later.
+const maxDueRetryAfter = 24 * time.Hour
+
 // Check refuses submissions that the configuration in effect does not allow.
 // No task of a refused submission is handed out, so the first attempt of an id
 // is provably "not run". If the caller sends the id again, or does not say
@@ -77,6 +81,9 @@
 	if n := file.Limits.MaxJobBytes; int64(s.Bytes()) > n {
 		return job.Refuse(s.ID, job.TooLarge, fmt.Sprintf("%d bytes, at most %d", s.Bytes(), n), 0), false
 	}
+	if wait := s.NotBefore.Sub(s.Received); wait > 0 {
+		return job.Refuse(s.ID, job.NotDue, fmt.Sprintf("no task may start before %s", s.NotBefore.UTC().Format(time.RFC3339)), min(wait, maxDueRetryAfter)), false
+	}
 	if s.Deadline.IsZero() && service.Deadline > 0 {
 		s.Deadline = s.Received.Add(service.Deadline)
 	}
--- a/internal/timeline/sentence.go
+++ b/internal/timeline/sentence.go
@@ -10,6 +10,7 @@
 // each.
 var reasonTexts = map[job.Reason]string{
 	job.Malformed:       "the request could not be read",
+	job.Unsupported:     "it uses something that this release does not serve",
 	job.UnknownService:  "the configuration in force has no such service",
 	job.UnknownTeam:     "the configuration in force has no such team",
 	job.IDReused:        "the same id was used before with other content",
@@ -23,6 +24,7 @@
 	job.ZoneCordoned:    "all zones with targets for it are cordoned",
 	job.Draining:        "the entry takes no new work because it is stopping",
 	job.NotConfigured:   "the entry holds no configuration yet",
+	job.NotDue:          "its time has not come yet",
 	job.DeadlinePassed:  "its deadline had passed",
 	job.DeadlineTooNear: "its deadline is nearer than the work takes",
 	job.CallerGone:      "the caller hung up",
