Refuse jobs of a route whose tasks need the word of an advice service

Callers saw: on a queue with an advice policy, tasks were sent to workers without asking which of them may run it (ROUTE). A worker that checks rejects each start (409, ticket), which counts as a failure of the task.

Ruled out: refusing the configuration. It is valid by the platform's pages, its other routes are served, and an operator's valid change must be acknowledged.

Changed: a route may name a property that this release does not serve; its jobs are refused (400 "unsupported") before anything runs. When such a file takes effect, a warning names up to eight of the routes. Other queues and look-ups are as before.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -31,6 +31,10 @@
 	Host       string
 	PathPrefix string
 	Service    string
+	// Unsupported names a property of the route that this release does not serve. Work for
+	// the route is refused, while the rest of the file takes effect. It is empty for a route
+	// that is served.
+	Unsupported string
 }
 
 // Team is a group of callers that share a quota.
@@ -173,6 +177,18 @@
 	return Team{}, false
 }
 
+// UnsupportedRoutes returns the services whose routes this release does not serve, each
+// with the property that it does not serve.
+func (f *File) UnsupportedRoutes() []string {
+	var out []string
+	for i := range f.Routes {
+		if r := &f.Routes[i]; r.Unsupported != "" {
+			out = append(out, r.Service+": "+r.Unsupported)
+		}
+	}
+	return out
+}
+
 // View provides the configuration in effect, or nil before the first one.
 type View interface {
 	Current() *File
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -260,6 +260,9 @@
 	r.watchers = append(r.watchers, f)
 }
 
+// maxLoggedRoutes bounds the routes that one log line names.
+const maxLoggedRoutes = 8
+
 // install puts s into effect if it is newer than the current snapshot.
 func (r *Register) install(s *snapshot) {
 	if s.Version == 0 {
@@ -299,6 +302,9 @@
 		return
 	}
 	r.log.Info("configuration in force", "number", s.Change.Number, "digest", s.Change.Digest.String())
+	if routes := s.file.UnsupportedRoutes(); len(routes) > 0 {
+		r.log.Warn("jobs of some routes are refused", "number", s.Change.Number, "routes", len(routes), "first", routes[:min(len(routes), maxLoggedRoutes)])
+	}
 	r.events.Record(timeline.Event{Kind: timeline.ConfigurationInEffect, Cause: s.describe(), Took: s.propagationTime()})
 	for _, f := range r.watchers {
 		f(previous, s.file)
