--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -255,8 +255,8 @@
 }
 
 func checkTask(t *job.TaskSpec) error {
-	if t.RunMillis < 0 || t.Processors < 0 || t.MemoryMB < 0 || t.Accelerators < 0 {
-		return errors.New("a negative size or run time")
+	if err := t.CheckSizes(); err != nil {
+		return err
 	}
 	if err := t.CheckKind(); err != nil {
 		return err
--- a/internal/api/caller_test.go
+++ b/internal/api/caller_test.go
@@ -57,6 +57,8 @@
 		{"no service", "/v1/jobs", `{"tasks":[{}]}`, nil, 400},
 		{"no tasks", "/v1/jobs", `{"service":"s","tasks":[]}`, nil, 400},
 		{"negative size", "/v1/jobs", `{"service":"s","tasks":[{"memory_mb":-1}]}`, nil, 400},
+		{"negative fraction of a processor", "/v1/jobs", `{"service":"s","tasks":[{"milli_processors":-1}]}`, nil, 400},
+		{"processors beyond counting", "/v1/jobs", `{"service":"s","tasks":[{"processors":9223372036854775807}]}`, nil, 400},
 		{"negative deadline", "/v1/jobs", `{"service":"s","deadline_ms":-5,"tasks":[{}]}`, nil, 400},
 		{"negative attempt", "/v1/jobs", `{"service":"s","attempt":-1,"tasks":[{}]}`, nil, 400},
 		{"long id", "/v1/jobs", `{"service":"s","id":"` + strings.Repeat("i", job.MaxIDBytes+1) + `","tasks":[{}]}`, nil, 400},
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -97,6 +97,33 @@
 	return nil
 }
 
+// maxTaskProcessors bounds the processors of a task, so that their number in thousandths does
+// not overflow.
+const maxTaskProcessors = 1 << 40
+
+// CheckSizes returns an error if a size or the run time is negative, or beyond counting. Such a
+// size would add to what is free on a target.
+func (t *TaskSpec) CheckSizes() error {
+	for _, v := range []struct {
+		name  string
+		value int64
+	}{
+		{"run_ms", t.RunMillis},
+		{"processors", int64(t.Processors)},
+		{"milli_processors", int64(t.MilliProcessors)},
+		{"memory_mb", int64(t.MemoryMB)},
+		{"accelerators", int64(t.Accelerators)},
+	} {
+		if v.value < 0 {
+			return errors.NotValidf("%s %d", v.name, v.value)
+		}
+	}
+	if t.Processors > maxTaskProcessors || t.MilliProcessors > maxTaskProcessors {
+		return errors.NotValidf("a task of more than %d processors", int64(maxTaskProcessors))
+	}
+	return nil
+}
+
 // Equal reports whether two specifications are equal.
 func (t *TaskSpec) Equal(other *TaskSpec) bool {
 	if !bytes.Equal(t.Payload, other.Payload) {
