Run at most as many tasks of a job on one target as the job allows

TestRandomRuns: "2 tasks of j1 run on w0, at most 1 may".

Ruled out: refusing such jobs. They are served today, and rightly where the limit is not reached. Counting at the owner: each target has one holder, and a target that changes holders starts nothing before what runs there has ended.

A job whose tasks wait for each other holds up no other job, has no target reserved and no run stopped for it, and is refused at once if its last task could only start too late. Owners spread it over enough targets. Jobs without a limit take the same decisions as before.

--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -113,7 +113,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.splitter.Report(now, own)
-	return h.splitter.SplitFor(now, f.Service.Pool, split.Precedence{Urgency: f.Service.Urgency, Priority: f.Service.Priority}, batch, without...)
+	return h.splitter.SplitFor(now, f.Service.Pool, split.Precedence{Urgency: f.Service.Urgency, Priority: f.Service.Priority, MaxPerTarget: f.Submission.MaxPerTarget}, batch, without...)
 }
 
 func indices(tasks []job.BatchTask) []int {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -229,6 +229,9 @@
 	// have hung up, and which may run again from the start if it is sent again.
 	// Its work stops when its last caller hangs up, and no registrar records it.
 	Transient bool
+	// MaxPerTarget is the largest number of tasks of the submission that may run on one target
+	// at the same time; zero means no limit.
+	MaxPerTarget int
 	// Digest covers the service, the team and the tasks. An id that is used again
 	// with a different digest belongs to a different submission and is refused.
 	Digest Digest
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -210,6 +210,8 @@
 	// Reoffered is set if another holder has refused the tasks before. They count as
 	// requested only once, where they were offered first.
 	Reoffered bool `cbor:"15,keyasint,omitempty"`
+	// MaxPerTarget is as in Submission.
+	MaxPerTarget int `cbor:"16,keyasint,omitempty"`
 	// Right is the right of the entry that has the batch to act for the owner; nil
 	// for work that needs none.
 	Right Right `cbor:"-"`
--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -327,6 +327,8 @@
 		Stretch:    fl.flow.Service.Stretch,
 		Slack:      fl.flow.Service.Slack,
 		Right:      fl.flow.Right,
+
+		MaxPerTarget: s.MaxPerTarget,
 	}
 	if !s.Deadline.IsZero() {
 		b.Remaining = max(s.Deadline.Sub(now), time.Nanosecond)
--- a/internal/policy/split/precedence.go
+++ b/internal/policy/split/precedence.go
@@ -6,11 +6,14 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
-// Precedence says how urgent a job is compared to the others of its pool.
+// Precedence says how urgent a job is compared to the others of its pool, and how its tasks
+// may be spread.
 type Precedence struct {
 	Urgency job.Urgency
 	// Priority is that of the service within its urgency class, 0 for the most urgent.
 	Priority int
+	// MaxPerTarget is as in job.Submission.
+	MaxPerTarget int
 }
 
 // waitAt returns the expected wait of a task at a holder and the free slots there. Where more
--- a/internal/policy/split/split.go
+++ b/internal/policy/split/split.go
@@ -151,7 +151,11 @@
 	taken              int
 	perTask            time.Duration
 	wait               time.Duration
-	assigned           []job.BatchTask
+	// atOnce is how many tasks of the job its own limit lets run on the holder's targets at
+	// the same time, each for run; zero means any number.
+	atOnce   int
+	run      time.Duration
+	assigned []job.BatchTask
 }
 
 // Split distributes the tasks of a job of the most urgent priority over the holders of a
@@ -160,7 +164,7 @@
 	return s.SplitFor(now, pool, Precedence{Urgency: u}, tasks, excluded...)
 }
 
-// SplitFor is Split for a job of any priority.
+// SplitFor is Split for a job of any priority, and for one that bounds its tasks on one target.
 func (s *Splitter) SplitFor(now time.Time, pool string, by Precedence, tasks []job.BatchTask, excluded ...job.EntryID) Plan {
 	open, cordoned := s.candidates(pool, by)
 	all := slices.DeleteFunc(open, func(c *candidate) bool { return slices.Contains(excluded, c.load.Entry) })
@@ -211,8 +215,9 @@
 // may start while another is refused or waits too long to be useful. The caller then
 // learns late that its job may have run, and the slots used by the first part are lost
 // to other jobs. A single holder accepts or refuses the whole job at once. Therefore a
-// job is split only if it is large in relation to a holder and the split gains much, or
-// if only a split lets all of its tasks start at once and many slots are free.
+// job is split only if it is large in relation to a holder, or its own limit makes its tasks
+// wait for each other there, and the split gains much, or if only a split lets all of its
+// tasks start at once and many slots are free.
 func (s *Splitter) holderForWholeJob(cs []*candidate, tasks []job.BatchTask, splitWait time.Duration) *candidate {
 	if len(tasks) < 2 || s.costs.WholeJobShare <= 0 {
 		return nil
@@ -228,10 +233,14 @@
 			best, bestCost = c, cost
 		}
 	}
-	if best != nil && len(tasks) > best.free && splitWait == 0 && freeShare(cs) > minFreeShareToSplit {
+	if best == nil {
 		return nil
 	}
-	if best == nil || float64(len(tasks)) > s.costs.WholeJobShare*float64(best.load.Slots) && bestCost > splitWait+minSplitGain {
+	if best.lastStart(len(tasks)) > 0 && splitWait == 0 && freeShare(cs) > minFreeShareToSplit {
+		return nil
+	}
+	large := float64(len(tasks)) > s.costs.WholeJobShare*float64(best.load.Slots) || best.ownWait(len(tasks)-1) > 0
+	if large && bestCost > splitWait+minSplitGain {
 		return nil
 	}
 	return best
@@ -248,11 +257,24 @@
 }
 
 // lastStart returns the expected wait until the last of n tasks starts on this holder.
-func (c *candidate) lastStart(n int) time.Duration {
-	if n <= c.free {
+func (c *candidate) lastStart(n int) time.Duration { return c.startAfter(n - 1) }
+
+// startAfter returns the expected wait of a task of the job that starts on this holder after
+// n others.
+func (c *candidate) startAfter(n int) time.Duration {
+	if n < c.free {
+		return c.ownWait(n)
+	}
+	return max(c.ownWait(n), c.wait+time.Duration(n-c.free)*c.perTask)
+}
+
+// ownWait returns how long a task of the job waits for the ends of some of the n others that
+// start before it on this holder, because of the job's own limit.
+func (c *candidate) ownWait(n int) time.Duration {
+	if c.atOnce == 0 {
 		return 0
 	}
-	return c.wait + time.Duration(n-c.free-1)*c.perTask
+	return time.Duration(n/c.atOnce) * c.run
 }
 
 // wholeJobOverhead returns the cost, besides waiting, of running n tasks on the holder.
@@ -301,7 +323,9 @@
 
 func (s *Splitter) candidate(h *holder, by Precedence) *candidate {
 	c := &candidate{holder: h, remote: h.load.Zone != s.zone}
-	c.perTask = s.meanRunTime(h.load.Pool) / time.Duration(max(1, h.load.Slots))
+	c.run = s.meanRunTime(h.load.Pool)
+	c.perTask = c.run / time.Duration(max(1, h.load.Slots))
+	c.atOnce = by.MaxPerTarget * h.load.Targets
 	wait, room := by.waitAt(&h.load)
 	c.free = min(h.load.Slots, room-h.outstanding)
 	// A holder that had free slots reported no wait. Once they are used, the next slot
@@ -352,6 +376,9 @@
 	if len(local) == 0 || !allFit(local, tasks) {
 		return false
 	}
+	if !runAtOnce(local, len(tasks)) {
+		return false
+	}
 	wait := localWait(local, len(tasks))
 	bound := spillFactor * s.costs.ZoneRoundTrip
 	if s.spilling[pool] {
@@ -374,6 +401,18 @@
 	return true
 }
 
+// runAtOnce reports whether the job's own limit lets n of its tasks run on the holders at the
+// same time.
+func runAtOnce(cs []*candidate, n int) bool {
+	for _, c := range cs {
+		if c.atOnce == 0 || n <= c.atOnce {
+			return true
+		}
+		n -= c.atOnce
+	}
+	return false
+}
+
 // localWait returns the expected wait of the last of n tasks if they all stay in the
 // zone. Tasks beyond the free slots are drained by all slots together.
 func localWait(cs []*candidate, n int) time.Duration {
@@ -410,12 +449,7 @@
 	return best, bestStart
 }
 
-func (c *candidate) start() time.Duration {
-	if c.taken < c.free {
-		return 0
-	}
-	return c.wait + time.Duration(c.taken-c.free)*c.perTask
-}
+func (c *candidate) start() time.Duration { return c.startAfter(c.taken) }
 
 // overhead returns the cost, besides waiting, of running one more task on the holder.
 func (s *Splitter) overhead(c *candidate) time.Duration {
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -53,6 +53,8 @@
 	suspects       int
 	suspectRunning bool
 	racks          map[string]int // running tasks by rack
+	// perTarget counts the running tasks of a limited job by target.
+	perTarget map[*target]int
 	// stops counts the stopped runs of the batch.
 	stops int
 }
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -27,6 +27,7 @@
 		tg.exclusive, b.suspectRunning = false, false
 	}
 	b.running--
+	b.countOn(tg, -1)
 	if b.racks != nil {
 		b.racks[tg.Rack]--
 	}
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -25,7 +25,7 @@
 	// in one call.
 	maxUnplaced = 8
 	// maxWaiters bounds how many jobs are skipped in one call because they wait for one
-	// of their suspected tasks, or for a target on which they meet their objective.
+	// of their own tasks, or for a target on which they meet their objective.
 	maxWaiters = 64
 	// reserveAfter is how long a job whose next task fits no target waits until a
 	// target is reserved for it. Smaller tasks would otherwise fill each gap before it
@@ -95,6 +95,11 @@
 			p.waitForFast(b)
 			continue
 		}
+		if tg == nil && len(waiters) < maxWaiters && p.waitsForOwnTask(b, t) {
+			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
+			waiters = append(waiters, b)
+			continue
+		}
 		if tg == nil {
 			p.classes[b.class].lanes[b.lane()].Remove(&b.item)
 			unplaced = append(unplaced, b)
@@ -198,6 +203,7 @@
 	t.probe = probe
 	t.attempts++
 	b.running++
+	b.countOn(tg, 1)
 	if len(b.tasks) > 1 && tg.Rack != "" {
 		if b.racks == nil {
 			b.racks = map[string]int{}
@@ -240,7 +246,7 @@
 	var best *target
 	for i := range p.ranked.Len() {
 		tg := p.ranked.At(i)
-		if tg.tier < slow && p.fastEnough(now, b, t, tg) && t.size.Fits(tg.Capacity()) && !slices.Contains(t.avoid, tg) && (best == nil || tg.running < best.running) {
+		if tg.tier < slow && p.fastEnough(now, b, t, tg) && t.size.Fits(tg.Capacity()) && !b.atLimit(tg) && !slices.Contains(t.avoid, tg) && (best == nil || tg.running < best.running) {
 			best = tg
 		}
 	}
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -140,6 +140,9 @@
 	if p.opts.NoAdmission {
 		return Admission{Accepted: true}
 	}
+	if v, refused := p.refuseTooWide(now, b); refused {
+		return v
+	}
 	if b.objective.set() {
 		return p.admitObjective(now, b)
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,7 +30,7 @@
 	if p.sizesBind() {
 		best, tooSlow = p.placeSized(now, b, t, worst)
 		if !tooSlow {
-			p.noteUnplaceable(t, best, worst)
+			p.noteUnplaceable(b, t, best, worst)
 		}
 		return best, best == nil && tooSlow
 	}
@@ -38,14 +38,14 @@
 	if best == nil && visited >= maxVisits {
 		best = p.placeExhaustive(b, t, worst)
 	}
-	p.noteUnplaceable(t, best, worst)
+	p.noteUnplaceable(b, t, best, worst)
 	return best, false
 }
 
 // noteUnplaceable records that a task of this size fits no target, until a target
 // or its load changes.
-func (p *Pool) noteUnplaceable(t *task, found *target, worst tier) {
-	if found == nil && len(t.avoid) == 0 && !t.suspect && worst < slow && p.reservedFor == nil {
+func (p *Pool) noteUnplaceable(b *batch, t *task, found *target, worst tier) {
+	if found == nil && !b.limited() && len(t.avoid) == 0 && !t.suspect && worst < slow && p.reservedFor == nil {
 		p.unplaceable[t.size] = true
 	}
 }
@@ -54,7 +54,7 @@
 	if tg.tier > worst || !tg.canFit(t.size) {
 		return false
 	}
-	if tg.reservedFor != nil && tg.reservedFor != b || b.waitsForSuspect(t) {
+	if tg.reservedFor != nil && tg.reservedFor != b || b.waitsForSuspect(t) || b.atLimit(tg) {
 		return false
 	}
 	if t.suspect && (tg.running > 0 || tg.inherited > 0) {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -123,7 +123,7 @@
 // canMakeRoom reports whether the tasks of a new batch of the most urgent level can start in
 // time if runs of less urgent ones are stopped.
 func (p *Pool) canMakeRoom(now time.Time, b *batch) bool {
-	if p.opts.NoPreemption || !p.mostUrgent(b) {
+	if p.opts.NoPreemption || !p.mostUrgent(b) || b.limited() {
 		return false
 	}
 	waiting := p.urgentBatches(now)
@@ -136,10 +136,11 @@
 
 // urgentBatches returns the queued batches of the most urgent level that can still start in
 // time, in the order in which they are served, and at most maxJobsExamined. All are of one class.
+// Limited jobs are left out: what is stopped for them may be on a target that they can't use.
 func (p *Pool) urgentBatches(now time.Time) []*batch {
 	var waiting []*batch
 	for _, b := range p.batches {
-		if p.mostUrgent(b) && b.queued() > 0 && b.objective.set() && !b.cancelled && now.Before(b.objective.latestStart) {
+		if p.mostUrgent(b) && !b.limited() && b.queued() > 0 && b.objective.set() && !b.cancelled && now.Before(b.objective.latestStart) {
 			waiting = append(waiting, b)
 		}
 	}
--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -20,12 +20,14 @@
 	running map[Key]job.TargetID
 	gone    map[job.ID]bool // cancelled
 	next    int
+	limits  map[job.ID]int // largest number of tasks on one target; zero for any
 }
 
 func (m *model) offer() {
 	m.next++
 	b := batchOf(fmt.Sprint("j", m.next), rapid.SampledFrom([]string{"thumb", "proxy", "alert", "inflow"}).Draw(m.T, "service"), rapid.IntRange(1, 12).Draw(m.T, "tasks"))
 	b.Team = rapid.SampledFrom([]string{"", "a", "b"}).Draw(m.T, "team")
+	b.MaxPerTarget = rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(m.T, "limit")
 	b.Remaining = time.Duration(rapid.SampledFrom([]int{0, 0, 300, 3000}).Draw(m.T, "deadline")) * ms
 	for i := range b.Tasks {
 		b.Tasks[i].Kind = rapid.SampledFrom([]string{"", "x", "y"}).Draw(m.T, "kind")
@@ -34,6 +36,7 @@
 	if !m.p.Offer(m.now, b).Accepted {
 		return
 	}
+	m.limits[b.Submission] = b.MaxPerTarget
 	for i := range b.Tasks {
 		m.waiting[Key{owner, b.Submission, i}] = true
 	}
@@ -130,9 +133,19 @@
 	if queued != len(m.waiting) || queued != m.p.queued || running != len(m.running) || running != m.p.running {
 		m.Fatalf("queued %d and %d of %d, running %d and %d of %d", queued, m.p.queued, len(m.waiting), running, m.p.running, len(m.running))
 	}
-	per := map[job.TargetID]int{}
-	for _, id := range m.running {
+	type placement struct {
+		job    job.ID
+		target job.TargetID
+	}
+	per, ofJob := map[job.TargetID]int{}, map[placement]int{}
+	for k, id := range m.running {
 		per[id]++
+		ofJob[placement{k.Submission, id}]++
+	}
+	for at, n := range ofJob {
+		if limit := m.limits[at.job]; limit > 0 && n > limit {
+			m.Fatalf("%d tasks of %s run on %s, at most %d may", n, at.job, at.target, limit)
+		}
 	}
 	for id, t := range m.p.targets {
 		if t.running != per[id] || t.running > 3 || t.used.MemoryMB > 1000 || t.used.MemoryMB < 0 {
@@ -165,7 +178,7 @@
 }
 
 func randomRun(r *rapid.T) {
-	m := &model{T: r, p: smallPool(0, 0), now: epoch, waiting: map[Key]bool{}, running: map[Key]job.TargetID{}, gone: map[job.ID]bool{}}
+	m := &model{T: r, p: smallPool(0, 0), now: epoch, waiting: map[Key]bool{}, running: map[Key]job.TargetID{}, gone: map[job.ID]bool{}, limits: map[job.ID]int{}}
 	for range rapid.IntRange(10, 120).Draw(r, "steps") {
 		m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 50, 400}).Draw(r, "pass")) * ms)
 		switch rapid.IntRange(0, 9).Draw(r, "step") {
