Pause the test's own loop after a start that is refused at once

Cause: TestHalfOfTheRequestsLost hangs in some runs under the race detector. Traced by the stacks of a run that hung: two goroutines of runUntilDone are running, all others wait for virtual time, which stands still while a goroutine is busy. Both sessions refuse the task's start at once (an earlier run has still to end there), and the loop starts it again without a pause.

A holder can't spin so: it waits for a probe after a refusal, and gives a task up after eight starts. TestStartsRefusedAtOnceAreBounded shows it for four kinds of refusal with targets that refuse each start at once.

Ruled out: a fault of the session; each of the starts returns.

Changed: the loop pauses for a millisecond if a start took no time. What the test asserts and its bounds are as before; the pause only makes its tasks end later.

--- a/internal/holder/transient_test.go
+++ b/internal/holder/transient_test.go
@@ -178,3 +178,29 @@
 	qt.Assert(t, b.outcomes[0].Status, qt.Equals, job.TaskNotStarted)
 	qt.Assert(t, b.outcomes[1].Status, qt.Equals, job.TaskErred)
 }
+
+// Guards against a holder that starts a refused task again and again without a pause: targets that
+// refuse each start at once would take all of its processor time. Eight starts are the most for one
+// task, and the last ones wait for a probe.
+func TestStartsRefusedAtOnceAreBounded(t *testing.T) {
+	for _, refusal := range []target.Refusal{target.Busy, target.Unreachable, target.Draining, target.NoCapacity} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			var starts atomic.Int64
+			f.answer = func(job.TargetID, target.Task) target.Result {
+				starts.Add(1)
+				return target.Result{Status: job.TaskNotStarted, Refusal: refusal}
+			}
+			h := newHolder(f, "1", "2")
+			var r reports
+			begun := time.Now()
+			h.Offer(transientOf("j", "e1"), r.add)
+			synctest.Wait()
+			qt.Check(t, starts.Load() <= 2, qt.IsTrue, qt.Commentf("%v: %d starts at once", refusal, starts.Load()))
+			qt.Assert(t, h.Drain(t.Context()), qt.IsNil)
+			qt.Check(t, starts.Load() <= 8, qt.IsTrue, qt.Commentf("%v: %d starts", refusal, starts.Load()))
+			qt.Check(t, time.Since(begun) >= 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v: given up after %v", refusal, time.Since(begun)))
+			qt.Check(t, r.tally(), qt.DeepEquals, tally{"not started target_refused": 1}, qt.Commentf("%v", refusal))
+		})
+	}
+}
--- a/internal/runs/repeat_test.go
+++ b/internal/runs/repeat_test.go
@@ -182,11 +182,15 @@
 	}
 }
 
+// refusedStartDelay is the pause after a start that was refused without a request to the target.
+// Holders pause for longer, and give a task up after a few refusals.
+const refusedStartDelay = time.Millisecond
+
 // runUntilDone starts a task on one target after another until one has completed it. It checks
 // that no target runs the task after a start has returned.
 func runUntilDone(t *testing.T, sessions []*Session, workers []*worker, ref Ref) {
 	for run := 1; ; run++ {
-		at := (ref.Index + run) % len(sessions)
+		begun, at := time.Now(), (ref.Index+run)%len(sessions)
 		res := sessions[at].Start(context.Background(), target.Task{Submission: ref.Submission, Index: ref.Index, Run: run})
 		alive := 0
 		for _, w := range workers {
@@ -200,6 +204,9 @@
 		if res.Status == job.TaskDone {
 			return
 		}
+		if time.Since(begun) == 0 {
+			time.Sleep(refusedStartDelay) // virtual time stands still while a goroutine is busy
+		}
 	}
 }
 
