--- a/internal/pipeline/run.go
+++ b/internal/pipeline/run.go
@@ -312,22 +312,21 @@
 func (fl *flight) sendBatch(now time.Time, p Part, of job.Batch) {
 	s := fl.flow.Submission
 	b := &job.Batch{
-		Owner:      fl.stage.Self,
-		Submission: s.ID,
-		Team:       s.Team,
-		Service:    s.Service,
-		Waited:     now.Sub(s.Received),
-		Tasks:      make([]job.BatchTask, len(p.Tasks)),
-		Single:     s.Single,
-		Committed:  of.Committed,
-		Reoffered:  of.Reoffered,
-		Pool:       fl.flow.Service.Pool,
-		Attempts:   fl.flow.Service.Attempts,
-		Transient:  s.Transient,
-		Stretch:    fl.flow.Service.Stretch,
-		Slack:      fl.flow.Service.Slack,
-		Right:      fl.flow.Right,
-
+		Owner:        fl.stage.Self,
+		Submission:   s.ID,
+		Team:         s.Team,
+		Service:      s.Service,
+		Waited:       now.Sub(s.Received),
+		Tasks:        make([]job.BatchTask, len(p.Tasks)),
+		Single:       s.Single,
+		Committed:    of.Committed,
+		Reoffered:    of.Reoffered,
+		Pool:         fl.flow.Service.Pool,
+		Attempts:     fl.flow.Service.Attempts,
+		Transient:    s.Transient,
+		Stretch:      fl.flow.Service.Stretch,
+		Slack:        fl.flow.Service.Slack,
+		Right:        fl.flow.Right,
 		MaxPerTarget: s.MaxPerTarget,
 	}
 	if !s.Deadline.IsZero() {
