--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -97,8 +97,8 @@
 	return nil
 }
 
-// maxTaskProcessors bounds the processors of a task, so that their number in thousandths does
-// not overflow.
+// maxTaskProcessors bounds the processors of a task, and separately their thousandths, so that
+// the sum in thousandths does not overflow.
 const maxTaskProcessors = 1 << 40
 
 // CheckSizes returns an error if a size or the run time is negative, or beyond counting. Such a
@@ -119,7 +119,7 @@
 		}
 	}
 	if t.Processors > maxTaskProcessors || t.MilliProcessors > maxTaskProcessors {
-		return errors.NotValidf("a task of more than %d processors", int64(maxTaskProcessors))
+		return errors.NotValidf("processors %d and milli_processors %d (at most %d each)", t.Processors, t.MilliProcessors, int64(maxTaskProcessors))
 	}
 	return nil
 }
--- a/internal/policy/split/precedence.go
+++ b/internal/policy/split/precedence.go
@@ -6,8 +6,8 @@
 	"github.com/vanillagrade/vanillagrade/internal/job"
 )
 
-// Precedence says how urgent a job is compared to the others of its pool, and how its tasks
-// may be spread.
+// Precedence says how urgent a job is compared to the others of its pool, and how many of its
+// tasks may share a target.
 type Precedence struct {
 	Urgency job.Urgency
 	// Priority is that of the service within its urgency class, 0 for the most urgent.
